--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+TOOLS := bin/tools
+
+.PHONY: all build demo test fmt fmt-check lint unit wire bench slopes clean
+
+all: build
+
+# golangci-lint is pinned by its version and the checksum database: inside tools/go.mod its module graph
+# reaches a go.mod file of an unused, years-old dependency that the module proxy does not serve.
+GOLANGCI_LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+$(TOOLS)/stamp: tools/go.mod tools/go.sum Makefile
+	mkdir -p $(TOOLS)
+	cd tools && go build -o ../$(TOOLS)/ tool
+	GOBIN=$(CURDIR)/$(TOOLS) go install $(GOLANGCI_LINT)
+	touch $@
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./...
+
+fmt: $(TOOLS)/stamp
+	$(TOOLS)/gofumpt -w $$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+fmt-check: $(TOOLS)/stamp
+	@out=$$($(TOOLS)/gofumpt -l $$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$out" ]; then echo "not formatted, run make fmt:"; echo "$$out"; exit 1; fi
+
+lint: $(TOOLS)/stamp
+	$(TOOLS)/golangci-lint run ./...
+
+# test is what CI runs: formatter, linter, build, all tests with the race detector.
+test: fmt-check lint build unit
+
+unit:
+	go test -race -timeout 10m ./...
+
+# wire makes the Go messages from their schema; needs protoc, which the build itself does not.
+wire: $(TOOLS)/stamp
+	PATH="$(CURDIR)/$(TOOLS):$$PATH" protoc --go_out=. --go_opt=module=heatherrouter io/wire/wire.proto
+
+clean:
+	rm -rf bin run
