--- /dev/null
+++ b/cmd/heatherfakes/main.go
@@ -0,0 +1,4 @@
+// Command heatherfakes is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/heatherrouter/main.go
@@ -0,0 +1,4 @@
+// Command heatherrouter is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/heatherrouterd/main.go
@@ -0,0 +1,4 @@
+// Command heatherrouterd is not built yet.
+package main
+
+func main() {}
