--- a/core/config/service.go
+++ b/core/config/service.go
@@ -16,6 +16,8 @@
 	Shards  int       // how many ranges the hash space is cut into; 0 for an unkeyed service
 	Servers []Server
 	Kinds   []Kind
+
+	path string // of the file, for findings
 }
 
 // Keyed reports whether each key of the service belongs to one backend server.
@@ -31,6 +33,8 @@
 	Slots        int  // requests it may work on at once
 	Conns        int  // connections it accepts in all
 	ChecksGrants bool // refuses work under an epoch older than the highest it has taken
+
+	line int // in the file, for findings
 }
 
 // KeySource says where in a request its key is found.
--- /dev/null
+++ b/io/setup/setup.go
@@ -0,0 +1,153 @@
+// Package setup reads the settings file of a daemon and reports everything wrong with it at once.
+package setup
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+
+	"heatherrouter/core/check"
+	"heatherrouter/core/config"
+	"heatherrouter/core/fields"
+	"heatherrouter/core/ident"
+)
+
+// Settings is what a daemon is told about itself and the platform.
+type Settings struct {
+	Name     ident.Daemon
+	Domain   ident.Domain
+	Region   ident.Region
+	Entry    netip.AddrPort // TCP, for callers
+	Peer     netip.AddrPort // UDP, for the other daemons
+	Admin    netip.AddrPort // TCP, for operators and the balancer
+	Table    Table
+	Objects  Objects
+	Hosts    Hosts
+	Peers    []Peer
+	Keys     Keys
+	LogLevel log.Level
+}
+
+// Table says where the platform's table service is.
+type Table struct {
+	Endpoint  string
+	Region    string
+	Name      string
+	AccessKey string
+	SecretKey string
+}
+
+// Objects says where the platform's object store is.
+type Objects struct {
+	Endpoint  string
+	Region    string
+	Bucket    string
+	AccessKey string
+	SecretKey string
+}
+
+// Hosts says where the platform's list of hosts is.
+type Hosts struct {
+	URL string
+}
+
+// Peer is a daemon to ask first after a start.
+type Peer struct {
+	Name ident.Daemon
+	Addr netip.AddrPort
+}
+
+// Keys names the files of keys and certificates; relative paths start at the settings file.
+type Keys struct {
+	CAs         []string // all are trusted, so that old and new ones overlap while they change
+	Certificate string
+	Key         string
+	OperatorKey string // file that holds the key of mutating admin calls
+}
+
+// Load reads a settings file. Its error holds all findings, each with file, line and key.
+func Load(path string) (*Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	s, f := Parse(path, body)
+	if err := f.Err(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return s, nil
+}
+
+// Parse reads the body of a settings file that lies at the path, and the key files that it names.
+func Parse(path string, body []byte) (*Settings, check.Findings) {
+	t := fields.Parse(path, body)
+	if !t.Valid() {
+		return nil, t.Findings()
+	}
+	s := &Settings{
+		Name:     ident.Daemon(config.NeedName(t, "name")),
+		Domain:   ident.Domain(config.NeedName(t, "domain")),
+		Region:   ident.Region(config.NeedName(t, "region")),
+		LogLevel: parseLevel(t, "log-level"),
+	}
+	s.parseAddrs(t)
+	s.Table = parseTable(t.Table("table"))
+	s.Objects = parseObjects(t.Table("objects"))
+	s.Hosts = Hosts{URL: needURL(t.Table("hosts"), "url")}
+	s.Peers = parsePeers(t)
+	s.Keys = parseKeys(t.Table("keys"), filepath.Dir(path))
+	if f := t.Findings(); len(f) > 0 {
+		return nil, f
+	}
+	return s, nil
+}
+
+func (s *Settings) parseAddrs(t *fields.Table) {
+	a := t.Table("addresses")
+	s.Entry = config.ParseAddr(a, "entry")
+	s.Peer = config.ParseAddr(a, "peer")
+	s.Admin = config.ParseAddr(a, "admin")
+	if s.Entry.IsValid() && s.Entry == s.Admin {
+		a.Addf("admin", "is %s, the address of entry too", s.Admin)
+	}
+}
+
+func parseTable(t *fields.Table) Table {
+	return Table{
+		Endpoint:  needURL(t, "endpoint"),
+		Region:    t.Need("region"),
+		Name:      t.Need("name"),
+		AccessKey: t.Need("access-key"),
+		SecretKey: t.Need("secret-key"),
+	}
+}
+
+func parseObjects(t *fields.Table) Objects {
+	return Objects{
+		Endpoint:  needURL(t, "endpoint"),
+		Region:    t.Need("region"),
+		Bucket:    t.Need("bucket"),
+		AccessKey: t.Need("access-key"),
+		SecretKey: t.Need("secret-key"),
+	}
+}
+
+func parsePeers(t *fields.Table) []Peer {
+	var l []Peer
+	seen := map[ident.Daemon]bool{}
+	for _, x := range t.Tables("peers") {
+		p := Peer{
+			Name: ident.Daemon(config.NeedName(x, "name")),
+			Addr: config.ParseAddr(x, "address"),
+		}
+		if seen[p.Name] && p.Name != "" {
+			x.Addf("name", "names the peer %s twice", p.Name)
+		}
+		seen[p.Name] = true
+		l = append(l, p)
+	}
+	return l
+}
--- /dev/null
+++ b/io/setup/values.go
@@ -0,0 +1,45 @@
+package setup
+
+import (
+	"net/netip"
+	"net/url"
+
+	"github.com/phuslu/log"
+
+	"heatherrouter/core/fields"
+)
+
+// needURL reads the URL of a part of the platform. Its host must be an IP number: a name would make every
+// call depend on a resolver, whose outage would look like that of the platform.
+func needURL(t *fields.Table, key string) string {
+	s := t.Need(key)
+	if s == "" {
+		return ""
+	}
+	u, err := url.Parse(s)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.User != nil {
+		t.Addf(key, `is %q, must be a URL such as "http://127.0.0.1:8000"`, s)
+		return ""
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		t.Addf(key, "has the host %q, must have an IP number", u.Hostname())
+	}
+	return s
+}
+
+func parseLevel(t *fields.Table, key string) log.Level {
+	levels := map[string]log.Level{
+		"":      log.InfoLevel,
+		"debug": log.DebugLevel,
+		"info":  log.InfoLevel,
+		"warn":  log.WarnLevel,
+		"error": log.ErrorLevel,
+	}
+	s := t.String(key)
+	l, ok := levels[s]
+	if !ok {
+		t.Addf(key, "is %q, must be debug, info, warn or error", s)
+		return log.InfoLevel
+	}
+	return l
+}
