--- /dev/null
+++ b/core/admit/report.go
@@ -0,0 +1,83 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"heatherrouter/core/mono"
+)
+
+// ProbeDue reports whether to probe the server now; Probed must follow.
+func (s *Server) ProbeDue(now mono.Time) bool {
+	if s.health.probing || now.Before(s.health.probeAt) {
+		return false
+	}
+	s.health.probing = true
+	return true
+}
+
+// NextProbe returns when a probe is due, or Never while one is under way.
+func (s *Server) NextProbe() mono.Time {
+	if s.health.probing {
+		return mono.Never
+	}
+	return s.health.probeAt
+}
+
+// Probed takes in the result of a probe that was asked at the given time.
+func (s *Server) Probed(now, asked mono.Time, h Health) []Decision {
+	// Work that was answered since the probe was asked says more than the probe that wasn't.
+	if !h.Alive && !s.health.heardAt.Before(asked) {
+		s.health.probing = false
+		s.health.probeAt = now.Add(probeEvery)
+		return nil
+	}
+	if s.health.probed(now, h.Alive) {
+		s.ramp.restart(now)
+	}
+	s.lives(now, asked, h.Incarnation)
+	return s.Tick(now)
+}
+
+// Peers hands in the latencies of the other servers of the service, as their homes report them.
+func (s *Server) Peers(now mono.Time, l []time.Duration) {
+	s.peers = append(s.peers[:0], l...)
+	s.peersAt = now
+	s.judge(now)
+}
+
+func (s *Server) judge(now mono.Time) {
+	if now.Sub(s.peersAt) > peersFor {
+		s.speed.judge(now, 0, nil)
+		return
+	}
+	s.speed.judge(now, s.latency(now), s.peers)
+}
+
+func (s *Server) latency(now mono.Time) time.Duration {
+	s.ages = s.ages[:0]
+	if len(s.inFlight) >= s.ramp.open() {
+		for i := range s.inFlight {
+			if !s.inFlight[i].Streamed {
+				s.ages = append(s.ages, now.Sub(s.inFlight[i].started))
+			}
+		}
+	}
+	return s.speed.median(s.ages)
+}
+
+// Report returns what the home sees of the server.
+func (s *Server) Report(now mono.Time) Report {
+	s.held = slices.DeleteFunc(s.held, func(t mono.Time) bool { return !now.Before(t) })
+	return Report{
+		Down:            s.health.down,
+		Slow:            s.speed.slow,
+		Draining:        s.draining,
+		InFlight:        len(s.inFlight) + len(s.held),
+		Queued:          len(s.queue.l),
+		OpenSlots:       s.ramp.open(),
+		ServedPerSecond: s.rate.perSecond(now),
+		Latency:         s.latency(now),
+		Incarnation:     s.life,
+	}
+}
--- /dev/null
+++ b/core/route/pick.go
@@ -0,0 +1,116 @@
+package route
+
+import (
+	"time"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+)
+
+const (
+	// staleAfter is the age from which a report says little about the load of now.
+	staleAfter = time.Second
+
+	// trickle is how many picks there are for each one that ignores the slow flag. A straggler without any
+	// work could never show that it has recovered; one pick in 64 stays under the 99th percentile.
+	trickle = 64
+)
+
+// Candidate is a backend server that may take a request, with what its home reports of it.
+type Candidate struct {
+	Server    ident.Server
+	Down      bool // also for drained ones and those without a home
+	Slow      bool
+	InFlight  int
+	Queued    int
+	OpenSlots int
+	At        mono.Time // when the report was received
+	Tried     bool      // an earlier send of the same request went there
+}
+
+// Pick chooses a server by two random choices and returns its index, or false when all are down.
+// It avoids tried and slow ones while there are others.
+func Pick(now mono.Time, l []Candidate, random uint64) (int, bool) {
+	for worst := 0; worst <= rankTried; worst++ {
+		limit := worst
+		if limit == rankFast && random%trickle == 0 {
+			limit = rankSlow
+		}
+		if n := count(l, limit); n > 0 {
+			return pickOf(now, l, limit, n, random/trickle), true
+		}
+	}
+	return 0, false
+}
+
+// Ranks of candidates: a higher one is only taken when there is none below.
+const (
+	rankFast = iota
+	rankSlow
+	rankTried
+	rankDown
+)
+
+func (c *Candidate) rank() int {
+	switch {
+	case c.Down:
+		return rankDown
+	case c.Tried:
+		return rankTried
+	case c.Slow:
+		return rankSlow
+	}
+	return rankFast
+}
+
+func count(l []Candidate, limit int) int {
+	n := 0
+	for i := range l {
+		if l[i].rank() <= limit {
+			n++
+		}
+	}
+	return n
+}
+
+func pickOf(now mono.Time, l []Candidate, limit, n int, random uint64) int {
+	a := int(random % uint64(n)) //nolint:gosec // below n
+	i := nth(l, limit, a)
+	if n == 1 {
+		return i
+	}
+	random /= uint64(n)
+	b := int(random % uint64(n-1)) //nolint:gosec // below n
+	if b >= a {
+		b++
+	}
+	j := nth(l, limit, b)
+	if l[j].load(now) < l[i].load(now) {
+		return j
+	}
+	return i
+}
+
+func nth(l []Candidate, limit, n int) int {
+	for i := range l {
+		if l[i].rank() > limit {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
+	}
+	return 0
+}
+
+// load is work per open slot. A stale report counts as at least one full server: an idle one that isn't
+// heard of would else draw all the work, and a full one that is heard of is the safer choice only when it
+// has a queue.
+func (c *Candidate) load(now mono.Time) float64 {
+	x := float64(c.InFlight+c.Queued) / float64(max(c.OpenSlots, 1))
+	if c.OpenSlots == 0 || now.Sub(c.At) > staleAfter {
+		x = max(x, 1)
+	}
+	return x
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,203 @@
+// Package route finds the service, kind of request and shard that a caller's request belongs to.
+package route
+
+import (
+	"bytes"
+	"math/bits"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherrouter/core/config"
+	"heatherrouter/core/ident"
+)
+
+// Table matches requests with the published services. It never changes once it is built, so it may be shared.
+type Table struct {
+	services map[string]*service
+}
+
+type service struct {
+	config *config.Service
+	kinds  []kind
+	noKind error
+	noKey  error
+}
+
+type kind struct {
+	config  *config.Kind
+	pattern pattern
+}
+
+// Match tells how a request is to be treated. Rest and Key alias the bytes that were handed in.
+type Match struct {
+	Service *config.Service
+	Kind    *config.Kind
+	Rest    []byte // path below the service's own segment, with its leading slash
+	Key     []byte // nil for an unkeyed service
+	Hash    ident.Hash
+	Shard   ident.Shard
+}
+
+// New compiles the services.
+func New(services []*config.Service) *Table {
+	t := &Table{services: make(map[string]*service, len(services))}
+	for _, s := range services {
+		c := &service{config: s, noKind: &NoKindError{Service: s.Name}, noKey: &NoKeyError{Service: s.Name, Source: s.Key}}
+		for i := range s.Kinds {
+			c.kinds = append(c.kinds, kind{config: &s.Kinds[i], pattern: compile(s.Kinds[i].Path)})
+		}
+		t.services[string(s.Name)] = c
+	}
+	return t
+}
+
+// Service returns the service of the name, or nil.
+func (t *Table) Service(n ident.Service) *config.Service {
+	if s := t.services[string(n)]; s != nil {
+		return s.config
+	}
+	return nil
+}
+
+// Match finds the first kind, in the order of the service file, that has the method and path.
+//
+// The path has to be decoded and normalized: two spellings of one key would otherwise hash to two shards,
+// and the key would have two owners. An error is always one of the sealed Error types.
+func (t *Table) Match(method, path []byte, query, header func(name string) []byte) (Match, error) {
+	name, rest := cutService(path)
+	s := t.services[string(name)]
+	if s == nil {
+		return Match{}, &UnknownServiceError{Service: ident.Service(name)}
+	}
+	k, err := s.kind(method, rest)
+	if err != nil {
+		return Match{}, err
+	}
+	m := Match{Service: s.config, Kind: k, Rest: rest}
+	if s.config.Key == nil {
+		return m, nil
+	}
+	m.Key = key(s.config.Key, rest, query, header)
+	if len(m.Key) == 0 {
+		return Match{}, s.noKey
+	}
+	m.Hash = HashOf(m.Key)
+	m.Shard = ShardOf(m.Hash, s.config.Shards)
+	return m, nil
+}
+
+func (s *service) kind(method, rest []byte) (*config.Kind, error) {
+	var allowed []string
+	for i := range s.kinds {
+		k := &s.kinds[i]
+		if !k.pattern.match(rest) {
+			continue
+		}
+		for _, m := range k.config.Methods {
+			if m == string(method) {
+				return k.config, nil
+			}
+		}
+		allowed = append(allowed, k.config.Methods...)
+	}
+	if allowed == nil {
+		return nil, s.noKind
+	}
+	slices.Sort(allowed)
+	return nil, &WrongMethodError{Service: s.config.Name, Allowed: slices.Compact(allowed)}
+}
+
+func key(s config.KeySource, rest []byte, query, header func(name string) []byte) []byte {
+	switch k := s.(type) {
+	case config.PathKey:
+		return segment(rest, k.Segment)
+	case config.QueryKey:
+		return query(k.Name)
+	case config.HeaderKey:
+		return header(k.Name)
+	}
+	return nil
+}
+
+// HashOf returns the hash of a key; every daemon has to agree on it.
+func HashOf(key []byte) ident.Hash {
+	return ident.Hash(xxhash.Sum64(key))
+}
+
+// ShardOf returns which of n equal cuts of the hash space the hash lies in.
+func ShardOf(h ident.Hash, n int) ident.Shard {
+	hi, _ := bits.Mul64(uint64(h), uint64(max(n, 1)))
+	return ident.Shard(hi) //nolint:gosec // below n
+}
+
+// cutService splits "/service/rest" into "service" and "/rest".
+func cutService(path []byte) (name, rest []byte) {
+	if len(path) == 0 || path[0] != '/' {
+		return nil, nil
+	}
+	p := path[1:]
+	i := bytes.IndexByte(p, '/')
+	if i < 0 {
+		return p, nil
+	}
+	return p[:i], p[i:]
+}
+
+// segment returns segment i of "/a/b/c", or nil.
+func segment(rest []byte, i int) []byte {
+	for len(rest) > 0 {
+		rest = rest[1:]
+		n := bytes.IndexByte(rest, '/')
+		if n < 0 {
+			n = len(rest)
+		}
+		if i == 0 {
+			return rest[:n]
+		}
+		i--
+		rest = rest[n:]
+	}
+	return nil
+}
+
+// pattern is a compiled path of a kind.
+type pattern struct {
+	segments []string // "*" stands for any one segment
+	open     bool     // ended in "**": any rest, also none
+}
+
+func compile(path string) pattern {
+	p := pattern{}
+	path = strings.Trim(path, "/")
+	if path == "" {
+		return p
+	}
+	p.segments = strings.Split(path, "/")
+	if n := len(p.segments) - 1; p.segments[n] == "**" {
+		p.segments, p.open = p.segments[:n], true
+	}
+	return p
+}
+
+func (p *pattern) match(rest []byte) bool {
+	if len(rest) == 1 {
+		rest = nil // a lone slash is the service itself
+	}
+	for _, want := range p.segments {
+		if len(rest) == 0 {
+			return false
+		}
+		rest = rest[1:]
+		n := bytes.IndexByte(rest, '/')
+		if n < 0 {
+			n = len(rest)
+		}
+		if n == 0 || want != "*" && want != string(rest[:n]) {
+			return false
+		}
+		rest = rest[n:]
+	}
+	return len(rest) == 0 || p.open
+}
