--- /dev/null
+++ b/io/clock/clock.go
@@ -0,0 +1,33 @@
+// Package clock reads the monotonic clock for the decisions in core.
+package clock
+
+import (
+	"time"
+
+	"heatherrouter/core/mono"
+)
+
+// Clock reads the time of one process.
+type Clock struct {
+	start time.Time
+}
+
+// New returns a clock that starts now, a little above zero so that a zero Time lies in the past.
+func New() *Clock {
+	return &Clock{start: time.Now().Add(-time.Hour)}
+}
+
+// Now returns the monotonic time.
+func (c *Clock) Now() mono.Time {
+	return mono.Time(time.Since(c.start))
+}
+
+// Wall returns the wall-clock time of a monotonic time, for deadlines told to backend servers.
+func (c *Clock) Wall(t mono.Time) time.Time {
+	return time.Now().Add(t.Sub(c.Now()))
+}
+
+// Std returns t for the deadlines of the standard library, which counts them by the monotonic clock too.
+func (c *Clock) Std(t mono.Time) time.Time {
+	return c.start.Add(time.Duration(t))
+}
--- /dev/null
+++ b/io/home/exchange.go
@@ -0,0 +1,315 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/admit"
+	"heatherrouter/core/config"
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/owner"
+	"heatherrouter/core/retry"
+	"heatherrouter/io/conns"
+	"heatherrouter/io/wire"
+)
+
+const (
+	// settleWait is how long a request waits here for a lease or a shard that is on its way. A planned move
+	// takes a few milliseconds; sending the requests back to their entries would use up their retries.
+	settleWait  = 400 * time.Millisecond
+	settleEvery = 3 * time.Millisecond
+
+	suspectAfter = 300 * time.Millisecond // of no answer, when others are answered
+)
+
+// Reasons of answers that the backend server did not give; kebab case.
+const (
+	reasonNoHome    = "not-home"
+	reasonNoLease   = "no-lease"
+	reasonMoved     = "shard-moved"
+	reasonWaiting   = "shard-moving"
+	reasonDuplicate = "duplicate-request"
+	reasonNoKind    = "unknown-kind"
+)
+
+// job is one exchange on its way through the home.
+type job struct {
+	x        *wire.Exchange
+	kind     *config.Kind
+	deadline mono.Time
+	ticket   admit.Ticket
+	token    owner.Token // of a keyed service
+	keyed    bool
+	epoch    ident.Epoch
+}
+
+// Do runs one exchange and returns its answer, whose outcome is certain.
+func (s *Homes) Do(c context.Context, x *wire.Exchange) *wire.ExchangeAnswer {
+	h := s.get(ident.Server(x.GetServer()))
+	if h == nil {
+		return s.notHome(x)
+	}
+	j, a := h.begin(c, x)
+	if a != nil {
+		return a
+	}
+	return h.run(c, j)
+}
+
+// notHome answers that the request was not run, and who is home by this daemon's copy.
+func (s *Homes) notHome(x *wire.Exchange) *wire.ExchangeAnswer {
+	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_MOVED, Reason: reasonNoHome}
+	if p := s.o.View.Get().Part(ident.Service(x.GetService())); p != nil {
+		row, _ := p.Server(ident.Server(x.GetServer()))
+		a.Home = string(row.Home)
+	}
+	return a
+}
+
+// begin takes the exchange through the lease, the shard's owner and the server's slots. It returns the answer
+// instead when the exchange is not to be sent.
+func (h *Home) begin(c context.Context, x *wire.Exchange) (*job, *wire.ExchangeAnswer) {
+	now := h.o.Clock.Now()
+	j := &job{x: x, deadline: now.Add(time.Duration(x.GetRemainingUs()) * time.Microsecond)}
+	until := min(now.Add(settleWait), j.deadline)
+	for {
+		a, again := h.tryBegin(c, j)
+		if !again {
+			return j, a
+		}
+		if !h.o.Clock.Now().Before(until) || c.Err() != nil {
+			return nil, a
+		}
+		time.Sleep(settleEvery)
+	}
+}
+
+// tryBegin makes one try; again says that the reason will pass by itself soon.
+func (h *Home) tryBegin(c context.Context, j *job) (a *wire.ExchangeAnswer, again bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if a, again := h.mayTake(j); a != nil {
+		return a, again
+	}
+	now := h.o.Clock.Now()
+	d, others := h.admit.Arrive(now, admit.Work{
+		ID: ident.Request(j.x.GetRequestId()), Shard: ident.Shard(j.x.GetShard()), Priority: j.kind.Priority,
+		Deadline: j.deadline, Idempotent: j.kind.Idempotent, NeverDropped: j.kind.NeverDropped, Streamed: j.kind.Streamed,
+	})
+	h.deliver(others)
+	if q, ok := d.(admit.Queued); ok {
+		d = h.wait(c, q.Ticket)
+	}
+	switch v := d.(type) {
+	case admit.Start:
+		j.ticket = v.Ticket
+		return h.enter(j)
+	case admit.Refuse:
+		return h.refused(v), false
+	case admit.Duplicate:
+		return h.duplicate(), false
+	}
+	return h.moved(reasonMoved), false
+}
+
+// wait waits for the decision about queued work; it lets go of the lock meanwhile.
+func (h *Home) wait(c context.Context, t admit.Ticket) admit.Decision {
+	w := make(chan admit.Decision, 1)
+	h.waits[t] = w
+	h.mu.Unlock()
+	defer h.mu.Lock()
+	select {
+	case d := <-w:
+		return d
+	case <-c.Done():
+	}
+	h.mu.Lock()
+	h.deliver(h.admit.Cancel(h.o.Clock.Now(), t))
+	h.mu.Unlock()
+	return <-w // the cancellation, or a decision that came just before it
+}
+
+// mayTake checks what needs no slot.
+func (h *Home) mayTake(j *job) (a *wire.ExchangeAnswer, again bool) {
+	j.kind, j.keyed = kindOf(h.service, j.x.GetKind()), h.service.Keyed()
+	if j.kind == nil {
+		return h.moved(reasonNoKind), false
+	}
+	if h.epoch == 0 || h.stopped || h.holder == nil {
+		return h.moved(reasonNoHome), false
+	}
+	if !h.holder.Holds(h.o.Clock.Now()) {
+		// The home waits for its lease a little; a standby whose home is well has none coming.
+		return h.moved(reasonNoLease), h.row.Home == h.o.Self || !h.o.Alive(h.row.Home)
+	}
+	return nil, false
+}
+
+// enter takes the started work through the gate of its shard.
+func (h *Home) enter(j *job) (a *wire.ExchangeAnswer, again bool) {
+	now := h.o.Clock.Now()
+	if !j.keyed {
+		if h.holder.Holds(now) {
+			j.epoch = h.holder.Epoch()
+			h.open++
+			return nil, false
+		}
+		h.undo(now, j)
+		return h.moved(reasonNoLease), true
+	}
+	s, no := h.gate.Start(now, ident.Shard(j.x.GetShard()), ident.Epoch(j.x.GetShardEpoch()), j.deadline)
+	if no == owner.None {
+		j.token, j.epoch, j.deadline = s.Token, s.Epoch, s.Deadline
+		h.open++
+		h.hot.Add(now, ident.Shard(j.x.GetShard()))
+		return nil, false
+	}
+	h.undo(now, j)
+	switch no {
+	case owner.Waiting:
+		return h.moved(reasonWaiting), true
+	case owner.NoLease:
+		return h.moved(reasonNoLease), true
+	}
+	// The entry's copy may be ahead of this one by a few milliseconds.
+	return h.moved(reasonMoved), ident.Epoch(j.x.GetShardEpoch()) > h.gate.EpochOf(ident.Shard(j.x.GetShard()))
+}
+
+// undo gives back the slot of work that is not sent.
+func (h *Home) undo(now mono.Time, j *job) {
+	h.deliver(h.admit.Done(now, j.ticket, admit.Result{End: admit.EndNoConn}))
+}
+
+func (h *Home) moved(reason string) *wire.ExchangeAnswer {
+	return &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_MOVED, Reason: reason, Home: string(h.row.Home)}
+}
+
+func (h *Home) refused(r admit.Refuse) *wire.ExchangeAnswer {
+	now := h.o.Clock.Now()
+	return &wire.ExchangeAnswer{
+		Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: string(r.Reason), Report: h.report(now, false),
+		RetryAfterMs: uint32(max(1, r.RetryAfter.Sub(now).Milliseconds())),
+	}
+}
+
+// duplicate answers a second arrival of a request that must not run twice: whether the first ran is not known here.
+func (h *Home) duplicate() *wire.ExchangeAnswer {
+	return &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: reasonDuplicate}
+}
+
+// run sends the exchange to the backend server.
+func (h *Home) run(c context.Context, j *job) *wire.ExchangeAnswer {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	h.fill(req, j)
+	req.SetBodyRaw(j.x.GetBody())
+	r := h.pool.Do(c, h.call(j), req, resp)
+	a := h.end(j, r)
+	if r.Outcome == retry.Answered {
+		a.Status = uint32(resp.StatusCode())
+		a.Headers = encodeHeaders(resp)
+		a.Body = append([]byte(nil), resp.Body()...)
+	}
+	return a
+}
+
+func (h *Home) call(j *job) conns.Call {
+	x := conns.Call{Deadline: h.o.Clock.Std(j.deadline), Guard: func() bool { return h.maySend(j) }}
+	if j.kind.Idempotent {
+		x.SuspectAt = time.Now().Add(suspectAfter)
+	}
+	return x
+}
+
+// maySend checks the lease right before the first byte: the process may have been paused since it took the job,
+// and somebody else may be home by now.
+func (h *Home) maySend(j *job) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.o.Clock.Now()
+	if j.keyed {
+		return h.gate.Send(now, j.token)
+	}
+	return h.holder.Epoch() == j.epoch && h.holder.Holds(now)
+}
+
+// end gives the slot back and says what is certain.
+func (h *Home) end(j *job, r conns.Result) *wire.ExchangeAnswer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.o.Clock.Now()
+	h.open--
+	if j.keyed {
+		if r.Outcome == retry.Unknown {
+			h.gate.GaveUp(j.token)
+		} else {
+			h.gate.Answered(j.token)
+		}
+	}
+	h.deliver(h.admit.Done(now, j.ticket, admit.Result{End: r.End, Incarnation: r.Incarnation}))
+	a := &wire.ExchangeAnswer{Outcome: outcome(r.Outcome), Reason: r.End.String(), Report: h.report(now, false)}
+	if r.Outcome == retry.NotRun && r.Err != nil {
+		h.o.Log.Debug().Err(r.Err).Str("request-id", j.x.GetRequestId()).Str("server", string(h.id)).Msg("not sent")
+	}
+	if r.Outcome == retry.Unknown {
+		h.o.Log.Info().Err(r.Err).Str("request-id", j.x.GetRequestId()).Str("server", string(h.id)).
+			Str("end", r.End.String()).Msg("sent without a whole answer")
+	}
+	return a
+}
+
+func outcome(o retry.Outcome) wire.Outcome {
+	switch o {
+	case retry.Answered:
+		return wire.Outcome_OUTCOME_ANSWERED
+	case retry.NotRun:
+		return wire.Outcome_OUTCOME_NOT_RUN
+	case retry.Moved:
+		return wire.Outcome_OUTCOME_MOVED
+	}
+	return wire.Outcome_OUTCOME_UNKNOWN
+}
+
+// fill makes the request for the backend server.
+func (h *Home) fill(req *fasthttp.Request, j *job) {
+	for _, x := range j.x.GetHeaders() {
+		req.Header.AddBytesKV(x.GetName(), x.GetValue())
+	}
+	req.Header.SetMethod(j.x.GetMethod())
+	req.Header.SetHost(h.server.Addr.String())
+	req.SetRequestURIBytes(j.x.GetUri())
+	m := conns.Meta{
+		RequestID: ident.Request(j.x.GetRequestId()), Epoch: j.epoch,
+		Deadline: h.o.Clock.Wall(j.deadline), Shard: ident.Shard(j.x.GetShard()),
+	}
+	if j.keyed {
+		m.Key = j.x.GetKey()
+	}
+	conns.Stamp(req, m)
+}
+
+func encodeHeaders(resp *fasthttp.Response) []*wire.Header {
+	var l []*wire.Header
+	for k, v := range resp.Header.All() {
+		switch string(k) {
+		case fasthttp.HeaderConnection, fasthttp.HeaderTransferEncoding, fasthttp.HeaderContentLength,
+			"Keep-Alive", fasthttp.HeaderTrailer, fasthttp.HeaderUpgrade:
+			continue
+		}
+		l = append(l, &wire.Header{Name: append([]byte(nil), k...), Value: append([]byte(nil), v...)})
+	}
+	return l
+}
+
+func kindOf(s *config.Service, name string) *config.Kind {
+	for i := range s.Kinds {
+		if s.Kinds[i].Name == name {
+			return &s.Kinds[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/home/home.go
@@ -0,0 +1,283 @@
+package home
+
+import (
+	"sync"
+	"time"
+
+	"heatherrouter/core/admit"
+	"heatherrouter/core/config"
+	"heatherrouter/core/ident"
+	"heatherrouter/core/lease"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/owner"
+	"heatherrouter/core/part"
+	"heatherrouter/core/topk"
+	"heatherrouter/io/conns"
+	"heatherrouter/io/lessor"
+	"heatherrouter/io/view"
+	"heatherrouter/io/wire"
+)
+
+const (
+	probeLimit  = 250 * time.Millisecond // for one probe of the server
+	askPause    = 100 * time.Millisecond // between two asks while there is no lease
+	sketchSize  = 64                     // shards whose rates are followed
+	sketchHalf  = 5 * time.Second
+	hotReported = 8
+	spareConns  = 2 // beyond the slots: probes, and connections that are being replaced
+)
+
+// Home is this daemon's side of one backend server. Its lock guards the decisions of core, which are short; no I/O
+// happens under it.
+type Home struct {
+	o    *Options
+	id   ident.Server
+	pool *conns.Pool
+
+	mu       sync.Mutex
+	service  *config.Service
+	server   config.Server
+	row      part.Server
+	epoch    ident.Epoch // that this daemon may ask under; 0 when it is neither home nor standby
+	rev      ident.Rev   // of the part that row is from
+	set      lease.Set
+	holder   *lease.Holder // nil before the first epoch
+	former   *lease.Holder // of this daemon's last epoch, until the witnesses have been told that it stopped
+	asked    mono.Time     // when the lease was last asked for
+	held     bool          // as of the last look, to see a lease come and go
+	stopped  bool          // the daemon hands back its lease and wants no other
+	returned bool          // the witnesses have been told that it stopped
+	admit    *admit.Server
+	gate     *owner.Gate
+	waits    map[admit.Ticket]chan admit.Decision
+	hot      *topk.Sketch[ident.Shard]
+	released map[ident.Shard]ident.Epoch
+	open     int // exchanges under way, streamed ones included
+	compare  mono.Time
+}
+
+func newHome(o *Options, c *config.Service, v config.Server) *Home {
+	now := o.Clock.Now()
+	return &Home{
+		o: o, id: v.ID, service: c, server: v,
+		pool:     conns.New(conns.Options{Addr: v.Addr, MaxConns: min(v.Conns, v.Slots*2+spareConns)}),
+		admit:    admit.New(now, admit.Options{Slots: v.Slots}),
+		gate:     owner.NewGate(v.ID),
+		waits:    map[admit.Ticket]chan admit.Decision{},
+		hot:      topk.New[ident.Shard](now, sketchSize, sketchHalf),
+		released: map[ident.Shard]ident.Epoch{},
+	}
+}
+
+// update takes in the server's row and settings from a snapshot.
+func (h *Home) update(n *view.Snapshot, c *config.Service, v config.Server, p *part.Part, row part.Server, e ident.Epoch) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.o.Clock.Now()
+	if v.Addr != h.server.Addr {
+		_ = h.pool.Close() // never fails
+		h.pool = conns.New(conns.Options{Addr: v.Addr, MaxConns: min(v.Conns, v.Slots*2+spareConns)})
+	}
+	h.service, h.server, h.row, h.rev = c, v, row, p.Rev
+	if d := n.Docs[c.Name]; d != nil {
+		h.set = lessor.SetOf(p, d.Rows[part.WitnessesRow].Rev)
+	}
+	h.setEpoch(now, e)
+	if h.holder != nil {
+		h.holder.SetWitnesses(h.set)
+	}
+	h.deliver(h.admit.Drain(now, row.State == part.Draining || n.Config.ServerDrained(&v)))
+	if c.Keyed() {
+		h.takeShards(now, p)
+	}
+}
+
+// setEpoch ends the holder of an older epoch and makes one for the new.
+func (h *Home) setEpoch(now mono.Time, e ident.Epoch) {
+	if e == h.epoch {
+		return
+	}
+	if h.holder != nil {
+		h.holder.Stop(now)
+		h.returned = false
+	}
+	h.epoch = e
+	if e == 0 || h.stopped {
+		return
+	}
+	h.former = h.holder
+	h.holder = lease.NewHolder(h.o.Terms, h.id, e, h.o.Life)
+	h.gate.SetHolder(h.holder)
+	h.asked = 0
+}
+
+// takeShards hands the gate the shards that concern this server, and the queued work of lost ones back.
+func (h *Home) takeShards(now mono.Time, p *part.Part) {
+	rows := map[ident.Shard]owner.Row{}
+	for i, o := range p.Shards {
+		if o.Server == h.id || o.Previous == h.id {
+			rows[ident.Shard(i)] = owner.Row{Owner: o.Server, Epoch: o.Epoch, Previous: o.Previous}
+		}
+	}
+	h.gate.SetRows(p.Rev, rows)
+	for s, e := range h.released {
+		if r := rows[s]; r.Owner != h.id || r.Epoch != e || r.Previous == "" {
+			delete(h.released, s)
+		}
+	}
+	h.deliver(h.admit.Release(now, func(s ident.Shard) bool { return rows[s].Owner == h.id }))
+}
+
+// deliver hands decisions about queued work to the goroutines that wait for them.
+func (h *Home) deliver(l []admit.Decision) {
+	for _, d := range l {
+		t := admit.TicketOf(d)
+		if w := h.waits[t]; w != nil {
+			delete(h.waits, t)
+			w <- d // has room for its one decision
+		}
+	}
+}
+
+func (h *Home) holds() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.holder != nil && h.holder.Holds(h.o.Clock.Now())
+}
+
+// stop hands back the lease for good, for a daemon that leaves.
+func (h *Home) stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+	if h.holder != nil {
+		h.holder.Stop(h.o.Clock.Now())
+	}
+}
+
+// retire ends the home of a server that is in no configuration, when nothing is in flight.
+func (h *Home) retire() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.holder != nil {
+		h.holder.Stop(h.o.Clock.Now())
+	}
+	if h.open > 0 {
+		return false
+	}
+	_ = h.pool.Close() // never fails
+	return true
+}
+
+// tick lets time pass for the decisions.
+func (h *Home) tick(now mono.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !now.Before(h.admit.NextTick()) {
+		h.deliver(h.admit.Tick(now))
+	}
+	h.noteLease(now)
+	if h.epoch == 0 || h.holder == nil || !h.holder.Holds(now) {
+		return
+	}
+	if !now.Before(h.compare) {
+		h.compare = now.Add(peerEvery)
+		h.admit.Peers(now, h.o.Latencies(h.service.Name, h.id))
+	}
+	if h.admit.ProbeDue(now) {
+		go h.probe(now)
+	}
+}
+
+// noteLease logs leases as they come and go.
+func (h *Home) noteLease(now mono.Time) {
+	holds := h.holder != nil && h.holder.Holds(now)
+	if holds == h.held {
+		return
+	}
+	h.held = holds
+	e := h.o.Log.Info()
+	if !holds && !h.stopped && h.epoch != 0 {
+		e = h.o.Log.Warn()
+	}
+	e.Str("server", string(h.id)).Uint64("epoch", uint64(h.epoch)).Bool("held", holds).Msg("lease of a backend server")
+}
+
+func (h *Home) probe(asked mono.Time) {
+	x, err := h.pool.Probe(h.o.Clock.Std(asked.Add(probeLimit)))
+	if err != nil {
+		x = admit.Health{}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	was := h.admit.Report(asked).Down
+	now := h.o.Clock.Now()
+	h.deliver(h.admit.Probed(now, asked, x))
+	if is := h.admit.Report(now).Down; is != was {
+		h.o.Log.Warn().Str("server", string(h.id)).Bool("down", is).AnErr("probe", err).Msg("backend server")
+	}
+}
+
+// report returns what the home sees of its server.
+func (h *Home) report(now mono.Time, full bool) *wire.ServerReport {
+	r := h.admit.Report(now)
+	w := &wire.ServerReport{
+		Down: r.Down, Slow: r.Slow, InFlight: uint32(r.InFlight), Queued: uint32(r.Queued),
+		OpenSlots: uint32(r.OpenSlots), ServedPerSecond: uint32(r.ServedPerSecond),
+		LatencyUs: uint32(r.Latency.Microseconds()), Incarnation: uint64(r.Incarnation),
+	}
+	if !full {
+		return w
+	}
+	for _, x := range h.hot.Top(now, hotReported) {
+		w.Hot = append(w.Hot, &wire.HotShard{Shard: uint32(x.Key), PerSecond: uint32(x.PerSecond)})
+	}
+	for s, e := range h.released {
+		w.Released = append(w.Released, &wire.ShardRelease{Shard: uint32(s), Epoch: uint64(e)})
+	}
+	return w
+}
+
+// State is a home in the state dump.
+type State struct {
+	Role      string        `json:"role"` // home, standby or none
+	Epoch     ident.Epoch   `json:"epoch"`
+	Holds     bool          `json:"holds-lease"`
+	LeaseLeft time.Duration `json:"lease-left-ns"`
+	Down      bool          `json:"down"`
+	Slow      bool          `json:"slow"`
+	Draining  bool          `json:"draining"`
+	InFlight  int           `json:"in-flight"`
+	Queued    int           `json:"queued"`
+	OpenSlots int           `json:"open-slots"`
+	PerSecond int           `json:"served-per-second"`
+	LatencyUs int64         `json:"latency-us"`
+	Conns     conns.Stats   `json:"connections"`
+	Exchanges int           `json:"exchanges"`
+}
+
+func (h *Home) state() State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.o.Clock.Now()
+	r := h.admit.Report(now)
+	s := State{
+		Role: h.role(), Epoch: h.epoch, Down: r.Down, Slow: r.Slow, Draining: r.Draining, InFlight: r.InFlight,
+		Queued: r.Queued, OpenSlots: r.OpenSlots, PerSecond: r.ServedPerSecond, LatencyUs: r.Latency.Microseconds(),
+		Conns: h.pool.Stats(), Exchanges: h.open,
+	}
+	if h.holder != nil && h.holder.Holds(now) {
+		s.Holds, s.LeaseLeft = true, h.holder.Until().Sub(now)
+	}
+	return s
+}
+
+func (h *Home) role() string {
+	switch {
+	case h.epoch == 0:
+		return "none"
+	case h.row.Home == h.o.Self:
+		return "home"
+	}
+	return "standby"
+}
