Assignments of a service, their rows, and the coordinator's planner

Cause: the coordinator duty needs the aggregate, its codec and a planner to be written against. A shard that its last owner has not released may only go back to it: a row names one previous owner, so a second move before the release would let the third owner ask the wrong one. Ruled out: a list of previous owners, which grows without bound. The price is a second write that clears the previous owner, shared by many shards, and a question that the coordinator has to ask of homes (Part.Unreleased, Input.Released).

--- /dev/null
+++ b/core/place/daemons.go
@@ -0,0 +1,88 @@
+package place
+
+import (
+	"heatherrouter/core/ident"
+	"heatherrouter/core/live"
+	"heatherrouter/core/mono"
+)
+
+// usable reports whether a daemon may be given homes and witness seats.
+func (p *planner) usable(id ident.Daemon) bool {
+	d := p.daemons[id]
+	return d != nil && d.Alive(p.now) && d.Region == p.in.Service.Region && !p.leaving(id)
+}
+
+// leaving reports whether a daemon, alive or not, is about to go.
+func (p *planner) leaving(id ident.Daemon) bool {
+	d := p.daemons[id]
+	return d != nil && (d.Leaves() || p.in.Drains.Daemons[id] || p.in.Drains.Domains[d.Domain])
+}
+
+// silentAt returns when a daemon's silence becomes a reason to act, if it is silent.
+func (p *planner) silentAt(id ident.Daemon) mono.Time {
+	d := p.daemons[id]
+	switch {
+	case d == nil && p.isolated:
+		return p.memory.startedAt.Add(isolatedWait)
+	case d == nil:
+		return p.memory.startedAt.Add(live.SilentAfter)
+	case p.isolated:
+		return d.Heard.Add(isolatedWait)
+	}
+	return d.SilentAt()
+}
+
+// silent reports whether a daemon has been silent for long enough to act.
+func (p *planner) silent(id ident.Daemon) bool {
+	return !p.now.Before(p.silentAt(id))
+}
+
+// lastWord returns when a daemon spoke last, as far as this one can know.
+func (p *planner) lastWord(id ident.Daemon) mono.Time {
+	if d := p.daemons[id]; d != nil {
+		return d.Heard
+	}
+	return p.memory.startedAt
+}
+
+// mostSilent reports whether most of the daemons that should be there are silent.
+//
+// Then it is likelier that this daemon is cut off, or was paused, than that the others are gone. Acting at
+// once would move every home away from daemons that work. The table would take it: moves are safe, but the
+// keys of each would be unserved for a lease time. After isolatedWait it acts all the same.
+func (p *planner) mostSilent() bool {
+	alive, silent := 0, 0
+	for id, d := range p.daemons {
+		switch {
+		case d.Alive(p.now):
+			alive++
+		case d.Listed != live.ListedGone && !p.leaving(id):
+			silent++
+		}
+	}
+	return silent > alive
+}
+
+// lostDomains returns the domains of which more than one daemon is known and none is heard: their servers
+// are taken to be gone too.
+//
+// A home of a lost server would first have to lapse, the next home to try the server in vain, and only
+// then would the shards move. Moving them right away saves that second wait; when only the daemons of the
+// domain were lost, it costs the churn of one domain.
+func (p *planner) lostDomains() map[ident.Domain]bool {
+	all, silent := map[ident.Domain]int{}, map[ident.Domain]int{}
+	for id, d := range p.daemons {
+		if d.Listed == live.ListedGone || p.leaving(id) {
+			continue
+		}
+		all[d.Domain]++
+		if p.silent(id) {
+			silent[d.Domain]++
+		}
+	}
+	lost := map[ident.Domain]bool{}
+	for d, n := range silent {
+		lost[d] = n > 1 && n == all[d]
+	}
+	return lost
+}
--- /dev/null
+++ b/core/place/memory.go
@@ -0,0 +1,198 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/part"
+)
+
+// Memory is what the planner keeps from plan to plan: rates, hysteresis and budgets.
+//
+// Losing it costs time and some churn, never safety, so a new coordinator starts with an empty one. It
+// learns of moves from the parts that it is shown, not from its own proposals: a proposal may have failed,
+// and another coordinator's may have been committed.
+type Memory struct {
+	begun       bool
+	firstAt     mono.Time // when the first assignment may be made
+	startedAt   mono.Time // silence of daemons that were never heard is counted from here
+	last        *part.Part
+	servers     map[ident.Server]*serverMemory
+	shards      []shardMemory
+	churn       bucket
+	balanceAt   mono.Time // when the next round of balancing may start
+	balancing   bool      // a round has started and not yet reached its goal
+	spreadAt    mono.Time // when the next home may move only to spread them better
+	settleAt    mono.Time // when released shards no longer wait for the rest
+	hasReleased bool
+}
+
+type shardMemory struct {
+	rate float64   // requests/s
+	held mono.Time // not moved for balance before
+}
+
+// NewMemory returns an empty memory.
+func NewMemory() *Memory {
+	return &Memory{servers: map[ident.Server]*serverMemory{}}
+}
+
+func (m *Memory) observe(now mono.Time, in *Input) {
+	if !m.begun {
+		m.begun = true
+		m.startedAt = now
+		m.firstAt = now.Add(firstWait)
+		m.spreadAt = now.Add(homeWait)
+		m.churn.fill(now, in.Service.Shards)
+	}
+	m.churn.refill(now, in.Service.Shards)
+	m.observeServers(now, in)
+	m.observeMoves(now, in.Part)
+	m.observeRates(now, in)
+	m.observeReleases(now, in)
+	m.last = in.Part
+}
+
+func (m *Memory) observeServers(now mono.Time, in *Input) {
+	for i := range in.Service.Servers {
+		id := in.Service.Servers[i].ID
+		s := m.servers[id]
+		if s == nil {
+			s = newServerMemory()
+			// A server that joins a running service starts cold; at the first sight of a part all of it is old.
+			if m.last != nil && len(m.last.Servers) > 0 {
+				s.startRamp(now)
+			}
+			if row, ok := in.Part.Servers[id]; ok {
+				s.down = row.State == part.Down
+			}
+			m.servers[id] = s
+		}
+		s.observeRow(now, in.Part.Servers[id])
+		if r, ok := in.Reports[id]; ok && now.Before(r.Received.Add(reportWait)) {
+			s.observeReport(now, r)
+		}
+	}
+}
+
+// observeMoves compares the part with the last one that was seen.
+func (m *Memory) observeMoves(now mono.Time, p *part.Part) {
+	if n := len(p.Shards) - len(m.shards); n > 0 {
+		m.shards = append(m.shards, make([]shardMemory, n)...)
+	}
+	if m.last == nil || m.last.Rev == p.Rev {
+		return
+	}
+	m.observeHomes(now, p)
+	for i := range p.Shards {
+		old, o := m.last.Owner(ident.Shard(i)), p.Shards[i]
+		if old.Server == "" || old.Server == o.Server {
+			continue
+		}
+		m.shards[i].held = now.Add(holdWait)
+		from, to := m.servers[old.Server], m.servers[o.Server]
+		m.blind(now, from, to)
+		if from != nil && to != nil && from.carries() && !to.ramps(now) {
+			m.churn.spend()
+		}
+		m.balanceAt = now.Add(balanceWait)
+	}
+}
+
+func (m *Memory) observeHomes(now mono.Time, p *part.Part) {
+	for id, s := range p.Servers {
+		if old, ok := m.last.Servers[id]; !ok || old.Home != s.Home {
+			m.spreadAt = now.Add(homeWait)
+		}
+	}
+}
+
+// blind leaves out reports that still count requests of shards that have moved. Taken in, they would
+// charge the old owner's remaining shards with what has left, and the next round would move too much.
+func (m *Memory) blind(now mono.Time, l ...*serverMemory) {
+	for _, s := range l {
+		if s != nil {
+			s.blindUntil = now.Add(blindWait)
+		}
+	}
+}
+
+// observeRates spreads what each home measured over the shards of its server: the busiest by their own
+// rate, the others evenly.
+func (m *Memory) observeRates(now mono.Time, in *Input) {
+	owned := map[ident.Server][]ident.Shard{}
+	for i, o := range in.Part.Shards {
+		owned[o.Server] = append(owned[o.Server], ident.Shard(i))
+	}
+	for id, r := range in.Reports {
+		s := m.servers[id]
+		if s == nil || r.Received <= s.rated || now.Before(s.blindUntil) || r.Down || r.Slow || !s.carries() {
+			continue
+		}
+		weight := 1 - math.Exp(-float64(s.sinceRated(r.Received))/float64(rateWindow))
+		s.rated = r.Received
+		m.spreadRate(owned[id], r, weight)
+	}
+}
+
+func (m *Memory) spreadRate(owned []ident.Shard, r Report, weight float64) {
+	hot := map[ident.Shard]float64{}
+	rest, least := r.PerSecond+float64(r.Queued), math.Inf(1)
+	for _, h := range r.Hot {
+		hot[h.Shard] = h.PerSecond
+		least = min(least, h.PerSecond)
+	}
+	others := 0
+	for _, s := range owned {
+		if _, ok := hot[s]; !ok {
+			others++
+		}
+		rest -= hot[s]
+	}
+	even := min(max(rest, 0)/float64(max(others, 1)), least)
+	for _, s := range owned {
+		x, ok := hot[s]
+		if !ok {
+			x = even
+		}
+		m.shards[s].rate += weight * (x - m.shards[s].rate)
+	}
+}
+
+func (m *Memory) observeReleases(now mono.Time, in *Input) {
+	has := false
+	for s, e := range in.Released {
+		o := in.Part.Owner(s)
+		has = has || (o.Previous != "" && o.Epoch == e)
+	}
+	if has && !m.hasReleased {
+		m.settleAt = now.Add(settleWait)
+	}
+	m.hasReleased = has
+}
+
+// bucket limits the shards moved for balance alone.
+type bucket struct {
+	tokens float64
+	at     mono.Time
+}
+
+func (b *bucket) limit(shards int) float64 {
+	return max(churnShare*float64(shards), 1)
+}
+
+func (b *bucket) fill(now mono.Time, shards int) {
+	b.tokens, b.at = b.limit(shards), now
+}
+
+func (b *bucket) refill(now mono.Time, shards int) {
+	n := b.limit(shards)
+	b.tokens = min(n, b.tokens+n*float64(now.Sub(b.at))/float64(time.Minute))
+	b.at = now
+}
+
+func (b *bucket) spend() {
+	b.tokens--
+}
--- /dev/null
+++ b/core/place/server.go
@@ -0,0 +1,180 @@
+package place
+
+import (
+	"time"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/part"
+)
+
+// serverMemory is what the planner remembers of one backend server. Its times are deadlines; mono.Never
+// stands for one that is not set.
+type serverMemory struct {
+	down   bool      // confirmed
+	slow   bool      // confirmed
+	flipAt mono.Time // when down flips unless reports say otherwise
+	lagAt  mono.Time // when slow flips unless reports say otherwise
+
+	state     part.State // of the row, as last seen
+	known     bool       // the row has been seen
+	removeAt  mono.Time  // with state draining: when the row may be removed
+	rampFrom  mono.Time  // when shards start to come back
+	ramped    bool       // the ramp has been started at least once
+	failures  int
+	forgiveAt mono.Time // when failures are forgotten
+
+	rated      mono.Time // time of the last report that counted for rates
+	blindUntil mono.Time
+}
+
+func newServerMemory() *serverMemory {
+	return &serverMemory{flipAt: mono.Never, lagAt: mono.Never, removeAt: mono.Never}
+}
+
+// carries reports whether the server may own shards.
+func (s *serverMemory) carries() bool {
+	return !s.down && !s.slow && s.state == part.Active
+}
+
+func (s *serverMemory) observeRow(now mono.Time, row part.Server) {
+	if row.ID == "" {
+		return
+	}
+	if s.known && s.state != part.Active && row.State == part.Active {
+		s.startRamp(now)
+	}
+	if row.State == part.Draining && (!s.known || s.state != part.Draining) {
+		s.removeAt = now.Add(removeWait)
+	}
+	s.state, s.known = row.State, true
+}
+
+// observeReport flips down and slow once reports have said the same for long enough.
+func (s *serverMemory) observeReport(now mono.Time, r Report) {
+	flipped := s.flip(now, &s.down, &s.flipAt, r.Down, downWait, upWait)
+	lagged := s.flip(now, &s.slow, &s.lagAt, r.Slow, slowWait, fastWait)
+	switch {
+	case (flipped && s.down) || (lagged && s.slow):
+		s.noteFailure(now)
+	case flipped || lagged:
+		s.startRamp(now)
+	}
+}
+
+func (s *serverMemory) flip(now mono.Time, is *bool, at *mono.Time, said bool, on, off time.Duration) bool {
+	if said == *is {
+		*at = mono.Never
+		return false
+	}
+	if *at == mono.Never {
+		wait := off
+		if said {
+			wait = on
+		}
+		*at = now.Add(wait)
+	}
+	if now.Before(*at) {
+		return false
+	}
+	*is, *at = said, mono.Never
+	return true
+}
+
+// noteFailure makes a server that fails again and again wait longer each time. Without it, one that falls
+// over as soon as it is loaded would be filled and emptied every few seconds, and all its keys with it.
+func (s *serverMemory) noteFailure(now mono.Time) {
+	if !now.Before(s.forgiveAt) {
+		s.failures = 0
+	}
+	s.failures++
+	s.forgiveAt = now.Add(flapMemory)
+}
+
+func (s *serverMemory) startRamp(now mono.Time) {
+	s.ramped = true
+	s.rampFrom = now
+	if s.failures > 1 && now.Before(s.forgiveAt) {
+		s.rampFrom = now.Add(flapWait << min(s.failures-2, flapDoubles))
+		s.forgiveAt = s.rampFrom.Add(flapMemory)
+	}
+}
+
+// ramp returns the share of its usual load that the server may get.
+func (s *serverMemory) ramp(now mono.Time) float64 {
+	if !s.ramped {
+		return 1
+	}
+	if now.Before(s.rampFrom) {
+		return 0
+	}
+	steps := 1 + int(now.Sub(s.rampFrom)/rampStep)
+	return min(float64(steps)/rampSteps, 1)
+}
+
+// ramps reports whether the server's share still grows, or has only just stopped growing.
+func (s *serverMemory) ramps(now mono.Time) bool {
+	return s.ramped && now.Before(s.rampFrom.Add((rampSteps+1)*rampStep))
+}
+
+func (s *serverMemory) sinceRated(t mono.Time) time.Duration {
+	if s.rated == 0 {
+		return rateWindow
+	}
+	return t.Sub(s.rated)
+}
+
+// planStates writes down which servers may be given work.
+func (p *planner) planStates() {
+	for _, id := range p.in.Part.ServerIDs() {
+		row := p.draft.servers[id]
+		want, reason := p.wantedState(id)
+		if row.State == want {
+			continue
+		}
+		row.State = want
+		p.draft.setServer(row, reason)
+	}
+}
+
+func (p *planner) wantedState(id ident.Server) (state part.State, reason string) {
+	c := p.servers[id]
+	switch {
+	case c == nil:
+		return part.Draining, "server left the config"
+	case p.in.Drains.Servers[id]:
+		return part.Draining, "server drained"
+	case p.in.Drains.Domains[c.Domain]:
+		return part.Draining, "domain drained"
+	case p.memory.servers[id].down:
+		return part.Down, "server down"
+	}
+	return part.Active, "server is back"
+}
+
+// planRemovals removes the rows of servers that left the config, once no shard names them any more.
+func (p *planner) planRemovals() {
+	used := map[ident.Server]bool{}
+	for i, o := range p.draft.shards {
+		used[o.Server], used[o.Previous] = true, true
+		old := p.in.Part.Owner(ident.Shard(i))
+		used[old.Server], used[old.Previous] = true, true
+	}
+	for _, id := range p.in.Part.ServerIDs() {
+		row := p.in.Part.Servers[id]
+		if p.servers[id] == nil && row.State == part.Draining && !used[id] && p.mayRemove(id) {
+			p.draft.removeServer(id, "server left the config and has ended its work")
+		}
+	}
+}
+
+// mayRemove waits until every entry has surely heard that the server is draining.
+func (p *planner) mayRemove(id ident.Server) bool {
+	s := p.memory.servers[id]
+	if s == nil {
+		s = newServerMemory()
+		p.memory.servers[id] = s
+	}
+	s.observeRow(p.now, p.in.Part.Servers[id])
+	return !p.now.Before(s.removeAt)
+}
--- /dev/null
+++ b/core/place/witness.go
@@ -0,0 +1,182 @@
+package place
+
+import (
+	"time"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/live"
+	"heatherrouter/core/part"
+)
+
+// planWitnesses keeps the witnesses alive and spread over domains, by one change at a time.
+func (p *planner) planWitnesses() {
+	w := p.in.Part.Witnesses
+	switch {
+	case len(w.Current) == 0:
+		if l := p.pickWitnesses(nil); len(l) > 0 {
+			p.draft.setWitnesses(part.Witnesses{Current: l}, "first witnesses")
+		}
+	case w.Changing():
+		if p.in.MaySettle {
+			p.draft.setWitnesses(part.Witnesses{Current: w.Next, Retired: w.Current}, "witnesses settled")
+		}
+	default:
+		p.changeWitnesses(w)
+	}
+}
+
+func (p *planner) changeWitnesses(w part.Witnesses) {
+	keep, reason := p.keepWitnesses(w.Current)
+	if reason == "" && p.mayGrow(len(w.Current)) {
+		reason = "more witnesses"
+	}
+	if reason == "" {
+		keep, reason = p.spreadWitnesses(w.Current)
+	}
+	if reason == "" {
+		return
+	}
+	next := p.pickWitnesses(keep)
+	if len(next) == 0 || sameDaemons(next, w.Current) || p.worse(next, w.Current) {
+		return
+	}
+	p.draft.setWitnesses(part.Witnesses{Current: w.Current, Next: next}, reason)
+}
+
+// keepWitnesses returns the witnesses that stay, and why others don't.
+func (p *planner) keepWitnesses(l []ident.Daemon) (keep []ident.Daemon, reason string) {
+	alive := 0
+	for _, d := range l {
+		if !p.silent(d) {
+			alive++
+		}
+	}
+	wait := witnessWait
+	if alive <= len(l)/2+1 {
+		wait = witnessLastWait
+	}
+	for _, d := range l {
+		switch {
+		case p.silent(d) && !p.now.Before(p.lastWord(d).Add(wait)):
+			reason = "witness is gone"
+		case p.leaving(d):
+			reason = "witness leaves"
+		default:
+			keep = append(keep, d)
+		}
+	}
+	return keep, reason
+}
+
+func (p *planner) mayGrow(n int) bool {
+	return n < witnessCount && p.settled(spreadWait) >= n+2
+}
+
+// settled counts the usable daemons that have been there for a while.
+func (p *planner) settled(wait time.Duration) int {
+	n := 0
+	for id, d := range p.daemons {
+		if p.usable(id) && !p.now.Before(d.Since.Add(wait)) {
+			n++
+		}
+	}
+	return n
+}
+
+// spreadWitnesses drops witnesses of a domain that has more than its share, if another domain has a
+// daemon that has been there for a while. Otherwise the return of a lost domain would leave the witnesses
+// where they fled to, and the next loss could take a majority of them.
+func (p *planner) spreadWitnesses(l []ident.Daemon) (keep []ident.Daemon, reason string) {
+	most := p.perDomain(spreadWait)
+	count := map[ident.Domain]int{}
+	for _, id := range l {
+		d := p.daemons[id]
+		if d != nil && count[d.Domain] >= most {
+			reason = "witnesses spread better"
+			continue
+		}
+		if d != nil {
+			count[d.Domain]++
+		}
+		keep = append(keep, id)
+	}
+	return keep, reason
+}
+
+// perDomain returns how many witnesses one domain may have if they are spread evenly.
+func (p *planner) perDomain(wait time.Duration) int {
+	size := map[ident.Domain]int{}
+	for id, d := range p.daemons {
+		if p.usable(id) && !p.now.Before(d.Since.Add(wait)) {
+			size[d.Domain]++
+		}
+	}
+	for most := 1; ; most++ {
+		room, all := 0, 0
+		for _, n := range size {
+			room += min(n, most)
+			all += n
+		}
+		if room >= min(witnessCount, all) {
+			return most
+		}
+	}
+}
+
+// pickWitnesses fills up the kept ones with usable daemons, always from the domain that has the fewest.
+func (p *planner) pickWitnesses(keep []ident.Daemon) []ident.Daemon {
+	l := append([]ident.Daemon(nil), keep...)
+	count := map[ident.Domain]int{}
+	taken := map[ident.Daemon]bool{}
+	for _, id := range l {
+		taken[id] = true
+		if d := p.daemons[id]; d != nil {
+			count[d.Domain]++
+		}
+	}
+	rank := live.Rank(p.now, p.in.Service.Name, p.in.Service.Region, p.in.Daemons)
+	for len(l) < witnessCount {
+		var best ident.Daemon
+		for _, id := range rank {
+			if !taken[id] && p.usable(id) && (best == "" || count[p.daemons[id].Domain] < count[p.daemons[best].Domain]) {
+				best = id
+			}
+		}
+		if best == "" {
+			break
+		}
+		taken[best] = true
+		count[p.daemons[best].Domain]++
+		l = append(l, best)
+	}
+	return l[:len(l)-(len(l)+1)%2]
+}
+
+// worse reports whether a next set would have fewer live members than the current one: a change that only
+// shrinks the set is not worth its wait.
+func (p *planner) worse(next, current []ident.Daemon) bool {
+	return p.countAlive(next) < p.countAlive(current)
+}
+
+func (p *planner) countAlive(l []ident.Daemon) int {
+	n := 0
+	for _, d := range l {
+		if !p.silent(d) {
+			n++
+		}
+	}
+	return n
+}
+
+func sameDaemons(a, b []ident.Daemon) bool {
+	m := map[ident.Daemon]bool{}
+	for _, d := range a {
+		m[d] = true
+	}
+	for _, d := range b {
+		if !m[d] {
+			return false
+		}
+	}
+	return len(a) == len(b)
+}
--- /dev/null
+++ b/io/rows/rows.go
@@ -0,0 +1,165 @@
+// Package rows is the codec between the aggregate part.Part and the rows of its document.
+package rows
+
+import (
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"heatherrouter/core/check"
+	"heatherrouter/core/docs"
+	"heatherrouter/core/ident"
+	"heatherrouter/core/part"
+	"heatherrouter/io/wire"
+)
+
+// Decode builds the part from a copy of its document, or reports every row that is no good as check.Findings.
+//
+// It takes rows as the table has them and does not apply the rules of changes again: whoever wrote them did.
+func Decode(s ident.Service, d *docs.Doc) (*part.Part, error) {
+	r := reader{p: part.New(s), chunks: map[int]*wire.ShardsRow{}}
+	r.p.Rev = d.Rev
+	for _, n := range d.Names("") {
+		r.row(n, d.Body(n))
+	}
+	r.shards()
+	if err := r.f.Err(); err != nil {
+		return nil, err
+	}
+	return r.p, nil
+}
+
+type reader struct {
+	p      *part.Part
+	chunks map[int]*wire.ShardsRow
+	f      check.Findings
+}
+
+func (r *reader) addf(n ident.Row, format string, args ...any) {
+	r.f.Addf(check.Place{File: string(ident.PartDoc(r.p.Service)), Key: string(n)}, format, args...)
+}
+
+func (r *reader) unmarshal(n ident.Row, body []byte, m proto.Message) bool {
+	if err := proto.Unmarshal(body, m); err != nil {
+		r.addf(n, "not a %s: %v", m.ProtoReflect().Descriptor().Name(), err)
+		return false
+	}
+	return true
+}
+
+func (r *reader) row(n ident.Row, body []byte) {
+	name := string(n)
+	switch {
+	case n == part.WitnessesRow:
+		r.witnesses(n, body)
+	case strings.HasPrefix(name, part.ServerPrefix):
+		r.server(n, body)
+	case strings.HasPrefix(name, part.ShardsPrefix):
+		r.chunk(n, body)
+	default:
+		r.addf(n, "unknown row")
+	}
+}
+
+func (r *reader) witnesses(n ident.Row, body []byte) {
+	var m wire.WitnessRow
+	if !r.unmarshal(n, body, &m) {
+		return
+	}
+	if len(m.Current) == 0 {
+		r.addf(n, "no current witness")
+	}
+	r.p.Witnesses = part.Witnesses{Current: daemons(m.Current), Next: daemons(m.Next), Retired: daemons(m.Retired)}
+}
+
+func (r *reader) server(n ident.Row, body []byte) {
+	var m wire.ServerRow
+	if !r.unmarshal(n, body, &m) {
+		return
+	}
+	short := strings.TrimPrefix(string(n), part.ServerPrefix)
+	st, ok := stateFrom(m.State)
+	if short == "" || m.Home == "" || m.Epoch == 0 || !ok {
+		r.addf(n, "needs a name, a home, an epoch and a known state")
+		return
+	}
+	id := ident.MakeServer(r.p.Service, short)
+	r.p.Servers[id] = part.Server{
+		ID: id, Home: ident.Daemon(m.Home), Epoch: ident.Epoch(m.Epoch),
+		Standby: ident.Daemon(m.Standby), State: st, Supersede: m.Supersede,
+	}
+}
+
+func (r *reader) chunk(n ident.Row, body []byte) {
+	var m wire.ShardsRow
+	if !r.unmarshal(n, body, &m) {
+		return
+	}
+	i, err := strconv.Atoi(strings.TrimPrefix(string(n), part.ShardsPrefix))
+	if err != nil || i < 0 || n != part.ShardsRow(i) || int64(m.First) != int64(i)*part.ChunkSize {
+		r.addf(n, "the name does not go with first shard %d", m.First)
+		return
+	}
+	if len(m.Owners) == 0 || len(m.Owners) > part.ChunkSize {
+		r.addf(n, "%d shards in a row of 1 to %d", len(m.Owners), part.ChunkSize)
+		return
+	}
+	r.chunks[i] = &m
+}
+
+// shards joins the rows of shards; a gap is a finding, since every later shard would get the wrong number.
+func (r *reader) shards() {
+	for i := range len(r.chunks) {
+		m, ok := r.chunks[i]
+		if !ok {
+			r.addf(part.ShardsRow(i), "missing, though later rows of shards are there")
+			return
+		}
+		if i < len(r.chunks)-1 && len(m.Owners) != part.ChunkSize {
+			r.addf(part.ShardsRow(i), "%d shards, though only the last row may be short", len(m.Owners))
+		}
+		for _, o := range m.Owners {
+			r.p.Shards = append(r.p.Shards, r.owner(part.ShardsRow(i), o))
+		}
+	}
+}
+
+func (r *reader) owner(n ident.Row, m *wire.ShardOwner) part.Ownership {
+	o := part.Ownership{Epoch: ident.Epoch(m.GetEpoch())}
+	if m.GetServer() != "" {
+		o.Server = ident.MakeServer(r.p.Service, m.Server)
+	}
+	if m.GetPrevious() != "" {
+		o.Previous = ident.MakeServer(r.p.Service, m.Previous)
+	}
+	if o.Server == "" || o.Epoch == 0 {
+		r.addf(n, "shard %d needs an owner and an epoch", len(r.p.Shards))
+	}
+	for _, s := range []ident.Server{o.Server, o.Previous} {
+		if _, ok := r.p.Servers[s]; s != "" && !ok {
+			r.addf(n, "shard %d names %s, which has no row", len(r.p.Shards), s)
+		}
+	}
+	return o
+}
+
+func daemons(l []string) []ident.Daemon {
+	var out []ident.Daemon
+	for _, s := range l {
+		out = append(out, ident.Daemon(s))
+	}
+	return out
+}
+
+func stateFrom(s wire.ServerState) (part.State, bool) {
+	switch s {
+	case wire.ServerState_SERVER_STATE_ACTIVE:
+		return part.Active, true
+	case wire.ServerState_SERVER_STATE_DRAINING:
+		return part.Draining, true
+	case wire.ServerState_SERVER_STATE_DOWN:
+		return part.Down, true
+	}
+	return 0, false
+}
