--- /dev/null
+++ b/io/fakes/faults.go
@@ -0,0 +1,156 @@
+package fakes
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Faults says how the table or the object store stand-in misbehaves. The zero value is a sound one.
+type Faults struct {
+	Outage    Outage `json:"outage"`
+	LatencyMS int    `json:"latency-ms"` // added before every request is carried out
+
+	// LoseReplies is how many of the next writes lose their reply after they took effect.
+	LoseReplies int `json:"lose-replies"`
+	// LoseSilently leaves the caller of a lost reply waiting; otherwise its connection is closed.
+	LoseSilently bool `json:"lose-silently"`
+
+	// DelayWrites is how many of the next writes take effect DelayMS late, also when their caller has gone.
+	DelayWrites int `json:"delay-writes"`
+	DelayMS     int `json:"delay-ms"`
+}
+
+// Counts is how many requests a stand-in has carried out.
+type Counts struct {
+	Reads  int `json:"reads"`
+	Writes int `json:"writes"` // those that took effect
+	Failed int `json:"failed"` // writes refused by their condition or for being wrong
+}
+
+// status is the answer of a control page.
+type status struct {
+	Faults Faults `json:"faults"`
+	Counts Counts `json:"counts"`
+}
+
+// faulty is the part of a stand-in that misbehaves on command.
+type faulty struct {
+	mu     sync.Mutex
+	faults Faults
+	counts Counts
+	change chan struct{} // closed when the faults change, so that hung requests look again
+	data   *endpoint
+}
+
+// SetFaults replaces the faults and returns when they are in force.
+func (f *faulty) SetFaults(x Faults) error {
+	f.mu.Lock()
+	f.faults = x
+	close(f.change)
+	f.change = make(chan struct{})
+	f.mu.Unlock()
+	if x.Outage == RefuseOutage {
+		f.data.shut()
+		return nil
+	}
+	return f.data.open()
+}
+
+// Faults returns the faults in force, with what is left of those that are counted.
+func (f *faulty) Faults() Faults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults
+}
+
+// Counts returns how many requests were carried out.
+func (f *faulty) Counts() Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts
+}
+
+func (f *faulty) count(c Counts) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Reads += c.Reads
+	f.counts.Writes += c.Writes
+	f.counts.Failed += c.Failed
+}
+
+// admit holds the request back as the faults say; false means that it must not be carried out.
+func (f *faulty) admit(w http.ResponseWriter, r *http.Request) bool {
+	for {
+		f.mu.Lock()
+		x, change := f.faults, f.change
+		f.mu.Unlock()
+		switch x.Outage {
+		case UpOutage:
+			time.Sleep(time.Duration(x.LatencyMS) * time.Millisecond)
+			return true
+		case HangOutage:
+			select {
+			case <-r.Context().Done():
+				return false
+			case <-f.data.done:
+				return false
+			case <-change:
+			}
+		case ErrorOutage:
+			http.Error(w, "out on command", http.StatusServiceUnavailable)
+			return false
+		default:
+			cutConn(w)
+			return false
+		}
+	}
+}
+
+// delayWrite takes one of the delayed writes, if there are any left, and waits.
+func (f *faulty) delayWrite() {
+	f.mu.Lock()
+	var d time.Duration
+	if f.faults.DelayWrites > 0 {
+		f.faults.DelayWrites--
+		d = time.Duration(f.faults.DelayMS) * time.Millisecond
+	}
+	f.mu.Unlock()
+	time.Sleep(d)
+}
+
+// loseReply takes one of the lost replies, if there are any left; true means that the caller must not be answered.
+func (f *faulty) loseReply(w http.ResponseWriter, r *http.Request) bool {
+	f.mu.Lock()
+	lose, silent := f.faults.LoseReplies > 0, f.faults.LoseSilently
+	if lose {
+		f.faults.LoseReplies--
+	}
+	f.mu.Unlock()
+	if !lose {
+		return false
+	}
+	if silent {
+		select {
+		case <-r.Context().Done():
+		case <-f.data.done:
+		}
+	}
+	cutConn(w)
+	return true
+}
+
+// control serves GET (state) and POST (new faults).
+func (f *faulty) control(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var x Faults
+		if !readJSON(w, r, &x) {
+			return
+		}
+		if err := f.SetFaults(x); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+	}
+	writeJSON(w, http.StatusOK, status{Faults: f.Faults(), Counts: f.Counts()})
+}
--- /dev/null
+++ b/io/fakes/table.go
@@ -0,0 +1,154 @@
+package fakes
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// TableOptions sets up a table service stand-in.
+type TableOptions struct {
+	Addr        string // of the service; AnyPort when empty
+	ControlAddr string // of the control page; AnyPort when empty
+	PageRows    int    // most rows of one answer to a query; 100 when 0
+}
+
+// Table is a stand-in for the table service. It speaks JSON 1.0 of the DynamoDB API for GetItem, Query by partition
+// key, and TransactWriteItems with Put, Delete and ConditionCheck. Any table name exists. The condition forms are
+// attribute_not_exists(NAME) and NAME = :VALUE. ClientRequestToken is ignored, so that nothing but the conditions
+// makes a transaction idempotent.
+//
+// Control page: GET and POST /control (Faults), GET /rows (every item).
+type Table struct {
+	faulty
+	page  int
+	admin *endpoint
+
+	rows  sync.Mutex
+	items map[itemKey]attrs
+}
+
+const defaultPageRows = 100
+
+// NewTable starts a table service stand-in.
+func NewTable(o TableOptions) (*Table, error) {
+	t := &Table{page: o.PageRows, items: map[itemKey]attrs{}}
+	if t.page <= 0 {
+		t.page = defaultPageRows
+	}
+	t.change = make(chan struct{})
+	var err error
+	if t.data, err = newEndpoint(orAny(o.Addr), http.HandlerFunc(t.serve)); err != nil {
+		return nil, err
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("/control", t.control)
+	m.HandleFunc("GET /rows", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, t.Dump()) })
+	if t.admin, err = newEndpoint(orAny(o.ControlAddr), m); err != nil {
+		t.data.close()
+		return nil, err
+	}
+	return t, nil
+}
+
+func orAny(addr string) string {
+	if addr == "" {
+		return AnyPort
+	}
+	return addr
+}
+
+// URL returns the endpoint of the service.
+func (t *Table) URL() string { return t.data.URL() }
+
+// Addr returns the address of the service, for a relay before it.
+func (t *Table) Addr() string { return t.data.addr }
+
+// ControlURL returns the base URL of the control page.
+func (t *Table) ControlURL() string { return t.admin.URL() }
+
+// Close ends the stand-in and forgets every item.
+func (t *Table) Close() {
+	t.data.close()
+	t.admin.close()
+}
+
+// Dump returns every item in the order of its keys.
+func (t *Table) Dump() []map[string]any {
+	t.rows.Lock()
+	defer t.rows.Unlock()
+	keys := make([]itemKey, 0, len(t.items))
+	for k := range t.items {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, itemKey.compare)
+	l := make([]map[string]any, len(keys))
+	for i, k := range keys {
+		l[i] = map[string]any{"table": k.table}
+		for n, v := range t.items[k] {
+			l[i][n] = v
+		}
+	}
+	return l
+}
+
+const (
+	targetPrefix = "DynamoDB_20120810."
+	maxRequest   = 8 << 20
+)
+
+func (t *Table) serve(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	if err != nil {
+		return
+	}
+	if !t.admit(w, r) {
+		return
+	}
+	switch op := strings.TrimPrefix(r.Header.Get("X-Amz-Target"), targetPrefix); op {
+	case "GetItem":
+		t.read(w, b, t.getItem)
+	case "Query":
+		t.read(w, b, t.query)
+	case "TransactWriteItems":
+		t.delayWrite()
+		out, fail := t.transact(b)
+		if fail != nil {
+			t.count(Counts{Failed: 1})
+			fail.write(w)
+			return
+		}
+		t.count(Counts{Writes: 1})
+		if t.loseReply(w, r) {
+			return
+		}
+		t.answer(w, out)
+	default:
+		invalid("operation %q is not supported", op).write(w)
+	}
+}
+
+func (t *Table) read(w http.ResponseWriter, b []byte, op func([]byte) (any, *apiError)) {
+	t.count(Counts{Reads: 1})
+	out, fail := op(b)
+	if fail != nil {
+		fail.write(w)
+		return
+	}
+	t.answer(w, out)
+}
+
+const contentType = "application/x-amz-json-1.0"
+
+func (t *Table) answer(w http.ResponseWriter, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", contentType)
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/io/table/faults_test.go
@@ -0,0 +1,195 @@
+package table_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/docs"
+	"heatherrouter/core/ident"
+	"heatherrouter/io/fakes"
+	"heatherrouter/io/table"
+)
+
+// The caller sees its commit succeed, once.
+// The write takes effect, its reply never comes, the connection is closed or goes silent. The head read back names
+// the transaction as the writer of the revision, so that nothing is guessed and nothing is written twice.
+func TestLostReplyIsSettled(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent=%v", silent), func(t *testing.T) {
+			f := newFake(t)
+			s := newStore(t, f.URL(), 100*time.Millisecond)
+			set(t, f, fakes.Faults{LoseReplies: 1, LoseSilently: silent})
+			r, err := s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+			require.NoError(t, err)
+			require.Equal(t, ident.Rev(1), r)
+			require.Equal(t, 1, f.Counts().Writes)
+		})
+	}
+}
+
+// The caller sees its commit succeed although others committed before it could read back.
+// The write takes effect and its reply is lost; then others move the head on, by fewer or by more transactions than
+// the head's history holds, and may overwrite the same row. Past the history only the row can tell.
+func TestLostReplyAfterOthersMovedOn(t *testing.T) {
+	tests := []struct {
+		name    string
+		others  int
+		row     string // that the others write
+		unknown bool
+	}{
+		{"one on the same row", 1, "x", false},
+		{"within the history on the same row", 30, "x", false},
+		{"past the history on another row", 40, "y", false},
+		{"past the history on the same row", 40, "x", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFake(t)
+			a, b := newStore(t, f.URL(), 300*time.Millisecond), newStore(t, f.URL(), time.Second)
+			set(t, f, fakes.Faults{LoseReplies: 1, LoseSilently: true})
+			done := make(chan error)
+			go func() {
+				_, err := a.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+				done <- err
+			}()
+			require.Eventually(t, func() bool { return f.Counts().Writes == 1 }, time.Second, time.Millisecond)
+			for i := range tt.others {
+				_, err := b.Commit(t.Context(), doc, ident.Rev(i+1), ident.Txn(fmt.Sprint("o", i)), change(tt.row, "o"))
+				require.NoError(t, err)
+			}
+			err := <-done
+			if tt.unknown {
+				var u *table.UnknownError
+				require.ErrorAs(t, err, &u)
+				return
+			}
+			require.NoError(t, err)
+		})
+	}
+}
+
+// The caller sees its commit succeed, once, though the service was slow to write it.
+// The sender gives up, reads the head (not moved), sends the same transaction again, which is written; then the
+// first copy lands, late, and fails its condition. A sender that took the unmoved head for "not written" would
+// have told its caller so, and the write would have come after that.
+func TestLateWriteLands(t *testing.T) {
+	f := newFake(t)
+	s := newStore(t, f.URL(), 100*time.Millisecond)
+	set(t, f, fakes.Faults{DelayWrites: 1, DelayMS: 400})
+	r, err := s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+	require.NoError(t, err)
+	require.Equal(t, ident.Rev(1), r)
+	require.Eventually(t, func() bool { return f.Counts().Failed == 1 }, 2*time.Second, 5*time.Millisecond,
+		"the late copy must have been refused")
+	require.Equal(t, 1, f.Counts().Writes)
+}
+
+// The caller sees "unknown" and calls again with the same arguments, which settles it.
+// All copies are still under way when the sender gives up for good; one of them lands later.
+func TestUnknownIsSettledByCallingAgain(t *testing.T) {
+	f := newFake(t)
+	s := newStore(t, f.URL(), 50*time.Millisecond)
+	set(t, f, fakes.Faults{DelayWrites: 10, DelayMS: 600})
+	_, err := s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+	var u *table.UnknownError
+	require.ErrorAs(t, err, &u)
+	require.Eventually(t, func() bool { return f.Counts().Writes == 1 }, 2*time.Second, 5*time.Millisecond)
+	set(t, f, fakes.Faults{})
+	r, err := s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+	require.NoError(t, err)
+	require.Equal(t, ident.Rev(1), r)
+	require.Equal(t, 1, f.Counts().Writes)
+}
+
+// The caller sees a conflict: somebody else's transaction moved the head while its own was under way.
+// The late copy then fails its condition, so that "conflict" stays true.
+func TestLateWriteLosesToAnother(t *testing.T) {
+	f := newFake(t)
+	a, b := newStore(t, f.URL(), 200*time.Millisecond), newStore(t, f.URL(), time.Second)
+	set(t, f, fakes.Faults{DelayWrites: 1, DelayMS: 600})
+	done := make(chan error)
+	go func() {
+		_, err := a.Commit(t.Context(), doc, 0, "a1", change("x", "a"))
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return f.Faults().DelayWrites == 0 }, time.Second, time.Millisecond)
+	_, err := b.Commit(t.Context(), doc, 0, "b1", change("x", "b"))
+	require.NoError(t, err)
+	var c *table.ConflictError
+	require.ErrorAs(t, <-done, &c)
+	require.Eventually(t, func() bool { return f.Counts().Failed >= 1 }, 2*time.Second, 5*time.Millisecond)
+	d, err := b.Load(t.Context(), doc)
+	require.NoError(t, err)
+	require.Equal(t, "b", string(d.Body("x")))
+}
+
+// The caller sees "unavailable" where nothing can have been written, and "unknown" where it may.
+// A refused connection carried nothing; a service that hangs or answers with a server error may have got it all.
+func TestOutages(t *testing.T) {
+	tests := []struct {
+		outage  fakes.Outage
+		unknown bool
+	}{
+		{fakes.RefuseOutage, false},
+		{fakes.ErrorOutage, true},
+		{fakes.HangOutage, true},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.outage), func(t *testing.T) {
+			f := newFake(t)
+			s := newStore(t, f.URL(), 100*time.Millisecond)
+			_, err := s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+			require.NoError(t, err)
+			set(t, f, fakes.Faults{Outage: tt.outage})
+
+			var unavailable *table.UnavailableError
+			var unknown *table.UnknownError
+			_, err = s.Head(t.Context(), doc)
+			require.ErrorAs(t, err, &unavailable)
+			_, err = s.Load(t.Context(), doc)
+			require.ErrorAs(t, err, &unavailable)
+			_, err = s.Commit(t.Context(), doc, 1, "t2", change("x", "2"))
+			if tt.unknown {
+				require.ErrorAs(t, err, &unknown)
+			} else {
+				require.ErrorAs(t, err, &unavailable)
+			}
+
+			set(t, f, fakes.Faults{})
+			r, err := s.Commit(t.Context(), doc, 1, "t2", change("x", "2"))
+			require.NoError(t, err)
+			require.Equal(t, ident.Rev(2), r)
+		})
+	}
+}
+
+// The caller sees "unknown" on both calls, never "certainly not written".
+// The first call's transaction is under way when the port closes; the second can't even connect, but the first
+// copy may land, and here it does.
+func TestUnreachableAfterUnknownStaysUnknown(t *testing.T) {
+	f := newFake(t)
+	s := newStore(t, f.URL(), 50*time.Millisecond)
+	set(t, f, fakes.Faults{DelayWrites: 10, DelayMS: 500})
+	var u *table.UnknownError
+	_, err := s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+	require.ErrorAs(t, err, &u)
+	set(t, f, fakes.Faults{Outage: fakes.RefuseOutage})
+	_, err = s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+	require.ErrorAs(t, err, &u)
+	require.Eventually(t, func() bool { return f.Counts().Writes == 1 }, 2*time.Second, 5*time.Millisecond)
+}
+
+// The largest document of the API's limits still commits and loads when the service is merely slow.
+func TestSlowService(t *testing.T) {
+	f := newFake(t)
+	s := newStore(t, f.URL(), 2*time.Second)
+	set(t, f, fakes.Faults{LatencyMS: 50})
+	_, err := s.Commit(t.Context(), doc, 0, "t1", []docs.Change{{Row: "x", Body: make([]byte, 100_000)}})
+	require.NoError(t, err)
+	d, err := s.Load(t.Context(), doc)
+	require.NoError(t, err)
+	require.Len(t, d.Body("x"), 100_000)
+}
