Admin page, and publishing of service files and drains in one transaction

Cause: the daemon and the operators' client need shared types, and a publish must never overwrite another operator's silently nor guess after a lost reply. io/admin serves the pages and mutating calls behind an operator key; io/publ validates, diffs, builds on the revision that the operator saw and commits. A repeated transaction id on a base that has moved on goes to the table, which alone knows whether this is the same publish or a race. Ruled out: reading the daemon's own copy back to settle a publish (it lags, and a later publish hides the earlier one); skipping the write of a drain that the copy already shows (the copy may be seconds old). io/admin/fake stands in for the daemon over an in-memory document.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -123,3 +123,15 @@
 	}
 	return nil, false
 }
+
+// HasDomain reports whether some backend server is in the failure domain.
+func (c *Config) HasDomain(d ident.Domain) bool {
+	for _, s := range c.Services {
+		for i := range s.Servers {
+			if s.Servers[i].Domain == d {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/publ/publ_test.go
@@ -0,0 +1,229 @@
+package publ_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/check"
+	"heatherrouter/core/config"
+	"heatherrouter/core/ident"
+	"heatherrouter/io/admin"
+	"heatherrouter/io/admin/fake"
+	"heatherrouter/io/rowcfg"
+)
+
+// service returns the file of a service with one backend server at the port.
+func service(name string, port int) admin.File {
+	return admin.File{Path: name + "/heatherrouter.toml", Body: fmt.Sprintf(`name = %q
+region = "north"
+
+[[servers]]
+name = "s"
+address = "127.0.0.1:%d"
+domain = "d1"
+
+[[kinds]]
+name = "read"
+methods = ["GET"]
+path = "/**"
+timeout = "1s"
+`, name, port)}
+}
+
+func publishOf(base ident.Rev, txn ident.Txn, l ...admin.File) admin.Publish {
+	return admin.Publish{Txn: txn, BaseRev: base, Files: l, By: "anna"}
+}
+
+func TestPublish(t *testing.T) {
+	d := fake.NewDocs()
+	p := fake.New(d, time.Now)
+	a, b := service("a", 1), service("b", 2)
+
+	got, err := p.Publish(t.Context(), publishOf(0, "txn-000001", a, b))
+	require.NoError(t, err)
+	require.Equal(t, admin.Published{Rev: 1, Changed: []ident.Service{"a", "b"}}, got)
+
+	moved := a
+	moved.Path = "elsewhere/heatherrouter.toml"
+	got, err = p.Publish(t.Context(), publishOf(1, "txn-000002", moved, b))
+	require.NoError(t, err)
+	require.Equal(t, admin.Published{Rev: 1, Same: []ident.Service{"a", "b"}}, got)
+	require.Equal(t, 1, d.Commits(), "unchanged files cause no write")
+
+	q := publishOf(1, "txn-000003", service("a", 3))
+	q.Remove = []ident.Service{"b"}
+	got, err = p.Publish(t.Context(), q)
+	require.NoError(t, err)
+	require.Equal(t, admin.Published{Rev: 2, Changed: []ident.Service{"a"}, Removed: []ident.Service{"b"}}, got)
+	c, f := rowcfg.Read(d.Get(ident.ConfigDoc))
+	require.Empty(t, f)
+	require.Len(t, c.Services, 1)
+	require.Equal(t, uint16(3), c.Find("a/s").Addr.Port())
+}
+
+func TestPublishFindings(t *testing.T) {
+	bad := service("c", 9)
+	bad.Body = strings.Replace(bad.Body, "1s", "0s", 1)
+	tests := []struct {
+		name   string
+		files  []admin.File
+		remove []ident.Service
+		want   string
+	}{
+		{"file", []admin.File{service("b", 2), bad}, nil, "c/heatherrouter.toml:13: kinds[0].timeout"},
+		{"address in force", []admin.File{service("b", 1)}, nil, "is 127.0.0.1:1, the address of a/s too"},
+		{"twice", []admin.File{service("b", 2), service("b", 3)}, nil, "names the service b"},
+		{"remove unknown", nil, []ident.Service{"x"}, `there is no service "x" to remove`},
+		{"remove twice", nil, []ident.Service{"a", "a"}, `"a" is removed twice`},
+		{"publish and remove", []admin.File{service("a", 2)}, []ident.Service{"a"}, "both published and removed"},
+	}
+	d := fake.NewDocs()
+	p := fake.New(d, time.Now)
+	_, err := p.Publish(t.Context(), publishOf(0, "txn-000001", service("a", 1)))
+	require.NoError(t, err)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := publishOf(1, "txn-000002", tt.files...)
+			q.Remove = tt.remove
+			_, err := p.Publish(t.Context(), q)
+			f, ok := errors.AsType[check.Findings](err)
+			require.True(t, ok, "%v", err)
+			require.Len(t, f, 1, f.Error())
+			require.Contains(t, f.Error(), tt.want)
+		})
+	}
+	require.Equal(t, 1, d.Commits())
+}
+
+// Two operators publish at once, both from revision 0. Anna's commit reaches the table between Bert's check
+// and Bert's commit. Bert must be told that revision 1 is in force and nothing of Anna's may be overwritten,
+// since Bert has never seen it.
+func TestPublishRace(t *testing.T) {
+	d := fake.NewDocs()
+	p := fake.New(d, time.Now)
+	d.BeforeCommit(func() {
+		_, err := p.Publish(t.Context(), publishOf(0, "txn-anna01", service("a", 1)))
+		require.NoError(t, err)
+	})
+	_, err := p.Publish(t.Context(), publishOf(0, "txn-bert01", service("a", 2)))
+	e, ok := errors.AsType[*admin.ConflictError](err)
+	require.True(t, ok, "%v", err)
+	require.Equal(t, admin.ConflictError{Base: 0, Current: 1}, *e)
+
+	// The same again, after Bert's daemon has heard of revision 1.
+	_, err = p.Publish(t.Context(), publishOf(0, "txn-bert02", service("a", 2)))
+	_, ok = errors.AsType[*admin.ConflictError](err)
+	require.True(t, ok, "%v", err)
+	c, _ := rowcfg.Read(d.Get(ident.ConfigDoc))
+	require.Equal(t, uint16(1), c.Find("a/s").Addr.Port())
+}
+
+// The table takes the publish, but its reply is lost, and another operator publishes on top. The client asks
+// again with the same transaction id: the answer must be the revision of its own publish. A conflict would be
+// wrong, since the files were in force; writing them again would undo the other operator's change.
+func TestPublishLostReply(t *testing.T) {
+	d := fake.NewDocs()
+	p := fake.New(d, time.Now)
+	q := publishOf(0, "txn-000001", service("a", 1), service("b", 2))
+	d.Fail(fake.FaultLostReply)
+	_, err := p.Publish(t.Context(), q)
+	_, ok := errors.AsType[*admin.UnknownError](err)
+	require.True(t, ok, "%v", err)
+
+	got, err := p.Publish(t.Context(), q)
+	require.NoError(t, err)
+	require.Equal(t, admin.Published{Rev: 1, Changed: []ident.Service{"a", "b"}}, got)
+
+	_, err = p.Publish(t.Context(), publishOf(1, "txn-000002", service("b", 3)))
+	require.NoError(t, err)
+	got, err = p.Publish(t.Context(), q)
+	require.NoError(t, err)
+	require.Equal(t, ident.Rev(1), got.Rev)
+	require.Equal(t, 2, d.Commits())
+	c, _ := rowcfg.Read(d.Get(ident.ConfigDoc))
+	require.Equal(t, uint16(3), c.Find("b/s").Addr.Port())
+}
+
+func TestPublishTooMuch(t *testing.T) {
+	p := fake.New(fake.NewDocs(), time.Now)
+	var l []admin.File
+	for i := range 81 {
+		l = append(l, service(fmt.Sprintf("s%d", i), i+1))
+	}
+	_, err := p.Publish(t.Context(), publishOf(0, "txn-000001", l...))
+	require.ErrorContains(t, err, "at most 80")
+}
+
+func TestPublishWaitsForItsBase(t *testing.T) {
+	p := fake.New(fake.NewDocs(), time.Now)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := p.Publish(ctx, publishOf(4, "txn-000001", service("a", 1)))
+	_, ok := errors.AsType[*admin.UnavailableError](err)
+	require.True(t, ok, "%v", err)
+}
+
+func TestDrainAndRestore(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000).UTC()
+	d := fake.NewDocs()
+	p := fake.New(d, func() time.Time { return now })
+	_, err := p.Publish(t.Context(), publishOf(0, "txn-000001", service("a", 1)))
+	require.NoError(t, err)
+	drain := func(n int, k admin.DrainKind, name string) admin.Drain {
+		return admin.Drain{Txn: ident.Txn(fmt.Sprintf("txn-10000%d", n)), Kind: k, Name: name, By: "anna"}
+	}
+
+	got, err := p.Drain(t.Context(), drain(1, admin.DrainServer, "a/s"))
+	require.NoError(t, err)
+	require.Equal(t, admin.Drained{Rev: 2, Changed: true}, got)
+	got, err = p.Drain(t.Context(), drain(2, admin.DrainServer, "a/s"))
+	require.NoError(t, err)
+	require.Equal(t, admin.Drained{Rev: 3, Changed: false}, got)
+	_, err = p.Drain(t.Context(), drain(3, admin.DrainDaemon, string(fake.Daemon)))
+	require.NoError(t, err)
+	c, _ := rowcfg.Read(d.Get(ident.ConfigDoc))
+	want := config.Drain{By: "anna", Since: now}
+	require.Equal(t, map[ident.Server]config.Drain{"a/s": want}, c.Servers)
+	require.Equal(t, map[ident.Daemon]config.Drain{fake.Daemon: want}, c.Daemons)
+
+	got, err = p.Restore(t.Context(), drain(4, admin.DrainServer, "a/s"))
+	require.NoError(t, err)
+	require.True(t, got.Changed)
+	c, _ = rowcfg.Read(d.Get(ident.ConfigDoc))
+	require.Empty(t, c.Servers)
+
+	for _, q := range []admin.Drain{
+		drain(5, admin.DrainServer, "a/x"), drain(6, admin.DrainDomain, "d9"), drain(7, admin.DrainDaemon, "hr-99"),
+	} {
+		_, err = p.Drain(t.Context(), q)
+		_, ok := errors.AsType[*admin.NotFoundError](err)
+		require.True(t, ok, "%v", err)
+	}
+	_, err = p.Drain(t.Context(), drain(8, "zone", "d1"))
+	require.ErrorContains(t, err, "must be domain, server or daemon")
+}
+
+// Another operator publishes between the drain's read and its commit. The drain names a domain and no
+// revision, so it must go through on the newer copy, and the publish must stand.
+func TestDrainRace(t *testing.T) {
+	d := fake.NewDocs()
+	p := fake.New(d, time.Now)
+	_, err := p.Publish(t.Context(), publishOf(0, "txn-000001", service("a", 1)))
+	require.NoError(t, err)
+	d.BeforeCommit(func() {
+		_, err := p.Publish(t.Context(), publishOf(1, "txn-000002", service("a", 2)))
+		require.NoError(t, err)
+	})
+	got, err := p.Drain(t.Context(), admin.Drain{Txn: "txn-000003", Kind: admin.DrainDomain, Name: "d1", By: "anna"})
+	require.NoError(t, err)
+	require.Equal(t, admin.Drained{Rev: 3, Changed: true}, got)
+	c, _ := rowcfg.Read(d.Get(ident.ConfigDoc))
+	require.Equal(t, uint16(2), c.Find("a/s").Addr.Port())
+	require.True(t, c.ServerDrained(c.Find("a/s")))
+}
