Add connections to a backend server with certain outcomes

Cause: a home has to tell not run from unknown for each exchange. Ruled out: fasthttp's HostClient, whose hidden retries would break at-most-once; net/http, which doesn't say whether a byte was written.

--- /dev/null
+++ b/io/conns/conn.go
@@ -0,0 +1,284 @@
+package conns
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/admit"
+	"heatherrouter/core/retry"
+)
+
+const (
+	readBuffer  = 8 << 10
+	writeBuffer = 4 << 10
+
+	// earlyAnswer is how long to look for an answer after a write failed: a server may refuse a large body
+	// and close before it has read it.
+	earlyAnswer = 50 * time.Millisecond
+
+	// othersAnswered is how many exchanges must have been answered since an exchange was sent to call its
+	// connection silent. It is more than the slots of a server, so that some of them were sent later.
+	othersAnswered = 6
+
+	tcpUserTimeout = 18 // TCP_USER_TIMEOUT, which package syscall lacks
+
+	keepAliveEvery = time.Second
+	keepAliveCount = 3
+)
+
+// conn is one connection with at most one exchange at a time.
+type conn struct {
+	net       *net.TCPConn
+	raw       syscall.RawConn
+	br        *bufio.Reader
+	bw        *bufio.Writer
+	stall     time.Duration // bounds each write of a streamed body; 0 while the deadline does
+	wrote     bool          // some byte of the present request was taken
+	writeErr  error         // of the present request; nil when sending failed on our side of the connection
+	broken    bool          // must not be used again
+	used      bool          // had an exchange
+	idleSince time.Time
+
+	// stopCancel ends the watch for cancellation, and returns false when that came first.
+	stopCancel func() bool
+
+	peekFunc func(fd uintptr) bool
+	peekOpen bool
+	peekByte [1]byte
+}
+
+func (p *Pool) dial(ctx context.Context, deadline time.Time) (*conn, error) {
+	d := net.Dialer{
+		Timeout:  p.options.DialTimeout,
+		Deadline: deadline,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return setUserTimeout(raw, p.options.StallTimeout)
+		},
+	}
+	n, err := d.DialContext(ctx, "tcp", p.addr)
+	if err != nil {
+		return nil, err
+	}
+	t := n.(*net.TCPConn) //nolint:errcheck // a tcp dial gives no other
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return nil, trace.NewAggregate(err, t.Close())
+	}
+	c := &conn{net: t, raw: raw}
+	c.br = bufio.NewReaderSize(t, readBuffer)
+	c.bw = bufio.NewWriterSize(c, writeBuffer)
+	c.peekFunc = c.peek
+	return c, nil
+}
+
+// setUserTimeout makes the kernel give up a connection whose bytes are not acknowledged. Something between
+// the two ends may have lost track of it; without it, writes seem to succeed for many minutes.
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	var err error
+	errc := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds())) //nolint:gosec // a descriptor
+	})
+	return errors.Join(errc, err)
+}
+
+// Write counts what the connection took, since that decides between not run and unknown.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.stall > 0 {
+		if err := c.net.SetWriteDeadline(time.Now().Add(c.stall)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.net.Write(b)
+	if n > 0 {
+		c.wrote = true
+	}
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// alive looks whether the server has closed the idle connection, without waiting. A request written to a
+// half-closed one is taken by the kernel and lost, which leaves its outcome unknown.
+func (c *conn) alive() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	c.peekOpen = false
+	if err := c.raw.Read(c.peekFunc); err != nil {
+		return false
+	}
+	return c.peekOpen
+}
+
+func (c *conn) peek(fd uintptr) bool {
+	_, _, err := syscall.Recvfrom(int(fd), c.peekByte[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // a descriptor
+	c.peekOpen = errors.Is(err, syscall.EAGAIN)                                                  // anything else is an end or bytes that nobody asked for
+	return true
+}
+
+func (c *conn) close() {
+	c.broken = true
+	_ = c.net.Close()
+}
+
+// reusable reports whether the next answer on the connection can only belong to the next request.
+func (c *conn) reusable() bool {
+	return !c.broken && c.br.Buffered() == 0
+}
+
+// do runs one exchange. After any result with an error the connection must be discarded.
+func (c *conn) do(ctx context.Context, p *Pool, call Call, req *fasthttp.Request, resp *fasthttp.Response, streamed bool) Result {
+	c.wrote, c.writeErr = false, nil
+	c.cancelWith(ctx)
+	err := c.send(p, call, req)
+	given := err != nil && c.writeErr == nil // the guard, or the caller's body was cut
+	if err == nil || c.wrote && c.writeErr != nil && !isTimeout(err) && ctx.Err() == nil {
+		err = c.receive(p, call, req, resp, streamed, err)
+	}
+	if (!streamed || err != nil) && !c.stopCancel() {
+		c.broken = true // the cancellation runs or has run, and closes the connection
+	}
+	if err != nil {
+		return c.failure(given || ctx.Err() != nil, err)
+	}
+	if resp.ConnectionClose() {
+		c.broken = true
+	}
+	p.answers.Add(1)
+	return answer(resp)
+}
+
+// cancelWith closes the connection when the context ends: the server takes that for a cancellation.
+func (c *conn) cancelWith(ctx context.Context) {
+	c.stopCancel = neverCancelled
+	if ctx.Done() != nil {
+		c.stopCancel = context.AfterFunc(ctx, func() { _ = c.net.Close() })
+	}
+}
+
+func neverCancelled() bool { return true }
+
+func (c *conn) send(p *Pool, call Call, req *fasthttp.Request) error {
+	c.stall = 0
+	if err := c.net.SetDeadline(call.Deadline); err != nil {
+		return err
+	}
+	if req.IsBodyStream() {
+		c.stall = p.options.StallTimeout
+	}
+	if call.Guard != nil && !call.Guard() {
+		return ErrGuard
+	}
+	if err := req.Write(c.bw); err != nil {
+		return err
+	}
+	return c.bw.Flush()
+}
+
+// receive reads the answer; sent is the error of sending, if any, which stands unless a whole answer came.
+func (c *conn) receive(p *Pool, call Call, req *fasthttp.Request, resp *fasthttp.Response, streamed bool, sent error) error {
+	if sent != nil {
+		c.broken = true
+		_ = c.net.SetReadDeadline(time.Now().Add(earlyAnswer))
+	} else if err := c.await(p, call); err != nil {
+		return err
+	}
+	err := c.read(p, req, resp, streamed)
+	if err != nil && sent != nil {
+		return sent
+	}
+	return err
+}
+
+// await waits for the first byte of the answer. From SuspectAt on it gives up a connection that is passed
+// by others: something between the two ends has lost track of it, or the server forgot it.
+func (c *conn) await(p *Pool, call Call) error {
+	before := p.answers.Load()
+	for at := call.SuspectAt; !at.IsZero() && at.Before(call.Deadline); at = time.Now().Add(p.options.ProbeTimeout) {
+		if err := c.net.SetReadDeadline(at); err != nil {
+			return err
+		}
+		_, err := c.br.Peek(1)
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			break // read reports the error again
+		}
+		if p.answers.Load()-before >= othersAnswered {
+			p.closeIdle() // whatever silenced this one may have silenced them
+			return ErrSilent
+		}
+	}
+	return c.net.SetReadDeadline(call.Deadline)
+}
+
+const maxInterim = 8 // answers with a status of 1xx before the final one
+
+func (c *conn) read(p *Pool, req *fasthttp.Request, resp *fasthttp.Response, streamed bool) error {
+	resp.Reset()
+	for i := 0; ; i++ {
+		if err := resp.Header.Read(c.br); err != nil {
+			return err
+		}
+		if s := resp.StatusCode(); s >= 200 || s < 100 {
+			break
+		}
+		if i == maxInterim {
+			return trace.LimitExceeded("too many interim answers")
+		}
+	}
+	if req.Header.IsHead() || !hasBody(resp.StatusCode()) {
+		resp.SkipBody = true
+		return nil
+	}
+	if resp.Header.ContentLength() < -1 {
+		return ErrNoLength
+	}
+	resp.StreamBody = streamed
+	if err := resp.ReadBody(c.br, p.options.MaxBody); err != nil {
+		return err
+	}
+	if !streamed && resp.Header.ContentLength() == -1 {
+		return resp.Header.ReadTrailer(c.br)
+	}
+	return nil
+}
+
+func hasBody(status int) bool {
+	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
+// failure tells what is certain after an exchange without a whole answer; givenUp is whether our side ended it.
+func (c *conn) failure(givenUp bool, err error) Result {
+	r := Result{Outcome: retry.NotRun, Err: err}
+	if c.wrote {
+		r.Outcome = retry.Unknown
+	}
+	switch {
+	case errors.Is(err, ErrGuard):
+		r.End = admit.EndNoConn
+	case givenUp:
+		r.End = admit.EndCancelled
+	case errors.Is(err, ErrSilent):
+		r.End = admit.EndSilent
+	case isTimeout(err):
+		r.End = admit.EndTimeout
+	default:
+		r.End = admit.EndReset
+	}
+	return r
+}
+
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, syscall.ETIMEDOUT)
+}
--- /dev/null
+++ b/io/conns/conns.go
@@ -0,0 +1,258 @@
+// Package conns keeps the connections from a home to its one backend server, and tells of each exchange what
+// is certain about it.
+//
+// It stands on the messages of fasthttp but not on its clients: their hidden retries would run a shift swap
+// twice. One connection carries one exchange at a time, and one whose exchange did not end with a whole
+// answer is never used again, so no late answer can reach another request.
+package conns
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/admit"
+	"heatherrouter/core/ident"
+	"heatherrouter/core/retry"
+)
+
+// Options sets up a Pool; the zero value of each but Addr takes its default.
+type Options struct {
+	Addr         netip.AddrPort
+	MaxConns     int           // open at once, probes of the server not counted
+	DialTimeout  time.Duration // for one connection
+	ProbeEvery   time.Duration // how long a connection may be idle before it is probed
+	ProbeTimeout time.Duration // for the answer to a probe on an idle connection
+	StallTimeout time.Duration // for a body that makes no progress
+	HealthPath   string
+	MaxBody      int // bytes of an answer that is not streamed
+}
+
+const (
+	defaultMaxConns     = 64
+	defaultDialTimeout  = 250 * time.Millisecond
+	defaultProbeEvery   = 500 * time.Millisecond
+	defaultProbeTimeout = 250 * time.Millisecond
+	defaultStallTimeout = 5 * time.Second
+	defaultHealthPath   = "/health"
+	defaultMaxBody      = 16 << 20
+)
+
+func (o *Options) setDefaults() {
+	setDefault(&o.MaxConns, defaultMaxConns)
+	setDefault(&o.DialTimeout, defaultDialTimeout)
+	setDefault(&o.ProbeEvery, defaultProbeEvery)
+	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
+	setDefault(&o.StallTimeout, defaultStallTimeout)
+	setDefault(&o.HealthPath, defaultHealthPath)
+	setDefault(&o.MaxBody, defaultMaxBody)
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Call is what one exchange needs besides its messages.
+type Call struct {
+	Deadline time.Time // for the whole answer; in DoStream for the header of the answer
+
+	// SuspectAt is from when a connection without any answer is given up as silent if later exchanges on
+	// others were answered; zero for never. Set it for idempotent requests only: for others it could only
+	// bring forward the unknown outcome.
+	SuspectAt time.Time
+
+	// Guard is asked right before the first byte is written, nil for none. It is the place to check the
+	// lease: the process may have been paused since any earlier check.
+	Guard func() bool
+}
+
+// Result is what is certain about one exchange.
+type Result struct {
+	Outcome     retry.Outcome
+	End         admit.End
+	Incarnation ident.Incarnation // of the backend server, 0 where it doesn't tell one
+	Err         error             // why there is no whole answer
+}
+
+// Errors of exchanges.
+var (
+	ErrClosed     = trace.Errorf("connections to the backend server are closed")
+	ErrExhausted  = trace.Errorf("all connections to the backend server are in use")
+	ErrGuard      = trace.Errorf("not allowed to send any more")
+	ErrNoLength   = trace.Errorf("the answer has neither a length nor chunks, so that a cut could not be seen")
+	ErrSilent     = trace.Errorf("the connection is silent while others are answered")
+	errNoDeadline = trace.Errorf("an exchange needs a deadline")
+	errAbandoned  = trace.Errorf("the body of the answer was given up")
+)
+
+// Pool is the connections to one backend server.
+type Pool struct {
+	options Options
+	addr    string
+
+	mu     sync.Mutex
+	idle   []*conn // the last used at the end
+	open   int
+	closed bool
+
+	answers atomic.Uint64 // whole answers so far
+	stop    context.CancelFunc
+	probes  sync.WaitGroup
+}
+
+// New returns a pool that opens connections as they are needed. Close it to end its probes.
+func New(o Options) *Pool {
+	o.setDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Pool{options: o, addr: o.Addr.String(), stop: stop}
+	p.probes.Go(func() { p.probeIdle(ctx) })
+	return p
+}
+
+// Close closes the idle connections; the others are closed as their exchanges end.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.closeIdle()
+	p.stop()
+	p.probes.Wait()
+	return nil
+}
+
+// Stats is the state of a Pool for the state dump.
+type Stats struct {
+	Open int
+	Idle int
+}
+
+// Stats returns how many connections there are.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Stats{Open: p.open, Idle: len(p.idle)}
+}
+
+// Do sends the request and reads the whole answer. The body of the request must not be a stream.
+func (p *Pool) Do(ctx context.Context, call Call, req *fasthttp.Request, resp *fasthttp.Response) Result {
+	c, r := p.exchange(ctx, call, req, resp, false)
+	if c != nil {
+		p.put(c)
+	}
+	return r
+}
+
+// exchange runs the exchange up to the whole answer, or to the header of it in streamed mode. It returns
+// the connection if that may be used on.
+func (p *Pool) exchange(ctx context.Context, call Call, req *fasthttp.Request, resp *fasthttp.Response, streamed bool) (*conn, Result) {
+	if call.Deadline.IsZero() {
+		return nil, Result{Outcome: retry.NotRun, End: admit.EndNoConn, Err: errNoDeadline}
+	}
+	for {
+		c, r := p.get(ctx, call.Deadline)
+		if c == nil {
+			return nil, r
+		}
+		used := c.used
+		r = c.do(ctx, p, call, req, resp, streamed)
+		if r.Err == nil && c.reusable() {
+			return c, r
+		}
+		p.discard(c)
+		// A connection that the server closed while it was idle fails at the write. As long as not one byte
+		// was taken, the request can't have run, and another connection may take it. A streamed body may
+		// have been read from, and can't be sent again.
+		if used && r.Outcome == retry.NotRun && r.End == admit.EndReset && !req.IsBodyStream() {
+			continue
+		}
+		return nil, r
+	}
+}
+
+// get returns an idle connection that is still open, or dials one.
+func (p *Pool) get(ctx context.Context, deadline time.Time) (*conn, Result) {
+	for {
+		c, err := p.take()
+		if err != nil {
+			return nil, Result{Outcome: retry.NotRun, End: admit.EndNoConn, Err: err}
+		}
+		if c == nil {
+			break
+		}
+		if c.alive() {
+			return c, Result{}
+		}
+		p.discard(c)
+	}
+	c, err := p.dial(ctx, deadline)
+	if err == nil {
+		return c, Result{}
+	}
+	p.release()
+	end := admit.EndNoDial
+	if ctx.Err() != nil {
+		end = admit.EndCancelled
+	}
+	return nil, Result{Outcome: retry.NotRun, End: end, Err: trace.Wrap(err, "dial %v", p.addr)}
+}
+
+// take returns the connection used last, or nil for leave to dial one.
+func (p *Pool) take() (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return c, nil
+	}
+	if p.open >= p.options.MaxConns {
+		return nil, ErrExhausted
+	}
+	p.open++
+	return nil, nil
+}
+
+func (p *Pool) put(c *conn) {
+	c.used = true
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	if !p.closed {
+		p.idle = append(p.idle, c)
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	p.discard(c)
+}
+
+func (p *Pool) discard(c *conn) {
+	c.close()
+	p.release()
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+func (p *Pool) closeIdle() {
+	p.mu.Lock()
+	l := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range l {
+		p.discard(c)
+	}
+}
--- /dev/null
+++ b/io/conns/header.go
@@ -0,0 +1,77 @@
+package conns
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/admit"
+	"heatherrouter/core/ident"
+	"heatherrouter/core/retry"
+)
+
+// Headers between a home and its backend server.
+const (
+	HeaderRequestID   = "Heatherrouter-Request-Id"
+	HeaderEpoch       = "Heatherrouter-Epoch"
+	HeaderDeadline    = "Heatherrouter-Deadline" // wall clock, Unix milliseconds
+	HeaderKey         = "Heatherrouter-Key"
+	HeaderShard       = "Heatherrouter-Shard"
+	HeaderIncarnation = "Heatherrouter-Incarnation" // in answers
+	HeaderNotRun      = "Heatherrouter-Not-Run"     // in answers with status 503: "1" if the request did not run
+)
+
+// Meta is what a home tells its backend server about a request.
+type Meta struct {
+	RequestID ident.Request
+	Epoch     ident.Epoch
+	Deadline  time.Time
+	Key       []byte // nil for an unkeyed service
+	Shard     ident.Shard
+}
+
+// Stamp sets the headers of the home, in place of any that the caller sent: a caller could otherwise raise
+// the epoch and fence off the rightful home.
+func Stamp(req *fasthttp.Request, m Meta) {
+	h := &req.Header
+	var buf [20]byte
+	h.Set(HeaderRequestID, string(m.RequestID))
+	h.SetBytesV(HeaderEpoch, strconv.AppendUint(buf[:0], uint64(m.Epoch), 10))
+	h.SetBytesV(HeaderDeadline, strconv.AppendInt(buf[:0], m.Deadline.UnixMilli(), 10))
+	if m.Key == nil {
+		h.Del(HeaderKey)
+		h.Del(HeaderShard)
+		return
+	}
+	h.SetBytesV(HeaderKey, m.Key)
+	h.SetBytesV(HeaderShard, strconv.AppendUint(buf[:0], uint64(m.Shard), 10))
+}
+
+// answer classes a whole answer.
+func answer(resp *fasthttp.Response) Result {
+	r := Result{Outcome: retry.Answered, End: admit.EndAnswered, Incarnation: incarnation(resp)}
+	switch resp.StatusCode() {
+	case fasthttp.StatusServiceUnavailable:
+		r.End = admit.EndOverloaded
+		if string(resp.Header.Peek(HeaderNotRun)) == "1" {
+			r.Outcome, r.End = retry.NotRun, admit.EndRefused
+		}
+	case fasthttp.StatusBadGateway, fasthttp.StatusGatewayTimeout:
+		r.End = admit.EndOverloaded
+	}
+	return r
+}
+
+// incarnation reads the life of the server; one that is no number is hashed, as only equality counts.
+func incarnation(resp *fasthttp.Response) ident.Incarnation {
+	v := resp.Header.Peek(HeaderIncarnation)
+	if len(v) == 0 {
+		return 0
+	}
+	if n, err := strconv.ParseUint(string(v), 10, 64); err == nil {
+		return ident.Incarnation(n)
+	}
+	return ident.Incarnation(xxhash.Sum64(v))
+}
