--- /dev/null
+++ b/io/entry/stream.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/retry"
+	"heatherrouter/io/peer"
+	"heatherrouter/io/wire"
+)
+
+const headLimit = 15 * time.Second // from the end of the request's body to the head of the answer
+
+// answer is the home's answer with a streamed body.
+type answer struct {
+	head *wire.ExchangeAnswer
+	body io.Reader // io.EOF only at the whole body's end
+	end  func()    // must be called; it gives up what has not been read
+}
+
+// stream answers a request whose bodies may be large: they are passed on as they come, and the request is sent
+// again only when it certainly did not run and nothing of its body has been read.
+func (e *Entry) stream(x *fasthttp.RequestCtx, r *request) retry.Final {
+	head := encodeHead(x, r)
+	body := x.RequestBodyStream()
+	head.BodyFollows = body != nil && x.Request.Header.ContentLength() != 0
+	head.BodySize = int64(x.Request.Header.ContentLength())
+	_, _, room := e.pick(&r.match, &r.tried)
+	act := r.policy.next(e, r.entry, retry.Came{Room: room})
+	for {
+		switch a := act.(type) {
+		case retry.Final:
+			e.writeFinal(x, r, a)
+			return a
+		case retry.Wait:
+			time.Sleep(min(a.Until.Sub(e.o.Clock.Now()), headLimit))
+			_, others, room := e.pick(&r.match, &r.tried)
+			act = r.policy.next(e, r.entry, retry.Woke{Room: room, Others: others})
+		case retry.Send:
+			b := &once{r: body}
+			y, v := e.open1(r, head, b)
+			if v.Outcome == retry.Answered {
+				e.passBody(x, r, y)
+				return retry.Final{Outcome: retry.Answered, Reason: retry.ReasonAnswered}
+			}
+			if b.read && v.Outcome != retry.Unknown {
+				// It did not run, but its body is gone: only the caller can send it again.
+				f := retry.Final{Outcome: retry.NotRun, Reason: retry.ReasonNoRoom, RetryAfter: max(v.RetryAfter, e.o.Clock.Now())}
+				e.writeFinal(x, r, f)
+				return f
+			}
+			_, v.Others, _ = e.pick(&r.match, &r.tried)
+			act = r.policy.next(e, r.entry, v)
+		}
+	}
+}
+
+// once notes whether any of the body was read.
+type once struct {
+	r    io.Reader
+	read bool
+}
+
+func (o *once) Read(p []byte) (int, error) {
+	if o.r == nil {
+		return 0, io.EOF
+	}
+	o.read = true
+	return o.r.Read(p)
+}
+
+// open1 makes one send up to the head of the answer.
+func (e *Entry) open1(r *request, head *wire.Exchange, body io.Reader) (*answer, retry.Ended) {
+	t, _, ok := e.pick(&r.match, &r.tried)
+	if !ok {
+		return nil, retry.Ended{Outcome: retry.NotRun}
+	}
+	r.tried.add(t)
+	h := e.address(r, head, t)
+	var a *answer
+	var err error
+	if t.daemon == e.o.Self {
+		a, err = e.openLocal(h, body)
+	} else {
+		a, err = e.openPeer(t, h, body)
+	}
+	if err != nil {
+		return nil, e.outcome(nil, err)
+	}
+	v := e.outcome(a.head, nil)
+	e.loads.of(t.server).take(e.o.Clock.Now(), a.head.GetReport())
+	if v.Outcome != retry.Answered {
+		a.end()
+		return nil, v
+	}
+	return a, v
+}
+
+func (e *Entry) openPeer(t target, h *wire.Exchange, body io.Reader) (*answer, error) {
+	c, cancel := context.WithCancel(context.Background())
+	x, err := e.o.Peers.Open(c, t.daemon, h)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	go sendBody(x, h, body)
+	head, err := x.ReadAnswer()
+	if err != nil {
+		x.Cut()
+		cancel()
+		return nil, err
+	}
+	return &answer{head: head, body: x, end: func() { x.Cut(); cancel() }}, nil
+}
+
+// sendBody passes the caller's body on. One that the caller cuts off is cut for the home too.
+func sendBody(x *peer.Exchange, h *wire.Exchange, body io.Reader) {
+	if h.GetBodyFollows() {
+		if _, err := io.Copy(struct{ io.Writer }{x}, body); err != nil {
+			x.Cut()
+			return
+		}
+	}
+	_ = x.Close() // fails only when the peer has gone, which ReadAnswer reports
+}
+
+// localStream joins the entry and the home of one daemon.
+type localStream struct {
+	body io.Reader
+	head chan *wire.ExchangeAnswer
+	out  *io.PipeWriter
+}
+
+var errCut = errors.New("body cut")
+
+func (l *localStream) Read(p []byte) (int, error)  { return l.body.Read(p) }
+func (l *localStream) Write(p []byte) (int, error) { return l.out.Write(p) }
+func (l *localStream) Close() error                { return l.out.Close() }
+func (l *localStream) Cut()                        { _ = l.out.CloseWithError(errCut) }
+
+func (l *localStream) Answer(a *wire.ExchangeAnswer) error {
+	l.head <- a
+	return nil
+}
+
+func (e *Entry) openLocal(h *wire.Exchange, body io.Reader) (*answer, error) {
+	c, cancel := context.WithCancel(context.Background())
+	r, w := io.Pipe()
+	l := &localStream{body: body, head: make(chan *wire.ExchangeAnswer, 1), out: w}
+	go func() {
+		e.o.Homes.Stream(c, h, l)
+		_ = w.CloseWithError(errCut) // no effect after a whole body
+		close(l.head)
+	}()
+	a, ok := <-l.head
+	if !ok {
+		cancel()
+		return nil, &peer.Error{Sent: true, Err: errCut}
+	}
+	return &answer{head: a, body: r, end: func() { _ = r.CloseWithError(errCut); cancel() }}, nil
+}
+
+// passBody hands the answer's body to the caller. If it ends early the library closes the connection without
+// the end of the body, so that the caller sees it cut.
+func (e *Entry) passBody(x *fasthttp.RequestCtx, r *request, a *answer) {
+	writeHead(x, a.head, r.id)
+	if !a.head.GetBodyFollows() {
+		x.Response.SetBodyRaw(a.head.GetBody())
+		a.end()
+		return
+	}
+	e.open.Add(1) // a download counts as open until its last byte
+	size := int(a.head.GetBodySize())
+	x.Response.SetBodyStream(&bodyStream{r: a.body, end: func() { a.end(); e.open.Add(-1) }}, size)
+}
+
+// bodyStream ends the answer once its reader is done with it.
+type bodyStream struct {
+	r   io.Reader
+	end func()
+}
+
+func (b *bodyStream) Read(p []byte) (int, error) { return b.r.Read(p) }
+
+// Close implements io.Closer; the library calls it after the last read.
+func (b *bodyStream) Close() error {
+	if b.end != nil {
+		b.end()
+		b.end = nil
+	}
+	return nil
+}
--- a/io/entry/unary.go
+++ b/io/entry/unary.go
@@ -9,7 +9,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/retry"
 	"heatherrouter/core/route"
@@ -263,4 +262,3 @@
 	}
 	return false
 }
-
--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -175,7 +175,14 @@
 		return h.moved(reasonNoLease), true
 	}
 	// The entry's copy may be ahead of this one by a few milliseconds.
-	return h.moved(reasonMoved), ident.Epoch(j.x.GetShardEpoch()) > h.gate.EpochOf(ident.Shard(j.x.GetShard()))
+	return h.moved(reasonMoved), ident.Epoch(j.x.GetShardEpoch()) > h.shardEpoch(ident.Shard(j.x.GetShard()))
+}
+
+func (h *Home) shardEpoch(s ident.Shard) ident.Epoch {
+	if p := h.o.View.Get().Part(h.service.Name); p != nil {
+		return p.Owner(s).Epoch
+	}
+	return 0
 }
 
 // undo gives back the slot of work that is not sent.
@@ -243,12 +250,8 @@
 	defer h.mu.Unlock()
 	now := h.o.Clock.Now()
 	h.open--
-	if j.keyed {
-		if r.Outcome == retry.Unknown {
-			h.gate.GaveUp(j.token)
-		} else {
-			h.gate.Answered(j.token)
-		}
+	if j.keyed && r.Outcome != retry.Unknown {
+		h.gate.Answered(j.token) // one without an answer stays in flight until its deadline
 	}
 	h.deliver(h.admit.Done(now, j.ticket, admit.Result{End: r.End, Incarnation: r.Incarnation}))
 	a := &wire.ExchangeAnswer{Outcome: outcome(r.Outcome), Reason: r.End.String(), Report: h.report(now, false)}
--- a/io/home/release.go
+++ b/io/home/release.go
@@ -119,5 +119,9 @@
 			a.Released = append(a.Released, x.GetShard())
 		}
 	}
+	if a.GetHolder() && len(a.GetReleased()) < len(m.GetShards()) && h.holder.Recorded() < ident.Rev(m.GetRev()) {
+		h.asked = 0 // the witnesses have yet to record the revision; don't wait for the next renewal
+		s.poke()
+	}
 	return a
 }
--- a/io/home/renew.go
+++ b/io/home/renew.go
@@ -88,7 +88,7 @@
 	if !stopped || h.returned {
 		return false
 	}
-	return !h.service.Keyed() || h.gate.Quiet(now)
+	return !h.service.Keyed() || h.gate.Idle(now)
 }
 
 func (h *Home) mode() lease.Mode {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -43,6 +43,31 @@
 	link  *link
 	err   error
 	until time.Time // a failed attempt stands for an answer until then
+	after error     // of the attempt before, when that failed
+}
+
+// failure returns why the attempt failed, or nil. There may have been none.
+func (x *try) failure() error {
+	if x == nil {
+		return nil
+	}
+	return x.err
+}
+
+// Down reports whether the last attempt to reach the daemon failed and none has succeeded since.
+func (t *Transport) Down(d ident.Daemon) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.tries[d]
+	if x == nil {
+		return false
+	}
+	select {
+	case <-x.done:
+		return x.err != nil
+	default:
+		return x.after != nil
+	}
 }
 
 // link returns the connection to a peer, made when there is none.
@@ -60,7 +85,7 @@
 	}
 	x := t.tries[to]
 	if x == nil || x.over(time.Now()) {
-		x = &try{done: make(chan struct{})}
+		x = &try{done: make(chan struct{}), after: x.failure()}
 		t.tries[to] = x
 		t.group.Go(func(c context.Context) error {
 			t.connect(c, to, x)
@@ -68,6 +93,16 @@
 		})
 	}
 	t.mu.Unlock()
+	if x.after != nil {
+		// The last attempt failed as well: nobody waits for this one, so that requests go to the standby at
+		// once instead of each waiting for a handshake with a dead host.
+		select {
+		case <-x.done:
+			return x.link, x.err
+		default:
+			return nil, x.after
+		}
+	}
 	select {
 	case <-x.done:
 		return x.link, x.err
