Client of the admin pages that settles lost replies

Cause: an operator whose publish took effect must not see an error, and one whose publish may have taken effect must not be told "nothing was changed". change sends the same transaction id, to any daemon, until success or a conflict; any other refusal after a lost reply leaves the outcome unknown. Ruled out: reading the revision back and comparing (another operator's publish may lie on top); kept connections (one gone silent makes an unknown outcome).

--- /dev/null
+++ b/io/admcli/admcli_test.go
@@ -0,0 +1,231 @@
+package admcli_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"heatherrouter/core/check"
+	"heatherrouter/core/ident"
+	"heatherrouter/io/admcli"
+	"heatherrouter/io/admin"
+	"heatherrouter/io/admin/fake"
+)
+
+const (
+	key  = "0123456789abcdef"
+	file = `name = "a"
+region = "north"
+
+[[servers]]
+name = "s"
+address = "127.0.0.1:8001"
+domain = "d1"
+
+[[kinds]]
+name = "read"
+methods = ["GET"]
+path = "/**"
+timeout = "1s"
+`
+)
+
+// addrs of the daemons of the tests; they are names on in-memory connections.
+var addrs = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")}
+
+// network is a set of in-memory addresses; one without a handler refuses connections.
+type network map[string]*fasthttputil.InmemoryListener
+
+func (n network) serve(t *testing.T, a netip.AddrPort, h fasthttp.RequestHandler) {
+	t.Helper()
+	l := fasthttputil.NewInmemoryListener()
+	n[a.String()] = l
+	go func() { _ = fasthttp.Serve(l, h) }()
+	t.Cleanup(func() { _ = l.Close() })
+}
+
+func (n network) dial(addr string) (net.Conn, error) {
+	l, ok := n[addr]
+	if !ok {
+		return nil, errors.New("connection refused")
+	}
+	return l.Dial()
+}
+
+func newClient(n network, key string) *admcli.Client {
+	return admcli.New(admcli.Options{
+		Addrs: addrs, Key: key, Dial: n.dial,
+		Sleep: func(ctx context.Context, _ time.Duration) error { return ctx.Err() },
+	})
+}
+
+func newPage() (fasthttp.RequestHandler, *fake.Docs) {
+	d := fake.NewDocs()
+	l := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+	return admin.New(fake.New(d, time.Now), func() string { return key }, nil, l).Handle, d
+}
+
+// cut answers nothing: the connection ends after the handler has run.
+func cut(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		h(c)
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(net.Conn) {})
+	}
+}
+
+func publish(base ident.Rev, txn ident.Txn, body string) admin.Publish {
+	return admin.Publish{Txn: txn, BaseRev: base, By: "anna", Files: []admin.File{{Path: "a.toml", Body: body}}}
+}
+
+func TestReads(t *testing.T) {
+	h, _ := newPage()
+	n := network{}
+	n.serve(t, addrs[1], h)
+	c := newClient(n, key)
+	_, err := c.Publish(t.Context(), publish(0, "txn-000001", file))
+	require.NoError(t, err, "the second daemon takes what the first doesn't answer")
+
+	st, err := c.Status(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, ident.Rev(1), st.ConfigRev)
+	sv, err := c.Service(t.Context(), "a")
+	require.NoError(t, err)
+	require.Equal(t, file, sv.File)
+	for _, name := range []ident.Service{"b", "b/c d?x=1"} {
+		_, err = c.Service(t.Context(), name)
+		require.True(t, trace.IsNotFound(err), "%v", err)
+	}
+	_, err = c.Shards(t.Context(), "a")
+	require.NoError(t, err)
+	f, err := c.InForce(t.Context(), 1)
+	require.NoError(t, err)
+	require.True(t, f.Everyone)
+	l, err := c.Servers(t.Context())
+	require.NoError(t, err)
+	require.Len(t, l, 1)
+	dl, err := c.Domains(t.Context())
+	require.NoError(t, err)
+	require.Len(t, dl, 1)
+	b, err := c.State(t.Context(), addrs[1])
+	require.NoError(t, err)
+	require.JSONEq(t, `{"config-rev":1}`, string(b))
+}
+
+func TestNobodyAnswers(t *testing.T) {
+	c := newClient(network{}, key)
+	_, err := c.Status(t.Context())
+	_, ok := errors.AsType[*admin.UnavailableError](err)
+	require.True(t, ok, "%v", err)
+	_, err = c.Publish(t.Context(), publish(0, "txn-000001", file))
+	_, ok = errors.AsType[*admin.UnavailableError](err)
+	require.True(t, ok, "nothing was sent: %v", err)
+}
+
+func TestRefusals(t *testing.T) {
+	h, d := newPage()
+	n := network{}
+	n.serve(t, addrs[0], h)
+	_, err := newClient(n, "wrong").Publish(t.Context(), publish(0, "txn-000001", file))
+	require.True(t, trace.IsAccessDenied(err), "%v", err)
+
+	c := newClient(n, key)
+	_, err = c.Publish(t.Context(), publish(0, "txn-000001", "nam = 1"))
+	f, ok := errors.AsType[check.Findings](err)
+	require.True(t, ok, "%v", err)
+	require.Contains(t, f.Error(), "a.toml:1: nam: is no known setting")
+
+	_, err = c.Publish(t.Context(), publish(0, "txn-000002", file))
+	require.NoError(t, err)
+	_, err = c.Publish(t.Context(), publish(0, "txn-000003", file+"#"))
+	e, ok := errors.AsType[*admin.ConflictError](err)
+	require.True(t, ok, "%v", err)
+	require.Equal(t, admin.ConflictError{Base: 0, Current: 1}, *e)
+
+	d.Fail(fake.FaultOutage)
+	_, err = c.Publish(t.Context(), publish(1, "txn-000004", file+"#"))
+	u, ok := errors.AsType[*admin.UnavailableError](err)
+	require.True(t, ok, "%v", err)
+	require.Equal(t, time.Second, u.RetryAfter, "of the second daemon, which nobody listens at")
+}
+
+// The daemon commits the publish, and the connection breaks before its answer. The operator must not see an
+// error for a configuration that is in force: the client sends the same transaction again, here to the other
+// daemon, and gets the revision of the first attempt.
+func TestLostReplyOfDaemon(t *testing.T) {
+	h, d := newPage()
+	n := network{}
+	n.serve(t, addrs[0], cut(h))
+	n.serve(t, addrs[1], h)
+	got, err := newClient(n, key).Publish(t.Context(), publish(0, "txn-000001", file))
+	require.NoError(t, err)
+	require.Equal(t, ident.Rev(1), got.Rev)
+	require.Equal(t, []ident.Service{"a"}, got.Changed)
+	require.Equal(t, 1, d.Commits())
+}
+
+// The table commits, its reply to the daemon is lost, and so are those of the next two attempts.
+func TestLostReplyOfTable(t *testing.T) {
+	h, d := newPage()
+	n := network{}
+	n.serve(t, addrs[0], h)
+	d.Fail(fake.FaultLostReply, fake.FaultLostReply, fake.FaultLostReply)
+	got, err := newClient(n, key).Publish(t.Context(), publish(0, "txn-000001", file))
+	require.NoError(t, err)
+	require.Equal(t, ident.Rev(1), got.Rev)
+	require.Equal(t, 1, d.Commits())
+}
+
+// The first reply is lost and the table is out from then on. "Unavailable, nothing was changed" would be true
+// of every later attempt and false of the first: the whole stays unknown.
+func TestOutageAfterLostReply(t *testing.T) {
+	h, d := newPage()
+	n := network{}
+	n.serve(t, addrs[0], h)
+	d.Fail(fake.FaultLostReply)
+	for range 50 {
+		d.Fail(fake.FaultOutage)
+	}
+	_, err := newClient(n, key).Publish(t.Context(), publish(0, "txn-000001", file))
+	e, ok := errors.AsType[*admin.UnknownError](err)
+	require.True(t, ok, "%v", err)
+	require.Equal(t, ident.Txn("txn-000001"), e.Txn)
+	require.Equal(t, 1, d.Commits())
+}
+
+func TestForeignAnswers(t *testing.T) {
+	for status, check := range map[int]func(error) bool{
+		413: trace.IsBadParameter,
+		502: func(err error) bool { _, ok := errors.AsType[*admin.UnknownError](err); return ok },
+		200: func(err error) bool { _, ok := errors.AsType[*admin.UnknownError](err); return ok },
+	} {
+		n := network{}
+		n.serve(t, addrs[0], func(c *fasthttp.RequestCtx) { c.SetStatusCode(status); c.SetBodyString("<html>") })
+		_, err := newClient(n, key).Publish(t.Context(), publish(0, "txn-000001", file))
+		require.True(t, check(err), "%d: %v", status, err)
+		_, err = newClient(n, key).Status(t.Context())
+		require.Error(t, err)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	n := network{}
+	n.serve(t, addrs[0], func(c *fasthttp.RequestCtx) { time.Sleep(time.Second) })
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	_, err := newClient(n, key).Publish(ctx, publish(0, "txn-000001", file))
+	_, ok := errors.AsType[*admin.UnknownError](err)
+	require.True(t, ok, "%v", err)
+	require.Less(t, time.Since(start), time.Second)
+}
--- /dev/null
+++ b/io/admcli/change.go
@@ -0,0 +1,125 @@
+package admcli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/io/admin"
+)
+
+const (
+	settleRuns = 12
+	firstWait  = 100 * time.Millisecond
+	longWait   = 5 * time.Second
+)
+
+// Publish puts service files into force.
+func (c *Client) Publish(ctx context.Context, q admin.Publish) (admin.Published, error) {
+	return change[admin.Published](ctx, c, "/v1/config/publish", q.Txn, q)
+}
+
+// Drain drains a failure domain, a backend server or a daemon.
+func (c *Client) Drain(ctx context.Context, q admin.Drain) (admin.Drained, error) {
+	return change[admin.Drained](ctx, c, "/v1/drain", q.Txn, q)
+}
+
+// Restore undoes a drain.
+func (c *Client) Restore(ctx context.Context, q admin.Drain) (admin.Drained, error) {
+	return change[admin.Drained](ctx, c, "/v1/restore", q.Txn, q)
+}
+
+// settlement is what is known of one change over all its attempts.
+type settlement struct {
+	txn     ident.Txn
+	unknown *admin.UnknownError // of an attempt that may have taken effect
+	refused error               // of the last attempt that certainly did not
+}
+
+// change sends a change until its outcome is certain.
+//
+// Where a reply is lost, the change may be in force although the operator saw an error. The same transaction
+// id sent again, also to another daemon, gives the outcome of the first: the table takes an id once.
+func change[A any](ctx context.Context, c *Client, uri string, txn ident.Txn, q any) (A, error) {
+	var none A
+	body, err := json.Marshal(q)
+	if err != nil {
+		return none, trace.Wrap(err)
+	}
+	s := settlement{txn: txn}
+	wait := firstWait
+	for range settleRuns {
+		for _, a := range c.opts.Addrs {
+			v, err := changeAt[A](ctx, c, a, uri, body)
+			if s.settles(err) {
+				return v, trace.Wrap(err)
+			}
+			if ctx.Err() != nil {
+				return none, trace.Wrap(s.open(c))
+			}
+		}
+		if s.unknown == nil || c.opts.Sleep(ctx, wait) != nil {
+			break
+		}
+		wait = min(2*wait, longWait)
+	}
+	return none, trace.Wrap(s.open(c))
+}
+
+// settles notes the outcome of an attempt and reports whether the whole is certain by it.
+//
+// Once an attempt may have taken effect, a refusal of a later one tells nothing of the first. Only success
+// and a conflict do: the table gives a conflict only to a transaction id that it does not hold, and the
+// first attempt builds on the same revision, which has passed.
+func (s *settlement) settles(err error) bool {
+	if err == nil {
+		return true
+	}
+	if _, ok := errors.AsType[*admin.ConflictError](err); ok {
+		return true
+	}
+	if e, ok := errors.AsType[*admin.UnknownError](err); ok {
+		s.unknown = e
+		return false
+	}
+	s.refused = err
+	_, outage := errors.AsType[*admin.UnavailableError](err)
+	return !outage && s.unknown == nil
+}
+
+// open returns the error of a change that no attempt has settled.
+func (s *settlement) open(c *Client) error {
+	if s.unknown == nil {
+		return c.nobody(s.refused)
+	}
+	return &admin.UnknownError{Txn: s.txn, Cause: s.unknown.Cause}
+}
+
+// changeAt sends the change to one daemon. An error that says nothing else means an unknown outcome.
+func changeAt[A any](ctx context.Context, c *Client, a netip.AddrPort, uri string, body []byte) (A, error) {
+	var v A
+	q := makeRequest(fasthttp.MethodPost, a, uri)
+	q.Header.Set("Authorization", "Bearer "+c.opts.Key)
+	q.Header.SetContentType("application/json")
+	q.SetBody(body)
+	r, err := c.do(ctx, q)
+	if e, ok := errors.AsType[*dialError](err); ok {
+		return v, &admin.UnavailableError{RetryAfter: time.Second, Cause: "no daemon listens at " + a.String() + ": " + e.Error()}
+	}
+	if err != nil {
+		return v, &admin.UnknownError{Cause: "the daemon at " + a.String() + " gave no answer: " + err.Error()}
+	}
+	if r.StatusCode() != fasthttp.StatusOK {
+		return v, failure(a, r)
+	}
+	if err := decode(a, r.Body(), &v); err != nil {
+		return v, &admin.UnknownError{Cause: err.Error()}
+	}
+	return v, nil
+}
--- a/io/admin/errors.go
+++ b/io/admin/errors.go
@@ -18,15 +18,15 @@
 	return fmt.Sprintf("the configuration is at revision %d, the change builds on revision %d", e.Current, e.Base)
 }
 
-// UnavailableError says that the platform could not be reached and that certainly nothing was changed.
+// UnavailableError says that the platform or the daemons could not be reached and that certainly nothing was changed.
 type UnavailableError struct {
 	RetryAfter time.Duration
-	Cause      string
+	Cause      string // a whole sentence for people, such as "the table can't be reached: no route"
 }
 
 // Error implements error.
 func (e *UnavailableError) Error() string {
-	return "the table can't be reached, nothing was changed: " + e.Cause
+	return e.Cause
 }
 
 // UnknownError says that the reply to a transaction was lost: it may have taken effect.
--- a/io/admin/fake/docs.go
+++ b/io/admin/fake/docs.go
@@ -77,7 +77,7 @@
 	defer d.mu.Unlock()
 	fault := d.nextFault()
 	if fault == FaultOutage {
-		return 0, &admin.UnavailableError{RetryAfter: 2 * time.Second, Cause: "no connection"}
+		return 0, &admin.UnavailableError{RetryAfter: 2 * time.Second, Cause: "the table can't be reached"}
 	}
 	r, err := d.write(from, txn, l)
 	if err == nil && fault == FaultLostReply {
