--- a/cmd/heatherrouterd/main.go
+++ b/cmd/heatherrouterd/main.go
@@ -1,4 +1,12 @@
-// Command heatherrouterd is not built yet.
+// Command heatherrouterd is the router's daemon: entry, home, coordinator and witness in one process.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"heatherrouter/cmd/heatherrouterd/run"
+)
+
+func main() {
+	os.Exit(run.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -172,7 +172,7 @@
 	p := n.Part(s.Name)
 	daemons := x.o.Members.Daemons()
 	witness := p != nil && isWitness(p, x.o.Self)
-	x.watch(now, watch, s, p, daemons, witness)
+	x.watch(watch, s, p, daemons, witness)
 	if witness {
 		x.serve(d, n, p)
 	}
@@ -207,7 +207,7 @@
 // watch adds the daemons whose silence this one has to notice: as a witness those with a part in the service, and
 // before there are witnesses the first ones that could be. Everybody following everybody would not fit a daemon's
 // share of the network at 820 daemons.
-func (x *Coordinator) watch(now mono.Time, out map[ident.Daemon]bool, s *config.Service, p *part.Part, l []live.Daemon, witness bool) {
+func (x *Coordinator) watch(out map[ident.Daemon]bool, s *config.Service, p *part.Part, l []live.Daemon, witness bool) {
 	add := func(ids ...ident.Daemon) {
 		for _, d := range ids {
 			if d != "" && len(out) < maxWatched {
--- a/io/entry/pick.go
+++ b/io/entry/pick.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"heatherrouter/core/config"
 	"heatherrouter/core/ident"
@@ -39,6 +40,35 @@
 	return x.(*load) //nolint:errcheck,forcetypeassert // the map holds nothing else
 }
 
+// freshLoad is how old a report may be to compare latencies with.
+const freshLoad = 2 * time.Second
+
+// Latencies returns how long the servers of a service take, without one of them, as far as this entry heard lately.
+func (e *Entry) Latencies(s ident.Service, without ident.Server) []time.Duration {
+	c := e.o.View.Get().Config.Services[s]
+	if c == nil {
+		return nil
+	}
+	now := e.o.Clock.Now()
+	var out []time.Duration
+	for i := range c.Servers {
+		if c.Servers[i].ID == without {
+			continue
+		}
+		if d, ok := e.loads.of(c.Servers[i].ID).latency(now); ok {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (l *load) latency(now mono.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := time.Duration(l.report.GetLatencyUs()) * time.Microsecond
+	return d, d > 0 && now.Sub(l.at) < freshLoad
+}
+
 func (l *load) take(now mono.Time, r *wire.ServerReport) {
 	if r == nil {
 		return
--- a/io/home/homes.go
+++ b/io/home/homes.go
@@ -128,6 +128,17 @@
 	return l
 }
 
+// Open returns how many exchanges are under way.
+func (s *Homes) Open() int {
+	n := 0
+	for _, h := range s.all() {
+		h.mu.Lock()
+		n += h.open
+		h.mu.Unlock()
+	}
+	return n
+}
+
 // take brings the homes in line with the snapshot.
 func (s *Homes) take(n *view.Snapshot) {
 	seen := map[ident.Server]bool{}
--- /dev/null
+++ b/io/meter/meter.go
@@ -0,0 +1,94 @@
+// Package meter holds the daemon's OpenTelemetry metrics and the page that shows them.
+package meter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"heatherrouter/core/ident"
+)
+
+// Meter counts what the daemon does.
+type Meter struct {
+	provider *sdk.MeterProvider
+	meter    metric.Meter
+	answers  metric.Int64Counter
+	took     metric.Float64Histogram
+	page     fasthttp.RequestHandler
+	options  sync.Map // answerKey -> metric.MeasurementOption
+}
+
+// answerKey is the attributes of one final answer.
+type answerKey struct {
+	service ident.Service
+	kind    string
+	outcome string
+	reason  string
+}
+
+// New returns the metrics of one process.
+func New() (*Meter, error) {
+	r := prometheus.NewRegistry()
+	e, err := otelprom.New(otelprom.WithRegisterer(r), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p := sdk.NewMeterProvider(sdk.WithReader(e))
+	m := &Meter{provider: p, meter: p.Meter("heatherrouter")}
+	m.page = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	m.answers, err = m.meter.Int64Counter("heatherrouter.answers",
+		metric.WithDescription("final answers to callers, by what is certain about the request"))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	m.took, err = m.meter.Float64Histogram("heatherrouter.answer.time", metric.WithUnit("s"),
+		metric.WithDescription("from a request's arrival to the head of its final answer"),
+		metric.WithExplicitBucketBoundaries(0.0005, 0.001, 0.002, 0.004, 0.009, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 3, 10))
+	return m, trace.Wrap(err)
+}
+
+// Page returns the handler of the metrics page.
+func (m *Meter) Page() fasthttp.RequestHandler {
+	return m.page
+}
+
+// Answered counts one final answer.
+func (m *Meter) Answered(s ident.Service, kind, outcome, reason string, took time.Duration) {
+	k := answerKey{service: s, kind: kind, outcome: outcome, reason: reason}
+	o, ok := m.options.Load(k)
+	if !ok {
+		o, _ = m.options.LoadOrStore(k, metric.WithAttributeSet(attribute.NewSet(
+			attribute.String("service", string(s)), attribute.String("kind", kind),
+			attribute.String("outcome", outcome), attribute.String("reason", reason),
+		)))
+	}
+	x := o.(metric.MeasurementOption) //nolint:errcheck,forcetypeassert // the map holds nothing else
+	m.answers.Add(context.Background(), 1, x)
+	m.took.Record(context.Background(), took.Seconds(), x)
+}
+
+// Gauge shows a value that is read whenever the page is.
+func (m *Meter) Gauge(name, unit, what string, read func() float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(what),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return trace.Wrap(err)
+}
+
+// Stop ends the metrics.
+func (m *Meter) Stop(c context.Context) error {
+	return trace.Wrap(m.provider.Shutdown(c))
+}
--- a/io/spread/spread.go
+++ b/io/spread/spread.go
@@ -23,6 +23,7 @@
 
 	"heatherrouter/core/docs"
 	"heatherrouter/core/ident"
+	"heatherrouter/io/table"
 	"heatherrouter/io/wire"
 )
 
@@ -57,12 +58,14 @@
 
 // Store holds the copies.
 type Store struct {
-	table  Table
-	caller Caller
-	peers  func() Peers
-	log    *log.Logger
-	reads  *rate.Limiter
-	writes *rate.Limiter
+	platform Table
+	caller   Caller
+	peers    func() Peers
+	log      *log.Logger
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+
+	tableBad atomic.Bool // the last call of the table failed
 
 	copies  atomic.Pointer[map[ident.Doc]*docs.Doc]
 	mu      sync.Mutex // held while copies is replaced
@@ -72,7 +75,7 @@
 // New returns a store without copies. The peers are asked for late, since they in turn need the store.
 func New(t Table, c Caller, p func() Peers, l *log.Logger) *Store {
 	s := &Store{
-		table: t, caller: c, peers: p, log: l,
+		platform: t, caller: c, peers: p, log: l,
 		reads:  rate.NewLimiter(readsPerSecond, burst),
 		writes: rate.NewLimiter(writesPerSecond, burst),
 	}
@@ -121,7 +124,8 @@
 	if err := s.writes.Wait(c); err != nil {
 		return 0, trace.Wrap(err)
 	}
-	rev, err := s.table.Commit(c, d, from, t, l)
+	rev, err := s.platform.Commit(c, d, from, t, l)
+	s.noteTable(err)
 	if err != nil {
 		return 0, err
 	}
@@ -133,19 +137,39 @@
 	return rev, nil
 }
 
+// noteTable logs when the table goes and comes back; a conflict is an answer too.
+func (s *Store) noteTable(err error) {
+	var conflict *table.ConflictError
+	bad := err != nil && !errors.As(err, &conflict)
+	if s.tableBad.Swap(bad) == bad {
+		return
+	}
+	if bad {
+		s.log.Warn().Err(err).Msg("table can't be used; serving goes on with what was accepted")
+		return
+	}
+	s.log.Info().Msg("table can be used again")
+}
+
+// TableOK reports whether the last call of the table was answered.
+func (s *Store) TableOK() bool {
+	return !s.tableBad.Load()
+}
+
 // Refresh reads a document from the table when the table has a newer revision.
 func (s *Store) Refresh(c context.Context, d ident.Doc) error {
 	if err := s.reads.Wait(c); err != nil {
 		return trace.Wrap(err)
 	}
-	rev, err := s.table.Head(c, d)
+	rev, err := s.platform.Head(c, d)
+	s.noteTable(err)
 	if err != nil {
 		return err
 	}
 	if have := s.Get(d); have != nil && have.Rev >= rev {
 		return nil
 	}
-	x, err := s.table.Load(c, d)
+	x, err := s.platform.Load(c, d)
 	if err != nil {
 		return err
 	}
