--- /dev/null
+++ b/io/stand/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package stand_test
+
+const raceEnabled = true
