--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -50,7 +50,7 @@
 	// stopCancel ends the watch for cancellation, and returns false when that came first.
 	stopCancel func() bool
 
-	peekFunc func(fd uintptr) bool
+	peekFunc func(fd uintptr)
 	peekOpen bool
 	peekByte [1]byte
 }
@@ -116,16 +116,16 @@
 		return false
 	}
 	c.peekOpen = false
-	if err := c.raw.Read(c.peekFunc); err != nil {
+	// Not raw.Read: it would fail on the read deadline of the last exchange, which may have passed.
+	if err := c.raw.Control(c.peekFunc); err != nil {
 		return false
 	}
 	return c.peekOpen
 }
 
-func (c *conn) peek(fd uintptr) bool {
+func (c *conn) peek(fd uintptr) {
 	_, _, err := syscall.Recvfrom(int(fd), c.peekByte[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // a descriptor
 	c.peekOpen = errors.Is(err, syscall.EAGAIN)                                                  // anything else is an end or bytes that nobody asked for
-	return true
 }
 
 func (c *conn) close() {
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -163,7 +163,7 @@
 		}
 		used := c.used
 		r = c.do(ctx, p, call, req, resp, streamed)
-		if r.Err == nil && c.reusable() {
+		if r.Err == nil && (streamed || c.reusable()) {
 			return c, r
 		}
 		p.discard(c)
