--- a/core/route/route.go
+++ b/core/route/route.go
@@ -89,7 +89,7 @@
 }
 
 func (s *service) kind(method, rest []byte) (*config.Kind, error) {
-	var allowed []string
+	known := false
 	for i := range s.kinds {
 		k := &s.kinds[i]
 		if !k.pattern.match(rest) {
@@ -100,13 +100,23 @@
 				return k.config, nil
 			}
 		}
-		allowed = append(allowed, k.config.Methods...)
+		known = true
 	}
-	if allowed == nil {
+	if !known {
 		return nil, s.noKind
 	}
-	slices.Sort(allowed)
-	return nil, &WrongMethodError{Service: s.config.Name, Allowed: slices.Compact(allowed)}
+	return nil, &WrongMethodError{Service: s.config.Name, Allowed: s.allowed(rest)}
+}
+
+func (s *service) allowed(rest []byte) []string {
+	var l []string
+	for i := range s.kinds {
+		if s.kinds[i].pattern.match(rest) {
+			l = append(l, s.kinds[i].config.Methods...)
+		}
+	}
+	slices.Sort(l)
+	return slices.Compact(l)
 }
 
 func key(s config.KeySource, rest []byte, query, header func(name string) []byte) []byte {
