Test admission; ramp by step, failed answers, proven servers

Ruled out: opening slots by time alone, and by answers alone; taking each single failure for a cold restart, since one in nine is noise. A home that knows the server's incarnation and open slots from its predecessor goes on from there.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -43,6 +43,7 @@
 	health   health
 	rate     rate
 	draining bool
+	errors   int // failed answers in a row
 	life     ident.Incarnation
 	lifeAt   mono.Time // when life was learnt
 	peers    []time.Duration
@@ -222,19 +223,22 @@
 	d := now.Sub(e.started)
 	switch r.End {
 	case EndAnswered:
+		s.errors = 0
 		s.rate.add(now)
 		s.sample(e, d)
 		s.health.answered(now)
 		s.ramp.answered(now, e.started)
+	case EndFailed:
+		s.failed(now)
 	case EndOverloaded, EndRefused:
 		s.health.answered(now)
-		s.ramp.failed(now)
+		s.refused(now)
 	case EndNoDial:
-		s.ramp.failed(now)
+		s.refused(now)
 		s.lost(now, e, r.End)
 	case EndReset:
 		s.sampleLost(e, d)
-		s.ramp.failed(now)
+		s.refused(now)
 		s.lost(now, e, r.End)
 	case EndTimeout, EndSilent:
 		s.hold(now)
@@ -247,6 +251,30 @@
 	s.lives(now, e.started, r.Incarnation)
 }
 
+// failed takes in an answer of a server that is alive but broken. One may be the request's own fault, and
+// neither its speed nor its success says anything; several in a row are the sign of a server that fell over.
+// It fails fast then, and would draw all the work if it looked fast and free.
+func (s *Server) failed(now mono.Time) {
+	s.health.answered(now)
+	s.errors++
+	if s.errors >= burst {
+		s.errors = 0
+		s.restart(now)
+	}
+}
+
+func (s *Server) refused(now mono.Time) {
+	if s.ramp.failed(now) {
+		s.restart(now)
+	}
+}
+
+// restart treats the server as cold. How fast it was before says nothing about it now.
+func (s *Server) restart(now mono.Time) {
+	s.ramp.restart(now)
+	s.speed.n = 0
+}
+
 func (s *Server) sample(e *entry, d time.Duration) {
 	if !e.Streamed {
 		s.speed.add(d)
@@ -266,7 +294,7 @@
 		return // the caller left too little time; says nothing about the server
 	}
 	if s.health.lost(now, end) {
-		s.ramp.restart(now)
+		s.restart(now)
 	}
 }
 
@@ -280,8 +308,11 @@
 	if i == 0 || i == s.life || asked.Before(s.lifeAt) {
 		return
 	}
-	if s.life != 0 {
-		s.ramp.restart(now)
+	switch {
+	case s.life != 0:
+		s.restart(now)
+	case i == s.options.Proven.Incarnation:
+		s.ramp.jump(now, s.options.Proven.Slots)
 	}
 	s.life, s.lifeAt = i, now
 }
@@ -331,7 +362,7 @@
 	}
 	s.draining = on
 	if !on {
-		s.ramp.restart(now)
+		s.restart(now)
 		return s.pump(now)
 	}
 	return s.refuseAll(now, nil, s.queue.remove(all), ReasonDraining)
--- a/core/admit/health.go
+++ b/core/admit/health.go
@@ -71,28 +71,35 @@
 		return false
 	}
 	h.down = true
-	h.probeAt = now.Add(h.probeWait)
+	h.backOff(now)
 	return true
 }
 
+func (h *health) backOff(now mono.Time) {
+	h.probeAt = now.Add(h.probeWait)
+	h.probeWait = min(2*h.probeWait, maxProbeWait)
+}
+
 // probed takes in the result of a probe, and reports whether it changed the verdict. A probe that succeeds
-// only lets the ramp start: health pages mislead, so real answers have to follow. Its wait is therefore not
-// reset before such an answer, or a server that only looks alive would flap.
+// only lets the ramp start: health pages mislead, so real answers have to follow. Until one does, its losses
+// stand, a single one more takes it down again, and the wait for the next try is not reset; a server that
+// only looks alive would else get its callers back each time.
 func (h *health) probed(now mono.Time, alive bool) bool {
 	h.probing = false
 	if alive {
-		h.probes, h.noDials, h.losses = 0, 0, 0
+		h.probes, h.noDials = 0, 0
 		h.probeAt = now.Add(probeEvery)
 		wasDown := h.down
-		h.down = false
+		if wasDown {
+			h.down, h.losses = false, downLosses-1
+		}
 		return wasDown
 	}
 	h.probes++
 	if h.down || h.probes >= downProbes {
 		wasDown := h.down
 		h.down = true
-		h.probeAt = now.Add(h.probeWait)
-		h.probeWait = min(2*h.probeWait, maxProbeWait)
+		h.backOff(now)
 		return !wasDown
 	}
 	h.probeAt = now
--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -1,31 +1,41 @@
 package admit
 
 import (
-	"slices"
 	"time"
 
 	"heatherrouter/core/mono"
 )
 
 // step is one step of the cold start: how many slots are open, and which part of the time they may be busy.
+// Both the answers and the time have to pass before the next step: answers alone would race through the
+// steps with cheap requests, time alone would open slots that nothing has tried.
 type step struct {
-	slots int
-	duty  float64
+	slots   int
+	duty    float64
+	answers int
+	time    time.Duration
 }
 
 const (
-	// answersPerStep and stepTime have both to pass before the next step: answers alone would race through
-	// the steps with cheap requests, time alone would open slots that nothing has tried.
-	answersPerStep = 4
-	stepTime       = 150 * time.Millisecond
+	paceAnswers = 4
+	paceTime    = 150 * time.Millisecond
+	slotAnswers = 32
+	slotTime    = time.Second
 
-	// A burst of this many refusals or resets within burstTime is taken for a cold restart.
+	// Refusals and resets add 1 to a score that each answer lowers by forgive. Up to one in nine is noise;
+	// more goes back a step, and a burst is taken for a cold restart.
+	forgive   = 0.125
+	backScore = 2
 	burst     = 3
-	burstTime = time.Second
 
-	// firstGap paces starts before the first answer tells how long the server takes.
-	firstGap = 50 * time.Millisecond
-	maxGap   = 500 * time.Millisecond
+	// How long a server stays cold is not known; each fall during the ramp doubles what a step asks for, up
+	// to maxCaution times, so that the same fall doesn't come again and again.
+	maxCaution = 16
+
+	// calmAfter is how long a server must carry its full load to halve the caution.
+	calmAfter = time.Minute
+
+	maxGap = 500 * time.Millisecond // between the starts of a paced step
 )
 
 // ramp opens a server's slots one by one on proven answers.
@@ -34,18 +44,22 @@
 // again, and without a ramp would be fed to its next fall. With a few slots only, even one busy slot can be
 // too much, so the first steps pace that slot too.
 type ramp struct {
-	steps    []step
-	at       int // step
-	proven   int // answers at this step
-	since    mono.Time
-	notFrom  mono.Time // no start before this, by the pace
-	failures []mono.Time
+	steps   []step
+	at      int // step
+	proven  int // answers at this step
+	since   mono.Time
+	caution int
+	notFrom mono.Time // no start before this, by the pace
+	score   float64
 }
 
 func newRamp(now mono.Time, slots int) ramp {
-	r := ramp{steps: []step{{1, 0.15}, {1, 0.35}, {1, 0.7}}, since: now}
+	r := ramp{since: now, caution: 1}
+	for _, d := range []float64{0.15, 0.35, 0.7} {
+		r.steps = append(r.steps, step{1, d, paceAnswers, paceTime})
+	}
 	for i := 1; i <= slots; i++ {
-		r.steps = append(r.steps, step{i, 1})
+		r.steps = append(r.steps, step{i, 1, slotAnswers, slotTime})
 	}
 	return r
 }
@@ -55,8 +69,22 @@
 func (r *ramp) full() bool { return r.at == len(r.steps)-1 }
 
 func (r *ramp) restart(now mono.Time) {
+	if r.at > 0 && !r.full() {
+		r.caution = min(2*r.caution, maxCaution)
+	}
 	r.at, r.proven, r.since = 0, 0, now
-	r.failures = r.failures[:0]
+	r.score = 0
+}
+
+// jump goes to the step of a number of slots that is already proven.
+func (r *ramp) jump(now mono.Time, slots int) {
+	for r.open() < slots && !r.full() {
+		r.at++
+	}
+	for r.steps[r.at].duty < 1 {
+		r.at++
+	}
+	r.proven, r.since, r.notFrom = 0, now, now
 }
 
 // started paces the next start.
@@ -66,35 +94,41 @@
 		r.notFrom = now
 		return
 	}
-	gap := firstGap
-	if service > 0 {
-		gap = min(time.Duration(float64(service)/d), maxGap)
-	}
-	r.notFrom = now.Add(gap)
+	r.notFrom = now.Add(min(time.Duration(float64(service)/d), maxGap))
 }
 
 // answered counts a proven answer. An answer to work that was started at an earlier step proves nothing
 // about this one.
 func (r *ramp) answered(now, started mono.Time) {
-	if r.full() || started.Before(r.since) {
+	r.score = max(r.score-forgive, 0)
+	if started.Before(r.since) {
+		return
+	}
+	if r.full() {
+		if r.caution > 1 && now.Sub(r.since) >= calmAfter {
+			r.caution, r.since = r.caution/2, now
+		}
 		return
 	}
 	r.proven++
-	if r.proven >= answersPerStep && now.Sub(r.since) >= stepTime {
+	s := r.steps[r.at]
+	if r.proven >= s.answers*r.caution && now.Sub(r.since) >= s.time*time.Duration(r.caution) {
 		r.at++
 		r.proven, r.since = 0, now
 	}
 }
 
-// failed goes one step back, and to the first after a burst. A single failure has many causes; a burst
-// while we keep to the slots means that the server carries less than it did.
-func (r *ramp) failed(now mono.Time) {
-	r.failures = slices.DeleteFunc(r.failures, func(t mono.Time) bool { return now.Sub(t) >= burstTime })
-	r.failures = append(r.failures, now)
-	if len(r.failures) >= burst {
-		r.restart(now)
-		return
+// failed takes in a refusal or a reset, and reports a burst, after which the ramp has to start again. A
+// single failure has many causes; a burst while we keep to the slots means that the server carries less
+// than it did.
+func (r *ramp) failed(now mono.Time) bool {
+	r.score++
+	switch {
+	case r.score >= burst:
+		return true
+	case r.score >= backScore:
+		r.at = max(r.at-1, 0)
+		r.proven, r.since = 0, now
 	}
-	r.at = max(r.at-1, 0)
-	r.proven, r.since = 0, now
+	return false
 }
--- a/core/admit/report.go
+++ b/core/admit/report.go
@@ -33,7 +33,7 @@
 		return nil
 	}
 	if s.health.probed(now, h.Alive) {
-		s.ramp.restart(now)
+		s.restart(now)
 	}
 	s.lives(now, asked, h.Incarnation)
 	return s.Tick(now)
--- a/core/admit/types.go
+++ b/core/admit/types.go
@@ -79,7 +79,8 @@
 
 // Ways in which an exchange ends.
 const (
-	EndAnswered   End = iota // whole answer, and the server's own business was the cause of its status
+	EndAnswered   End = iota // whole answer with a status below 500
+	EndFailed                // whole answer with a status from 500 on that doesn't tell of load
 	EndOverloaded            // whole answer that says the server can't carry the load: 502, 503 or 504 by its status
 	EndRefused               // the server said that it did not run the request
 	EndNoDial                // no connection could be made; nothing was sent
@@ -91,7 +92,7 @@
 )
 
 var endNames = [...]string{
-	"answered", "overloaded", "refused", "no-dial", "no-conn", "reset", "timeout", "silent", "cancelled",
+	"answered", "failed", "overloaded", "refused", "no-dial", "no-conn", "reset", "timeout", "silent", "cancelled",
 }
 
 // String returns the end in kebab case.
@@ -132,6 +133,14 @@
 	Slots    int
 	QueueLen int // bound of the queue
 	Memory   int // bound of the request ids that are remembered
+	Proven   Proven
+}
+
+// Proven is how many slots a server had open at its previous home, and in which incarnation; zero if not
+// known. As soon as the server tells the same incarnation, the ramp goes on from there.
+type Proven struct {
+	Incarnation ident.Incarnation
+	Slots       int
 }
 
 const (
--- a/io/conns/header.go
+++ b/io/conns/header.go
@@ -60,6 +60,10 @@
 		}
 	case fasthttp.StatusBadGateway, fasthttp.StatusGatewayTimeout:
 		r.End = admit.EndOverloaded
+	default:
+		if resp.StatusCode() >= fasthttp.StatusInternalServerError {
+			r.End = admit.EndFailed
+		}
 	}
 	return r
 }
