A bench of the request path against the same load sent straight to the servers

Ruled out: ports that the kernel hands out by itself for daemons; one was taken before the daemon listened.

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,7 @@
 
 clean:
 	rm -rf bin run
+
+# bench measures the request path against the same load sent straight to the stand-ins.
+bench: build
+	bin/heatherbench path
--- /dev/null
+++ b/cmd/heatherbench/main.go
@@ -0,0 +1,23 @@
+// Command heatherbench measures the router as processes on this machine, against stand-ins.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"heatherrouter/cmd/heatherbench/path"
+)
+
+func main() {
+	var o struct {
+		Path path.Options `cmd:"" help:"Added latency, processor time and throughput of the request path."`
+	}
+	c := kong.Parse(&o, kong.Name("heatherbench"), kong.BindTo(os.Stdout, (*io.Writer)(nil)))
+	if err := c.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -126,14 +127,31 @@
 	return nil
 }
 
-// freePort returns a port that nobody uses, for both TCP and UDP as far as can be told.
+// Ports of daemons lie below those that the kernel hands out by itself: a port that was free a moment ago would
+// otherwise be taken by any outgoing connection before the daemon listens on it.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+	portTries = 100
+)
+
+// freePort returns a port that nobody uses, neither for TCP nor for UDP.
 func freePort() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", fakes.AnyPort)
-	if err != nil {
-		return netip.AddrPort{}, trace.Wrap(err)
+	for range portTries {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		l, err := net.Listen("tcp", a.String())
+		if err != nil {
+			continue
+		}
+		l.Close()
+		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+		if err != nil {
+			continue
+		}
+		u.Close()
+		return a, nil
 	}
-	defer l.Close()
-	return netip.ParseAddrPort(l.Addr().String())
+	return netip.AddrPort{}, trace.LimitExceeded("no free port found")
 }
 
 // List replaces the platform's host list.
@@ -295,6 +313,16 @@
 	}
 }
 
+// LogTail returns the last lines of the daemon's log, for a failure's report.
+func (d *Daemon) LogTail() string {
+	const tail = 6000
+	b, err := os.ReadFile(d.Log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-tail):])
+}
+
 // Running reports whether the process runs.
 func (d *Daemon) Running() bool {
 	if d.cmd == nil {
--- a/io/stand/stand_test.go
+++ b/io/stand/stand_test.go
@@ -111,11 +111,7 @@
 
 func (x *site) printLogs() {
 	for _, d := range x.Daemons {
-		b, _ := os.ReadFile(d.Log)
-		if len(b) > 6000 {
-			b = b[len(b)-6000:]
-		}
-		x.t.Logf("log of %s:\n%s", d.Name, b)
+		x.t.Logf("log of %s:\n%s", d.Name, d.LogTail())
 	}
 }
 
