--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -14,7 +14,6 @@
 	"sync"
 	"syscall"
 	"text/template"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -32,9 +31,6 @@
 
 	// OperatorKey opens the mutating calls of every admin page.
 	OperatorKey = "operator-key-of-the-stand"
-
-	startLimit = 15 * time.Second
-	stopLimit  = 20 * time.Second
 )
 
 // Options say what to start.
@@ -54,9 +50,8 @@
 	Servers   map[ident.Server]*server.Server
 	authority *keytest.Authority
 
-	mu      sync.Mutex
-	listed  []hosts.Host
-	started time.Time
+	mu     sync.Mutex
+	listed []hosts.Host
 }
 
 // Daemon is one heatherrouterd process.
@@ -76,7 +71,7 @@
 
 // New starts the platform's stand-ins and writes the daemons' settings; Start starts the daemons.
 func New(o Options) (*Stand, error) {
-	s := &Stand{o: o, Servers: map[ident.Server]*server.Server{}, started: time.Now()}
+	s := &Stand{o: o, Servers: map[ident.Server]*server.Server{}}
 	var err error
 	if s.Table, err = fakes.NewTable(fakes.TableOptions{}); err != nil {
 		return nil, err
