Refuse published changes that would break ownership, bound a transaction

Cause: shards are kept by number and leases by a server's name. With another number of shards, or another address under the same name, two daemons that hold different revisions send one key to two places under the same epoch. config.CheckChange makes both a finding while a keyed service is in force; a moved server gets a new name. A publish is held to 80 rows and 3 MB, within what one table transaction takes. A drain whose lost reply is settled says that it changed something. Pages answer HEAD, which balancers probe with. Not covered: removing a service and publishing it again with other shards, since the older assignments are not in the document "config".

--- a/core/fields/lines.go
+++ b/core/fields/lines.go
@@ -83,7 +83,9 @@
 	case unstable.Array:
 		i := 0
 		for it := n.Children(); it.Next(); i++ {
-			w.value(fmt.Sprintf("%s[%d]", path, i), it.Node())
+			if c := it.Node(); c.Kind == unstable.InlineTable || c.Kind == unstable.Array {
+				w.value(fmt.Sprintf("%s[%d]", path, i), c)
+			}
 		}
 	}
 }
--- a/io/admin/page.go
+++ b/io/admin/page.go
@@ -45,6 +45,11 @@
 	serve  fasthttp.RequestHandler
 }
 
+// takes reports whether the route takes the method; balancers probe pages by HEAD too.
+func (r route) takes(method string) bool {
+	return method == r.method || (method == fasthttp.MethodHead && r.method == fasthttp.MethodGet)
+}
+
 // New returns an admin page. Key returns the operator key that holds at the moment, so that it
 // can change without a restart; while it is empty every mutating call is refused.
 func New(b Backend, key func() string, metrics fasthttp.RequestHandler, l *log.Logger) *Page {
@@ -121,7 +126,7 @@
 		fail(c, fasthttp.StatusNotFound, Failure{Reason: ReasonNotFound, Message: "there is no page " + path})
 		return
 	}
-	if string(c.Method()) != r.method {
+	if !r.takes(string(c.Method())) {
 		c.Response.Header.Set(fasthttp.HeaderAllow, r.method)
 		fail(c, fasthttp.StatusMethodNotAllowed, Failure{Reason: ReasonMethod, Message: "the page takes " + r.method})
 		return
--- a/io/admin/page_test.go
+++ b/io/admin/page_test.go
@@ -82,6 +82,7 @@
 		want        string
 	}{
 		{"GET", "/ready", 200, "ready\n"},
+		{"HEAD", "/ready", 200, ""},
 		{"GET", "/metrics", 200, "# metrics\n"},
 		{"GET", "/state", 200, `{"config-rev":1}`},
 		{"GET", "/v1/status", 200, `"config-rev":1`},
--- a/io/publ/drains.go
+++ b/io/publ/drains.go
@@ -70,7 +70,9 @@
 	if err != nil {
 		return admin.Drained{}, trace.Wrap(err)
 	}
-	return admin.Drained{Rev: rev, Changed: (len(was) > 0) != on}, nil
+	// A copy that shows the row at the very revision of the commit shows a first attempt whose reply was lost.
+	settled := d.Rows[t.Row()].Rev == rev
+	return admin.Drained{Rev: rev, Changed: settled || (len(was) > 0) != on}, nil
 }
 
 func target(q admin.Drain) (config.Target, error) {
--- a/io/publ/files.go
+++ b/io/publ/files.go
@@ -51,14 +51,26 @@
 	if len(x.changes) == 0 {
 		return x.answer, nil
 	}
-	if len(x.changes) > MaxChanges {
-		return admin.Published{}, trace.BadParameter("the publish changes %d services, at most %d go into one transaction",
-			len(x.changes), MaxChanges)
+	if err := x.fits(); err != nil {
+		return admin.Published{}, trace.Wrap(err)
 	}
 	x.answer.Rev, err = p.commit(ctx, q.BaseRev, q.Txn, x.changes)
 	return x.answer, trace.Wrap(err)
 }
 
+// fits reports whether the changes go into one transaction of the table.
+func (x *plan) fits() error {
+	n := 0
+	for _, c := range x.changes {
+		n += len(c.Body)
+	}
+	if len(x.changes) > MaxChanges || n > MaxBytes {
+		return trace.BadParameter("the publish changes %d services with %d bytes, at most %d with %d go into one transaction; "+
+			"publish the trees one after the other", len(x.changes), n, MaxChanges, MaxBytes)
+	}
+	return nil
+}
+
 // settle answers a publish whose base is no longer the newest revision.
 //
 // Either another operator was faster, or this is the same publish again because its reply was lost: then the
@@ -110,6 +122,11 @@
 	}
 	slices.SortFunc(all, func(a, b *config.Service) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
 	f := config.CheckAll(append(all, l...))
+	for _, s := range l {
+		if old := now.Services[s.Name]; old != nil {
+			f = append(f, config.CheckChange(old, s)...)
+		}
+	}
 	for i, n := range q.Remove {
 		if slices.ContainsFunc(l, func(x *config.Service) bool { return x.Name == n }) {
 			f.Addf(check.Place{}, "the service %s is both published and removed", n)
--- a/io/publ/publ.go
+++ b/io/publ/publ.go
@@ -20,6 +20,9 @@
 	// and the transaction id's included.
 	MaxChanges = 80
 
+	// MaxBytes bounds the bodies of one transaction, of which the table takes 4 MB.
+	MaxBytes = 3 << 20
+
 	// catchUp is how long a call waits for the daemon's copy to reach the revision that the operator saw
 	// at another daemon; copies follow within seconds.
 	catchUp = 5 * time.Second
--- a/io/publ/publ_test.go
+++ b/io/publ/publ_test.go
@@ -158,6 +158,59 @@
 	}
 	_, err := p.Publish(t.Context(), publishOf(0, "txn-000001", l...))
 	require.ErrorContains(t, err, "at most 80")
+
+	l = l[:0]
+	for i := range 13 {
+		f := service(fmt.Sprintf("s%d", i), i+1)
+		f.Body += "#" + strings.Repeat("x", 250<<10)
+		l = append(l, f)
+	}
+	_, err = p.Publish(t.Context(), publishOf(0, "txn-000002", l...))
+	require.ErrorContains(t, err, "publish the trees one after the other")
+}
+
+// A keyed service is in force. Another number of shards would give the same shard number other keys, and
+// another address under the same name would let one key run at two places under one epoch; both are refused.
+func TestPublishKeepsOwnership(t *testing.T) {
+	d := fake.NewDocs()
+	p := fake.New(d, time.Now)
+	keyed := func(shards, port int) admin.File {
+		f := service("a", port)
+		f.Body = fmt.Sprintf("shards = %d\nkey = { header = \"k\" }\n%s", shards, f.Body)
+		return f
+	}
+	_, err := p.Publish(t.Context(), publishOf(0, "txn-000001", keyed(8, 1)))
+	require.NoError(t, err)
+	for want, f := range map[string]admin.File{
+		"shards: is 16, must stay 8":                     keyed(16, 1),
+		"shards: is 0, must stay 8":                      service("a", 1),
+		":6: servers.address: is 127.0.0.1:2, must stay": keyed(8, 2),
+	} {
+		_, err = p.Publish(t.Context(), publishOf(1, "txn-000002", f))
+		found, ok := errors.AsType[check.Findings](err)
+		require.True(t, ok, "%v", err)
+		require.Len(t, found, 1, found.Error())
+		require.Contains(t, found.Error(), want)
+	}
+	require.Equal(t, 1, d.Commits())
+}
+
+// The table takes the drain and its reply is lost. Asked again with the same transaction id, the answer is
+// that of the first attempt, also once the daemon's copy already shows the drain.
+func TestDrainLostReply(t *testing.T) {
+	d := fake.NewDocs()
+	p := fake.New(d, time.Now)
+	_, err := p.Publish(t.Context(), publishOf(0, "txn-000001", service("a", 1)))
+	require.NoError(t, err)
+	q := admin.Drain{Txn: "txn-000002", Kind: admin.DrainServer, Name: "a/s", By: "anna"}
+	d.Fail(fake.FaultLostReply)
+	_, err = p.Drain(t.Context(), q)
+	_, ok := errors.AsType[*admin.UnknownError](err)
+	require.True(t, ok, "%v", err)
+	got, err := p.Drain(t.Context(), q)
+	require.NoError(t, err)
+	require.Equal(t, admin.Drained{Rev: 2, Changed: true}, got)
+	require.Equal(t, 2, d.Commits())
 }
 
 func TestPublishWaitsForItsBase(t *testing.T) {
