Prove admission under any order of events and cold starts

Cause: the promises on slots, lost work, duplicates and cold servers need a check that can fail. Ruled out: reading the warm-up off the falling latency, too little of it shows at one slot.

--- /dev/null
+++ b/core/admit/cold_test.go
@@ -0,0 +1,144 @@
+package admit
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/mono"
+)
+
+// coldServer is slow after a start and carries one request more for each third of its warm-up. Given more
+// than it carries, it falls over: it fails everything for a while and is cold again.
+type coldServer struct {
+	slots, warmUp int
+	warmTime      time.Duration // instead of warmUp, where not zero
+	since         mono.Time
+	answered      int
+	failsUntil    mono.Time
+	falls         int
+}
+
+func (c *coldServer) warmth(now mono.Time) float64 {
+	if c.warmTime > 0 {
+		return min(float64(now.Sub(c.since))/float64(c.warmTime), 1)
+	}
+	return min(float64(c.answered)/float64(c.warmUp), 1)
+}
+
+func (c *coldServer) fall(now mono.Time) {
+	c.answered, c.since = 0, now
+	c.failsUntil = now.Add(300 * time.Millisecond)
+}
+
+type exchange struct {
+	ticket Ticket
+	ends   mono.Time
+	end    End
+}
+
+func (c *coldServer) take(now mono.Time, t Ticket, inside int, service time.Duration) exchange {
+	if now < c.failsUntil {
+		return exchange{t, now.Add(time.Millisecond), EndFailed}
+	}
+	w := c.warmth(now)
+	if inside > 1+int(w*float64(c.slots)) {
+		c.falls++
+		c.fall(now)
+		return exchange{t, now.Add(time.Millisecond), EndFailed}
+	}
+	return exchange{t, now.Add(time.Duration(float64(service) * (3 - 2*w))), EndAnswered}
+}
+
+// overfeed sends ten times what the server carries for a while and returns how much was answered well.
+func overfeed(s *Server, c *coldServer, from, to mono.Time, service time.Duration, seed uint64) (answered int, full mono.Time) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var busy []exchange
+	next := from
+	full = mono.Never
+	send := func(now mono.Time, l []Decision) {
+		for _, d := range l {
+			if v, ok := d.(Start); ok {
+				busy = append(busy, c.take(now, v.Ticket, len(busy)+1, service))
+			}
+		}
+	}
+	for now := from; now < to; {
+		if now >= next {
+			d, l := s.Arrive(now, Work{Idempotent: true, Deadline: now.Add(time.Second)})
+			send(now, append(l, d))
+			next = now.Add(time.Duration(r.ExpFloat64() * float64(service) / 10 / float64(c.slots)))
+		}
+		for i := 0; i < len(busy); i++ {
+			if e := busy[i]; e.ends <= now {
+				busy = slices.Delete(busy, i, i+1)
+				i--
+				if e.end == EndAnswered {
+					answered++
+					c.answered++
+				}
+				send(now, s.Done(now, e.ticket, Result{End: e.end}))
+			}
+		}
+		send(now, s.Tick(now))
+		if s.ramp.full() && full == mono.Never {
+			full = now
+		}
+		now = min(next, max(s.NextTick(), now+ms/10))
+		if len(busy) > 0 {
+			now = min(now, slices.MinFunc(busy, func(a, b exchange) int { return cmp.Compare(a.ends, b.ends) }).ends)
+		}
+	}
+	for _, e := range busy {
+		s.Done(to, e.ticket, Result{End: EndCancelled})
+	}
+	return answered, full
+}
+
+// Callers see a server come up without a fall. It starts cold under ten times its load, and its slots open
+// one by one; fed at once, it would fall over, restart cold and fall again, for ever.
+func TestColdServerNeverOverfed(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		cold  coldServer
+		falls int // before the ramp has learnt how slowly this one warms up
+		end   mono.Time
+		least int // answers
+	}{
+		{"30 requests", coldServer{slots: 3, warmUp: 30}, 0, 10 * sec, 2000},
+		{"120 requests", coldServer{slots: 3, warmUp: 120}, 0, 10 * sec, 2000},
+		{"2 s", coldServer{slots: 3, warmTime: 2 * time.Second}, 0, 10 * sec, 2000},
+		{"1000 requests", coldServer{slots: 3, warmUp: 1000}, 4, 120 * sec, 20000},
+		{"20 s", coldServer{slots: 3, warmTime: 20 * time.Second}, 4, 120 * sec, 10000},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				s, c := New(0, Options{Slots: 3}), x.cold
+				n, full := overfeed(s, &c, 0, x.end, 10*time.Millisecond, seed)
+				t.Logf("seed %d: falls %d, answered %d in %v, all slots open after %v",
+					seed, c.falls, n, time.Duration(x.end), time.Duration(full))
+				require.LessOrEqual(t, c.falls, x.falls)
+				require.Greater(t, n, x.least, "and all slots serve in the end")
+			}
+		})
+	}
+}
+
+// Callers of a server that returns cold without warning, and without a new incarnation, see a few failed
+// requests and no second fall: the burst of failures starts the ramp again.
+func TestUnannouncedColdRestart(t *testing.T) {
+	for seed := range uint64(5) {
+		s, c := New(0, Options{Slots: 3}), coldServer{slots: 3, warmUp: 60}
+		overfeed(s, &c, 0, 10*sec, 10*time.Millisecond, seed)
+		require.Zero(t, c.falls)
+		require.True(t, s.ramp.full())
+		c.fall(10 * sec)
+		n, _ := overfeed(s, &c, 10*sec, 30*sec, 10*time.Millisecond, seed)
+		require.LessOrEqual(t, c.falls, 1, "seed %d", seed)
+		require.Greater(t, n, 4000)
+	}
+}
--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -28,7 +28,7 @@
 	backScore = 2
 	burst     = 3
 
-	// How long a server stays cold is not known; each fall during the ramp doubles what a step asks for, up
+	// How long a server stays cold is not known; each fall during the ramp, or soon after it, doubles what a step asks for, up
 	// to maxCaution times, so that the same fall doesn't come again and again.
 	maxCaution = 16
 
@@ -69,7 +69,7 @@
 func (r *ramp) full() bool { return r.at == len(r.steps)-1 }
 
 func (r *ramp) restart(now mono.Time) {
-	if r.at > 0 && !r.full() {
+	if r.at > 0 && (!r.full() || now.Sub(r.since) < calmAfter) {
 		r.caution = min(2*r.caution, maxCaution)
 	}
 	r.at, r.proven, r.since = 0, 0, now
