Tell foreign answers by the id that a server echoes

Ruled out: waiting before each use of a connection; it would cost every request and still be a race. Conclusion: servers that echo the request id protect their callers; for others a mixed-up answer can't be told.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -237,6 +238,9 @@
 			return trace.LimitExceeded("too many interim answers")
 		}
 	}
+	if isForeign(req, resp) {
+		return ErrForeign
+	}
 	if req.Header.IsHead() || !hasBody(resp.StatusCode()) {
 		resp.SkipBody = true
 		return nil
@@ -254,6 +258,13 @@
 	return nil
 }
 
+// isForeign reports whether the server says that it answers another request. Servers that echo the request's id
+// protect their callers also from answers that the server itself mixes up; nothing else could tell them apart.
+func isForeign(req *fasthttp.Request, resp *fasthttp.Response) bool {
+	id := resp.Header.Peek(HeaderRequestID)
+	return len(id) > 0 && !bytes.Equal(id, req.Header.Peek(HeaderRequestID))
+}
+
 func hasBody(status int) bool {
 	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
 }
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -89,6 +89,7 @@
 	ErrGuard      = trace.Errorf("not allowed to send any more")
 	ErrNoLength   = trace.Errorf("the answer has neither a length nor chunks, so that a cut could not be seen")
 	ErrSilent     = trace.Errorf("the connection is silent while others are answered")
+	ErrForeign    = trace.Errorf("the answer is to another request, by its id")
 	errNoDeadline = trace.Errorf("an exchange needs a deadline")
 	errAbandoned  = trace.Errorf("the body of the answer was given up")
 )
