--- a/cmd/heatherbench/path/path.go
+++ b/cmd/heatherbench/path/path.go
@@ -30,6 +30,7 @@
 type Options struct {
 	Binary  string        `default:"bin/heatherrouterd" type:"path" help:"Daemon to measure."`
 	Length  time.Duration `default:"4s" help:"Of each measurement."`
+	Procs   int           `default:"4" help:"Processors that each daemon may use at once, as on a small host."`
 	Servers int           `default:"32" help:"Backend server stand-ins, in this process."`
 }
 
@@ -48,7 +49,7 @@
 		return trace.ConvertSystemError(err)
 	}
 	defer os.RemoveAll(dir)
-	s, err := stand.New(stand.Options{Dir: dir, Binary: o.Binary, Daemons: 2, Domains: 2})
+	s, err := stand.New(stand.Options{Dir: dir, Binary: o.Binary, Daemons: 2, Domains: 2, Procs: o.Procs})
 	if err != nil {
 		return err
 	}
--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -39,6 +39,7 @@
 	Binary  string // of heatherrouterd
 	Daemons int
 	Domains int // daemons and servers are spread over them in turn
+	Procs   int // processors that each daemon may use at once, as on a small host; 0 for all
 }
 
 // Stand is the platform's stand-ins and the daemons.
@@ -265,6 +266,9 @@
 	defer f.Close()
 	c := exec.Command(d.stand.o.Binary, d.settings) //nolint:gosec // our own binary
 	c.Stdout, c.Stderr = f, f
+	if d.stand.o.Procs > 0 {
+		c.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", d.stand.o.Procs))
+	}
 	// The process must not outlive the test that started it, even if that is killed.
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
