Send on the caller's own goroutine, a hedge only on another

Cause: profiles showed a quarter of the daemon's time in futex, netpoll and work stealing: each request was handed over goroutines three times at the entry alone, and each hand-over may wake a thread. Ruled out: the locks (under 3 % of samples).

--- a/io/entry/pick.go
+++ b/io/entry/pick.go
@@ -129,7 +129,10 @@
 }
 
 // pick chooses where the next send goes; others tells whether the service has a server that wasn't tried.
-func (e *Entry) pick(m *route.Match, t *tried) (x target, others, ok bool) {
+func (e *Entry) pick(r *request) (x target, others, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, t := &r.match, &r.tried
 	s := e.o.View.Get()
 	p := s.Part(m.Service.Name)
 	if p == nil {
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -29,8 +29,7 @@
 	body := x.RequestBodyStream()
 	head.BodyFollows = body != nil && x.Request.Header.ContentLength() != 0
 	head.BodySize = int64(x.Request.Header.ContentLength())
-	_, _, room := e.pick(&r.match, &r.tried)
-	act := r.policy.next(e, r.entry, retry.Came{Room: room})
+	act := e.came(r)
 	for {
 		switch a := act.(type) {
 		case retry.Final:
@@ -38,8 +37,8 @@
 			return a
 		case retry.Wait:
 			time.Sleep(min(a.Until.Sub(e.o.Clock.Now()), headLimit))
-			_, others, room := e.pick(&r.match, &r.tried)
-			act = r.policy.next(e, r.entry, retry.Woke{Room: room, Others: others})
+			_, others, room := e.pick(r)
+			act = e.next(r, retry.Woke{Room: room, Others: others})
 		case retry.Send:
 			b := &once{r: body}
 			y, v := e.open1(r, head, b)
@@ -53,8 +52,8 @@
 				e.writeFinal(x, r, f)
 				return f
 			}
-			_, v.Others, _ = e.pick(&r.match, &r.tried)
-			act = r.policy.next(e, r.entry, v)
+			_, v.Others, _ = e.pick(r)
+			act = e.next(r, v)
 		}
 	}
 }
@@ -75,7 +74,7 @@
 
 // open1 makes one send up to the head of the answer.
 func (e *Entry) open1(r *request, head *wire.Exchange, body io.Reader) (*answer, retry.Ended) {
-	t, _, ok := e.pick(&r.match, &r.tried)
+	t, ok := e.nextTarget(r)
 	if !ok {
 		return nil, retry.Ended{Outcome: retry.NotRun}
 	}
--- a/io/entry/unary.go
+++ b/io/entry/unary.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,11 +24,15 @@
 type request struct {
 	id     string
 	match  route.Match
-	entry  *retry.Entry
 	policy *policy
+	first  *target // of the first send, until that has started
+
+	mu     sync.Mutex // guards what a hedge changes while the first send is under way
+	entry  *retry.Entry
 	tried  tried
-	ended  chan ended // buffered, so that a late send never blocks
 	cancel []context.CancelFunc
+
+	ended chan ended // buffered, so that a late send never blocks
 }
 
 // ended is how one send ended.
@@ -112,79 +117,192 @@
 // run sends the request as often as the decisions say, and returns the final one with the answer, if any.
 func (e *Entry) run(r *request, head *wire.Exchange) (retry.Final, *wire.ExchangeAnswer) {
 	defer r.cancelAll()
-	held := false
-	defer func() {
-		if held {
-			e.waiting.Add(-1)
-		}
-	}()
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
-	_, _, room := e.pick(&r.match, &r.tried)
-	act := r.policy.next(e, r.entry, retry.Came{Room: room})
 	var last *wire.ExchangeAnswer
+	act := e.came(r)
 	for {
 		var wake mono.Time
 		switch a := act.(type) {
 		case retry.Final:
 			return a, last
 		case retry.Send:
-			e.send(r, head)
-			wake = a.WakeAt
+			x := e.sendHere(r, head, a.WakeAt)
+			last, act = e.take(r, x, last)
+			continue
 		case retry.Wait:
 			wake = a.Until
-			if !held && r.entry.InFlight() == 0 {
-				if e.waiting.Add(1) > maxWaiting {
-					// Pushed back rather than dropped later: nothing was promised to this caller yet.
-					e.waiting.Add(-1)
-					return retry.Final{Outcome: retry.NotRun, Reason: "too-many-waiting", RetryAfter: e.o.Clock.Now().Add(time.Second)}, nil
-				}
-				held = true
-			}
 		}
-		timer.Reset(wake.Sub(e.o.Clock.Now()))
-		select {
-		case x := <-r.ended:
-			if x.answer != nil && x.event.Outcome == retry.Answered {
-				last = x.answer
-				r.policy.observe(x.took)
-			}
-			_, x.event.Others, _ = e.pick(&r.match, &r.tried)
-			act = r.policy.next(e, r.entry, x.event)
-		case <-timer.C:
-			_, others, room := e.pick(&r.match, &r.tried)
-			act = r.policy.next(e, r.entry, retry.Woke{Room: room, Others: others})
+		x, held := e.hold(r, wake)
+		switch {
+		case !held:
+			return retry.Final{
+				Outcome: retry.NotRun, Reason: reasonWaiting, RetryAfter: e.o.Clock.Now().Add(time.Second),
+			}, nil
+		case x != nil:
+			last, act = e.take(r, *x, last)
+		default:
+			_, others, room := e.pick(r)
+			act = e.next(r, retry.Woke{Room: room, Others: others})
 		}
 	}
 }
 
+// reasonWaiting is why a request that may wait was refused.
+const reasonWaiting retry.Reason = "too-many-waiting"
+
+// came takes the first decision; the target that was found for it is kept for the first send.
+func (e *Entry) came(r *request) retry.Action {
+	t, _, ok := e.pick(r)
+	if ok {
+		r.first = &t
+	}
+	return e.next(r, retry.Came{Room: ok})
+}
+
+// next takes the next decision.
+func (e *Entry) next(r *request, v retry.Event) retry.Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.next(e, r.entry, v)
+}
+
+// take hands the end of a send to the decisions; it returns the answer to give, if any, and what to do next.
+func (e *Entry) take(r *request, x ended, last *wire.ExchangeAnswer) (*wire.ExchangeAnswer, retry.Action) {
+	if x.event.Outcome.Ran() {
+		r.policy.observe(x.took) // one that a hedge cancelled counts with the time that it had taken
+	}
+	if x.event.Outcome == retry.Answered {
+		return x.answer, e.next(r, x.event)
+	}
+	_, x.event.Others, _ = e.pick(r)
+	return last, e.next(r, x.event)
+}
+
+// hold waits for the end of a send, or until the time to look again. A request of which nothing is in flight takes
+// one of the places for waiting ones; false when there is none.
+//
+// A full house pushes back: refusing now is better than dropping later, and nothing was promised to this caller yet.
+func (e *Entry) hold(r *request, until mono.Time) (*ended, bool) {
+	if r.inFlight() == 0 {
+		if e.waiting.Add(1) > maxWaiting {
+			e.waiting.Add(-1)
+			return nil, false
+		}
+		defer e.waiting.Add(-1)
+	}
+	t := time.NewTimer(until.Sub(e.o.Clock.Now()))
+	defer t.Stop()
+	select {
+	case x := <-r.ended:
+		return &x, true
+	case <-t.C:
+		return nil, true
+	}
+}
+
+func (r *request) inFlight() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entry.InFlight()
+}
+
 // cancelAll gives up what is still in flight; a late answer goes to a channel that nobody reads.
 func (r *request) cancelAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, f := range r.cancel {
 		f()
 	}
 }
 
-// send starts one send; its end goes to r.ended.
-func (e *Entry) send(r *request, head *wire.Exchange) {
-	t, _, ok := e.pick(&r.match, &r.tried)
+// sendHere sends on the caller's own goroutine, which for most requests is the only one: handing a request from
+// goroutine to goroutine wakes threads, and that costs more than the rest of its way through the entry.
+// When it is time for a hedge, that one gets a goroutine, and its answer ends this send.
+func (e *Entry) sendHere(r *request, head *wire.Exchange, wake mono.Time) ended {
+	s, ok := e.start(r, head)
+	if !ok {
+		return ended{event: retry.Ended{Outcome: retry.NotRun}}
+	}
+	if wake.Before(r.entry.Deadline()) {
+		t := time.AfterFunc(wake.Sub(e.o.Clock.Now()), func() { e.hedge(r, head, s) })
+		defer t.Stop()
+	}
+	x := e.finish(s)
+	r.mu.Lock()
+	s.over = true
+	r.mu.Unlock()
+	return x
+}
+
+// hedge sends the request a second time if the decisions say so while the first send is still under way.
+func (e *Entry) hedge(r *request, head *wire.Exchange, first *send) {
+	_, others, room := e.pick(r)
+	r.mu.Lock()
+	if first.over {
+		r.mu.Unlock()
+		return
+	}
+	act := r.policy.next(e, r.entry, retry.Woke{Room: room, Others: others})
+	r.mu.Unlock()
+	if _, ok := act.(retry.Send); !ok {
+		return
+	}
+	s, ok := e.start(r, head)
 	if !ok {
 		r.ended <- ended{event: retry.Ended{Outcome: retry.NotRun}}
 		return
 	}
+	x := e.finish(s)
+	r.ended <- x
+	if x.event.Outcome == retry.Answered {
+		first.cancel()
+	}
+}
+
+// send is one send under way.
+type send struct {
+	target target
+	x      *wire.Exchange
+	c      context.Context
+	cancel context.CancelFunc
+	over   bool // guarded by the request's lock
+}
+
+func (e *Entry) nextTarget(r *request) (target, bool) {
+	r.mu.Lock()
+	t := r.first
+	r.first = nil
+	r.mu.Unlock()
+	if t != nil {
+		return *t, true
+	}
+	x, _, ok := e.pick(r)
+	return x, ok
+}
+
+// start chooses the target of the next send.
+func (e *Entry) start(r *request, head *wire.Exchange) (*send, bool) {
+	t, ok := e.nextTarget(r)
+	if !ok {
+		return nil, false
+	}
+	s := &send{target: t, x: e.address(r, head, t)}
+	s.c, s.cancel = context.WithDeadline(context.Background(), e.o.Clock.Std(r.entry.Deadline()))
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.tried.add(t)
-	c, cancel := context.WithDeadline(context.Background(), e.o.Clock.Std(r.entry.Deadline()))
-	r.cancel = append(r.cancel, cancel)
-	x := e.address(r, head, t)
-	go func() {
-		start := time.Now()
-		l := e.loads.of(t.server)
-		l.mine.Add(1)
-		a, err := e.exchange(c, t, x)
-		l.mine.Add(-1)
-		l.take(e.o.Clock.Now(), a.GetReport())
-		r.ended <- ended{answer: a, event: e.outcome(a, err), took: time.Since(start)}
-	}()
+	r.cancel = append(r.cancel, s.cancel)
+	return s, true
+}
+
+// finish makes the exchange and returns how it ended.
+func (e *Entry) finish(s *send) ended {
+	start := time.Now()
+	l := e.loads.of(s.target.server)
+	l.mine.Add(1)
+	a, err := e.exchange(s.c, s.target, s.x)
+	l.mine.Add(-1)
+	l.take(e.o.Clock.Now(), a.GetReport())
+	return ended{answer: a, event: e.outcome(a, err), took: time.Since(start)}
 }
 
 // address completes the exchange for one target.
