Bound what waits at an entry; shorten the hold of given-up slots

Cause: in an outage archive queries would pile up without bound; they are pushed back before they are accepted. A slot whose exchange was given up was held for at least 20 ms, which at 1 ms of service would cost as much as the work itself where 5 % are hedged; now for one service time, 2 ms at least. An answer that we ourselves won't take (no length, too large) no longer counts as the server's reset, and a cancelled call that wrote nothing is not run.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -16,7 +16,7 @@
 const (
 	// A slot stays taken for a while after our side gave an exchange up: the server is told to cancel by the
 	// closed connection, but works on until it notices, and would be overfed by a start in its place.
-	minGrace = 20 * time.Millisecond
+	minGrace = 2 * time.Millisecond
 	maxGrace = 250 * time.Millisecond
 
 	// firstService is assumed for the service time before the first answer.
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -99,3 +99,29 @@
 	}
 	return max(t, minHedge), true
 }
+
+// Held bounds the requests at one entry that may wait or are never dropped, so that in an outage they leave
+// memory and the servers' first free slots to the others. A request takes its place before it is accepted:
+// overflow is pushed back to the caller at once, and what is accepted is never refused to make room.
+type Held struct {
+	limit int
+	n     int
+}
+
+// NewHeld returns a bound of that many requests.
+func NewHeld(limit int) *Held {
+	return &Held{limit: limit}
+}
+
+// Len returns how many requests have a place.
+func (h *Held) Len() int {
+	return h.n
+}
+
+func (h *Held) take() bool {
+	if h.n >= h.limit {
+		return false
+	}
+	h.n++
+	return true
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -29,7 +29,8 @@
 	sends    int
 	refusals int // in a row, for the backoff
 	moves    int
-	unknown  bool // a send ended without a whole answer
+	unknown  bool  // a send ended without a whole answer
+	held     *Held // where the request has a place, or nil
 	hedged   bool
 	paid     bool // the next send has its token
 	final    bool
@@ -49,7 +50,7 @@
 // InFlight returns how many sends have not ended.
 func (e *Entry) InFlight() int { return e.inFlight }
 
-// Event is what happens to an entry: Came, Ended or Woke.
+// Event is what happens to an entry: Came, Ended, Woke or Left.
 type Event interface {
 	event()
 }
@@ -72,11 +73,15 @@
 		Room   bool
 		Others bool
 	}
+
+	// Left says that the caller has gone; a final answer follows only for the log.
+	Left struct{}
 )
 
 func (Came) event()  {}
 func (Ended) event() {}
 func (Woke) event()  {}
+func (Left) event()  {}
 
 // Action is what to do for an entry: Send, Wait or Final.
 type Action interface {
@@ -120,12 +125,15 @@
 	ReasonMaybeRan    Reason = "maybe-ran"    // sent without a whole answer, and not idempotent
 	ReasonUnavailable Reason = "unavailable"  // no server is up
 	ReasonMoving      Reason = "owner-moving" // the key's owner changes, and didn't settle in time
+	ReasonHeldFull    Reason = "held-full"    // too many requests wait already; this one was not accepted
+	ReasonLeft        Reason = "caller-left"
 )
 
 // Policy is what the decisions for one kind of one service share.
 type Policy struct {
 	Budget *Budget
 	Delay  *Delay
+	Held   *Held // nil for no bound
 }
 
 // Next decides what to do for the entry after the event. Random is for jitter.
@@ -135,19 +143,31 @@
 	}
 	switch v := ev.(type) {
 	case Came:
-		p.Budget.Arrive()
-		if v.Room {
-			return p.send(now, e, true, false)
-		}
-		return p.hold(now, e, 0, ReasonUnavailable, random)
+		return p.came(now, e, v, random)
 	case Ended:
 		return p.ended(now, e, v, random)
 	case Woke:
 		return p.woke(now, e, v, random)
+	case Left:
+		return e.left()
 	}
 	return e.idle()
 }
 
+func (p Policy) came(now mono.Time, e *Entry, v Came, random uint64) Action {
+	if p.Held != nil && (e.kind.MayWait || e.kind.NeverDropped) {
+		if !p.Held.take() {
+			return e.end(Final{Outcome: NotRun, RetryAfter: now.Add(maxBackoff), Reason: ReasonHeldFull})
+		}
+		e.held = p.Held
+	}
+	p.Budget.Arrive()
+	if v.Room {
+		return p.send(now, e, true, false)
+	}
+	return p.hold(now, e, 0, ReasonUnavailable, random)
+}
+
 func (p Policy) ended(now mono.Time, e *Entry, v Ended, random uint64) Action {
 	e.inFlight--
 	if v.Outcome == Answered {
@@ -290,8 +310,18 @@
 	return e.end(Final{Outcome: NotRun, RetryAfter: max(at, now.Add(minRetryAfter)), Reason: r})
 }
 
+func (e *Entry) left() Action {
+	if e.inFlight > 0 || e.unknown {
+		return e.end(Final{Outcome: Unknown, Reason: ReasonLeft})
+	}
+	return e.end(Final{Outcome: NotRun, Reason: ReasonLeft})
+}
+
 func (e *Entry) end(f Final) Action {
 	e.final = true
+	if e.held != nil {
+		e.held.n--
+	}
 	return f
 }
 
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -146,6 +146,27 @@
 	require.Equal(t, Final{Outcome: Unknown, Reason: ReasonTimeout}, p.Next(60*sec, e, Woke{}, 0))
 }
 
+// In an outage archive queries pile up. Those beyond the bound are pushed back before they are accepted;
+// managers' requests take no place, and each place is free again with the final answer or when its caller left.
+func TestHeld(t *testing.T) {
+	p := newPolicy(9)
+	p.Held = NewHeld(2)
+	a, b := NewEntry(0, archive), NewEntry(0, plan)
+	require.IsType(t, Wait{}, p.Next(0, a, Came{}, 0))
+	require.IsType(t, Send{}, p.Next(0, b, Came{Room: true}, 0))
+	f := p.Next(0, NewEntry(0, archive), Came{Room: true}, 0)
+	require.Equal(t, Final{Outcome: NotRun, RetryAfter: 2 * sec, Reason: ReasonHeldFull}, f)
+	came(t, p, swap)
+	require.Equal(t, 2, p.Held.Len())
+	require.Equal(t, Final{Outcome: NotRun, Reason: ReasonLeft}, p.Next(ms, a, Left{}, 0))
+	require.IsType(t, Wait{}, p.Next(ms, a, Left{}, 0), "only once")
+	require.Equal(t, 1, p.Held.Len())
+	p.Next(ms, b, Ended{Outcome: Answered}, 0)
+	require.Zero(t, p.Held.Len())
+	e := came(t, p, lookup)
+	require.Equal(t, Final{Outcome: Unknown, Reason: ReasonLeft}, p.Next(ms, e, Left{}, 0))
+}
+
 func TestUnavailable(t *testing.T) {
 	f := newPolicy(0).Next(0, NewEntry(0, swap), Came{}, 0)
 	require.Equal(t, Final{Outcome: NotRun, RetryAfter: 100 * ms, Reason: ReasonUnavailable}, f)
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	readBuffer  = 8 << 10
+	readBuffer  = 16 << 10 // bounds the header of an answer
 	writeBuffer = 4 << 10
 
 	// earlyAnswer is how long to look for an answer after a write failed: a server may refuse a large body
@@ -141,9 +141,12 @@
 // do runs one exchange. After any result with an error the connection must be discarded.
 func (c *conn) do(ctx context.Context, p *Pool, call Call, req *fasthttp.Request, resp *fasthttp.Response, streamed bool) Result {
 	c.wrote, c.writeErr = false, nil
+	if err := ctx.Err(); err != nil {
+		return c.failure(true, err)
+	}
 	c.cancelWith(ctx)
 	err := c.send(p, call, req)
-	given := err != nil && c.writeErr == nil // the guard, or the caller's body was cut
+	ours := err != nil && c.writeErr == nil // the guard, or the caller's body was cut
 	if err == nil || c.wrote && c.writeErr != nil && !isTimeout(err) && ctx.Err() == nil {
 		err = c.receive(p, call, req, resp, streamed, err)
 	}
@@ -151,7 +154,8 @@
 		c.broken = true // the cancellation runs or has run, and closes the connection
 	}
 	if err != nil {
-		return c.failure(given || ctx.Err() != nil, err)
+		ours = ours || ctx.Err() != nil || errors.Is(err, ErrNoLength) || errors.Is(err, fasthttp.ErrBodyTooLarge)
+		return c.failure(ours, err)
 	}
 	if resp.ConnectionClose() {
 		c.broken = true
@@ -258,8 +262,9 @@
 	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
 }
 
-// failure tells what is certain after an exchange without a whole answer; givenUp is whether our side ended it.
-func (c *conn) failure(givenUp bool, err error) Result {
+// failure tells what is certain after an exchange without a whole answer; ours is whether our side ended it,
+// so that it doesn't count against the server.
+func (c *conn) failure(ours bool, err error) Result {
 	r := Result{Outcome: retry.NotRun, Err: err}
 	if c.wrote {
 		r.Outcome = retry.Unknown
@@ -267,7 +272,7 @@
 	switch {
 	case errors.Is(err, ErrGuard):
 		r.End = admit.EndNoConn
-	case givenUp:
+	case ours:
 		r.End = admit.EndCancelled
 	case errors.Is(err, ErrSilent):
 		r.End = admit.EndSilent
