Take over a server anew; probe the path that stand-ins serve

Cause: a home that gets its server back under a new epoch went on with the slots that it had opened before. TakeOver restarts the ramp, or goes on from what the last home had proved; the home has yet to call it. The default probe path /health is ordinary work for the stand-in server: each probe took a slot that no admission knew of, and would push a cold server with one request in flight over. Read from the code, no run against it. Ruled out: probing only when idle, which would still take slots.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// TakeOver says that this home may send again after another one may have, under a new epoch. What it knew of
+// the server may have passed since, so the ramp starts again, or goes on from what the last home had proved.
+func (s *Server) TakeOver(now mono.Time, p Proven) {
+	s.options.Proven = p
+	s.life, s.lifeAt = 0, now
+	s.ramp = newRamp(now, s.options.Slots)
+	s.speed.n = 0
+	s.health = newHealth(now) // with a probe at once
+}
+
 // Arrive decides about new work; it also returns the decisions that this changes for queued work.
 func (s *Server) Arrive(now mono.Time, w Work) (Decision, []Decision) {
 	s.next++
--- a/core/admit/health_test.go
+++ b/core/admit/health_test.go
@@ -147,6 +147,22 @@
 	}
 }
 
+// A home lost its server to another one and gets it back. It may be cold by now, and the incarnation that it
+// remembers says nothing, unless the other home had proved the same.
+func TestTakeOver(t *testing.T) {
+	s, now := warm(3, 10*time.Millisecond)
+	s.Done(now, startOf(t, arrive(t, s, now, work(0))), Result{Incarnation: 5})
+	late := startOf(t, arrive(t, s, now, work(1)))
+	now = now.Add(time.Minute)
+	s.TakeOver(now, Proven{Incarnation: 6, Slots: 2})
+	require.Equal(t, 1, s.Report(now).OpenSlots)
+	require.True(t, s.ProbeDue(now))
+	s.Done(now, late, Result{Incarnation: 5})
+	require.Zero(t, s.Report(now).Incarnation, "told before the change")
+	s.Probed(now, now, Health{Alive: true, Incarnation: 6})
+	require.Equal(t, 2, s.Report(now).OpenSlots)
+}
+
 // Callers of unkeyed work are led away from a straggler within a second, while its report says all is well.
 // It doesn't say anything here: only what the home measures counts. It returns after it was fast for long.
 func TestStraggler(t *testing.T) {
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -39,7 +39,7 @@
 	defaultProbeEvery   = 500 * time.Millisecond
 	defaultProbeTimeout = 250 * time.Millisecond
 	defaultStallTimeout = 5 * time.Second
-	defaultHealthPath   = "/health"
+	defaultHealthPath   = "/heatherrouter/health" // a server that has no such page answers that it hasn't, which is alive too
 	defaultMaxBody      = 16 << 20
 )
 
