--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -133,6 +133,40 @@
 	require.IsType(t, Wait{}, p.Next(now+2, e, Ended{Outcome: NotRun}, 0), "refused after all: waits again")
 }
 
+// A caller is not told "not run" of a request whose first send may have run, though its second one was refused
+// or its time ran out while it waited.
+func TestUnknownStays(t *testing.T) {
+	p := newPolicy(1)
+	e := came(t, p, lookup)
+	require.IsType(t, Send{}, p.Next(ms, e, Ended{Outcome: Unknown, Others: true}, 0))
+	require.Equal(t, Final{Outcome: Unknown, Reason: ReasonNoRoom}, p.Next(2*ms, e, Ended{Outcome: NotRun, Others: true}, 0))
+
+	e = came(t, p, plan)
+	require.IsType(t, Wait{}, p.Next(ms, e, Ended{Outcome: Unknown}, 0))
+	require.Equal(t, Final{Outcome: Unknown, Reason: ReasonTimeout}, p.Next(60*sec, e, Woke{}, 0))
+}
+
+// In an outage archive queries pile up. Those beyond the bound are pushed back before they are accepted;
+// managers' requests take no place, and each place is free again with the final answer or when its caller left.
+func TestHeld(t *testing.T) {
+	p := newPolicy(9)
+	p.Held = NewHeld(2)
+	a, b := NewEntry(0, archive), NewEntry(0, plan)
+	require.IsType(t, Wait{}, p.Next(0, a, Came{}, 0))
+	require.IsType(t, Send{}, p.Next(0, b, Came{Room: true}, 0))
+	f := p.Next(0, NewEntry(0, archive), Came{Room: true}, 0)
+	require.Equal(t, Final{Outcome: NotRun, RetryAfter: 2 * sec, Reason: ReasonHeldFull}, f)
+	came(t, p, swap)
+	require.Equal(t, 2, p.Held.Len())
+	require.Equal(t, Final{Outcome: NotRun, Reason: ReasonLeft}, p.Next(ms, a, Left{}, 0))
+	require.IsType(t, Wait{}, p.Next(ms, a, Left{}, 0), "only once")
+	require.Equal(t, 1, p.Held.Len())
+	p.Next(ms, b, Ended{Outcome: Answered}, 0)
+	require.Zero(t, p.Held.Len())
+	e := came(t, p, lookup)
+	require.Equal(t, Final{Outcome: Unknown, Reason: ReasonLeft}, p.Next(ms, e, Left{}, 0))
+}
+
 func TestUnavailable(t *testing.T) {
 	f := newPolicy(0).Next(0, NewEntry(0, swap), Came{}, 0)
 	require.Equal(t, Final{Outcome: NotRun, RetryAfter: 100 * ms, Reason: ReasonUnavailable}, f)
