--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,7 @@
 # bench measures the request path against the same load sent straight to the stand-ins.
 bench: build
 	bin/heatherbench path
+
+# demo starts stand-ins and daemons as processes, sends real requests, prints the outcomes and ends by itself.
+demo: build
+	bin/heatherdemo
--- a/io/daemon/backend.go
+++ b/io/daemon/backend.go
@@ -4,8 +4,12 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
+	"heatherrouter/core/check"
 	"heatherrouter/core/docs"
 	"heatherrouter/core/ident"
 	"heatherrouter/io/admin"
@@ -35,7 +39,10 @@
 	}
 	var conflict *table.ConflictError
 	var out *table.UnavailableError
+	var many *table.TooManyError
 	switch {
+	case errors.As(err, &many), trace.IsBadParameter(err):
+		return 0, check.Findings{{Message: err.Error()}} // certainly nothing was written
 	case errors.As(err, &conflict):
 		// The copies here are behind what somebody else committed; bring them up so that the operator sees it.
 		_ = c.d.store.Refresh(x, n)
@@ -109,24 +116,11 @@
 // InForce implements admin.Backend: it asks every daemon that was heard of lately.
 func (d *Daemon) InForce(r ident.Rev) admin.InForce {
 	out := admin.InForce{Rev: r}
-	type answer struct {
-		daemon ident.Daemon
-		rev    ident.Rev
-	}
-	l := d.members.Random(1 << 20)
-	c := make(chan answer, len(l))
-	for _, p := range l {
-		go func() { c <- answer{p, d.askRev(p)} }()
-	}
-	got := []answer{{d.settings.Name, d.ConfigRev()}}
-	for range l {
-		got = append(got, <-c)
-	}
-	for _, a := range got {
-		if a.rev >= r {
-			out.Have = append(out.Have, a.daemon)
+	for n, rev := range d.configRevs() {
+		if rev >= r {
+			out.Have = append(out.Have, n)
 		} else {
-			out.Missing = append(out.Missing, a.daemon)
+			out.Missing = append(out.Missing, n)
 		}
 	}
 	slices.Sort(out.Have)
@@ -135,6 +129,24 @@
 	return out
 }
 
+// configRevs asks all daemons at once which revision of the configuration they hold; 0 for one that doesn't answer.
+func (d *Daemon) configRevs() map[ident.Daemon]ident.Rev {
+	l := d.members.Random(1 << 20)
+	var mu sync.Mutex
+	m := map[ident.Daemon]ident.Rev{d.settings.Name: d.ConfigRev()}
+	var w sync.WaitGroup
+	for _, p := range l {
+		w.Go(func() {
+			r := d.askRev(p)
+			mu.Lock()
+			defer mu.Unlock()
+			m[p] = r
+		})
+	}
+	w.Wait()
+	return m
+}
+
 func (d *Daemon) askRev(p ident.Daemon) ident.Rev {
 	c, cancel := context.WithTimeout(d.group.Context(), inForceLimit)
 	defer cancel()
@@ -156,11 +168,11 @@
 		Reason: why, ConfigRev: d.ConfigRev(), TableOK: d.store.TableOK(), ObjectsOK: true,
 		Certs: []admin.Certificate{{File: s.Keys.Certificate, Subject: string(s.Name), Expires: d.keys.Expires()}},
 	}
-	homes := d.homesByDaemon()
+	homes, revs := d.homesByDaemon(), d.configRevs()
 	now := d.clock.Now()
 	c := d.view.Get().Config
 	for _, x := range d.members.Daemons() {
-		y := admin.Daemon{Name: x.Daemon, Domain: x.Domain, State: admin.StateActive, Homes: homes[x.Daemon]}
+		y := admin.Daemon{Name: x.Daemon, Domain: x.Domain, State: admin.StateActive, Homes: homes[x.Daemon], ConfigRev: revs[x.Daemon]}
 		if a, ok := d.members.Addr(x.Daemon); ok {
 			y.Address = a.String()
 		}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 
+	"heatherrouter/core/admit"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/lease"
 	"heatherrouter/core/live"
@@ -167,7 +168,7 @@
 	})
 	d.homes = home.New(d.group, home.Options{
 		Self: s.Name, Life: ident.Incarnation(d.started.UnixNano()), Terms: terms, Clock: d.clock, View: d.view,
-		Caller: d, Witness: d.lessor, Alive: d.members.Alive, Heard: d.members.Heard, Latencies: d.latencies, Log: d.log,
+		Caller: d, Witness: d.lessor, Alive: d.members.Alive, Heard: d.members.Heard, Latencies: d.latencies, Proven: d.proven, Log: d.log,
 	})
 	d.coord = coord.New(d.group, coord.Options{
 		Self: s.Name, Region: s.Region, Terms: terms, Clock: d.clock, View: d.view, Store: d.store,
@@ -195,6 +196,14 @@
 	return d.entry.Latencies(s, without)
 }
 
+// proven returns what the last home of a server reported to this daemon's entry.
+func (d *Daemon) proven(s ident.Server) admit.Proven {
+	if !d.running.Load() {
+		return admit.Proven{}
+	}
+	return d.entry.Proven(s)
+}
+
 func (d *Daemon) buildGauges() error {
 	g := []struct {
 		name, unit, what string
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -26,7 +26,7 @@
 const (
 	maxHeader   = 16 << 10 // bytes of a request's header
 	maxBody     = 1 << 20  // bytes of a body that is not streamed
-	maxWaiting  = 4096     // requests that may wait here for room at once; more are refused before they are accepted
+	maxHeld     = 4096     // requests of one service that may wait here; more are refused before they are accepted
 	idleCaller  = 75 * time.Second
 	readCaller  = 30 * time.Second // for one read of a request
 	stopWaiting = 100 * time.Millisecond
@@ -99,8 +99,9 @@
 
 // policy is what the requests of one kind share: the service's retry budget and the kind's usual time to answer.
 type policy struct {
-	mu     *sync.Mutex // shared by the kinds of one service
+	mu     *sync.Mutex // shared by the kinds of one service, like the next two
 	budget *retry.Budget
+	held   *retry.Held
 	delay  retry.Delay
 }
 
@@ -203,11 +204,11 @@
 	p := &policy{}
 	for o, x := range e.policies {
 		if o.service == s.Name {
-			p.budget, p.mu = x.budget, x.mu
+			p.budget, p.held, p.mu = x.budget, x.held, x.mu
 		}
 	}
 	if p.budget == nil {
-		p.budget, p.mu = retry.NewBudget(e.o.Clock.Now()), &sync.Mutex{}
+		p.budget, p.held, p.mu = retry.NewBudget(e.o.Clock.Now()), retry.NewHeld(maxHeld), &sync.Mutex{}
 	}
 	e.policies[key] = p
 	return p
@@ -217,7 +218,7 @@
 func (p *policy) next(e *Entry, r *retry.Entry, v retry.Event) retry.Action {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	x := retry.Policy{Budget: p.budget, Delay: &p.delay}
+	x := retry.Policy{Budget: p.budget, Delay: &p.delay, Held: p.held}
 	return x.Next(e.o.Clock.Now(), r, v, rand.Uint64())
 }
 
--- a/io/entry/pick.go
+++ b/io/entry/pick.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherrouter/core/admit"
 	"heatherrouter/core/config"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -62,6 +63,16 @@
 	return out
 }
 
+// Proven returns how many slots a server had open in which life, as its home last reported.
+func (e *Entry) Proven(s ident.Server) admit.Proven {
+	l := e.loads.of(s)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return admit.Proven{
+		Incarnation: ident.Incarnation(l.report.GetIncarnation()), Slots: int(l.report.GetOpenSlots()),
+	}
+}
+
 func (l *load) latency(now mono.Time) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -40,8 +40,8 @@
 			_, others, room := e.pick(r)
 			act = e.next(r, retry.Woke{Room: room, Others: others})
 		case retry.Send:
-			b := &once{r: body}
-			y, v := e.open1(r, head, b)
+			b := &callerBody{r: body, left: head.GetBodySize()}
+			y, v := e.openOnce(r, head, b)
 			if v.Outcome == retry.Answered {
 				e.passBody(x, r, y)
 				return retry.Final{Outcome: retry.Answered, Reason: retry.ReasonAnswered}
@@ -58,22 +58,32 @@
 	}
 }
 
-// once notes whether any of the body was read.
-type once struct {
+// callerBody is the caller's body on its way. It notes whether any of it was read, and reports a body that ends
+// before its length: the library takes one that the caller cuts off for a whole one.
+type callerBody struct {
 	r    io.Reader
+	left int64 // bytes to come; negative when not known
 	read bool
 }
 
-func (o *once) Read(p []byte) (int, error) {
-	if o.r == nil {
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	if b.r == nil {
 		return 0, io.EOF
 	}
-	o.read = true
-	return o.r.Read(p)
+	b.read = true
+	n, err := b.r.Read(p)
+	if b.left >= 0 {
+		b.left -= int64(n)
+	}
+	if errors.Is(err, io.EOF) && b.left > 0 {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
 }
 
-// open1 makes one send up to the head of the answer.
-func (e *Entry) open1(r *request, head *wire.Exchange, body io.Reader) (*answer, retry.Ended) {
+// openOnce makes one send up to the head of the answer.
+func (e *Entry) openOnce(r *request, head *wire.Exchange, body io.Reader) (*answer, retry.Ended) {
 	t, ok := e.nextTarget(r)
 	if !ok {
 		return nil, retry.Ended{Outcome: retry.NotRun}
--- a/io/entry/unary.go
+++ b/io/entry/unary.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -88,8 +89,13 @@
 		return x.Request.Body(), nil
 	}
 	var w limited
-	err := x.Request.BodyWriteTo(&w)
-	return w.b, err
+	if err := x.Request.BodyWriteTo(&w); err != nil {
+		return nil, err
+	}
+	if n := x.Request.Header.ContentLength(); n >= 0 && n != len(w.b) {
+		return nil, io.ErrUnexpectedEOF // the library takes a cut body of known length for a whole one
+	}
+	return w.b, nil
 }
 
 // limited collects up to maxBody bytes.
@@ -131,24 +137,15 @@
 		case retry.Wait:
 			wake = a.Until
 		}
-		x, held := e.hold(r, wake)
-		switch {
-		case !held:
-			return retry.Final{
-				Outcome: retry.NotRun, Reason: reasonWaiting, RetryAfter: e.o.Clock.Now().Add(time.Second),
-			}, nil
-		case x != nil:
+		if x := e.wait(r, wake); x != nil {
 			last, act = e.take(r, *x, last)
-		default:
-			_, others, room := e.pick(r)
-			act = e.next(r, retry.Woke{Room: room, Others: others})
+			continue
 		}
+		_, others, room := e.pick(r)
+		act = e.next(r, retry.Woke{Room: room, Others: others})
 	}
 }
 
-// reasonWaiting is why a request that may wait was refused.
-const reasonWaiting retry.Reason = "too-many-waiting"
-
 // came takes the first decision; the target that was found for it is kept for the first send.
 func (e *Entry) came(r *request) retry.Action {
 	t, _, ok := e.pick(r)
@@ -177,25 +174,19 @@
 	return last, e.next(r, x.event)
 }
 
-// hold waits for the end of a send, or until the time to look again. A request of which nothing is in flight takes
-// one of the places for waiting ones; false when there is none.
-//
-// A full house pushes back: refusing now is better than dropping later, and nothing was promised to this caller yet.
-func (e *Entry) hold(r *request, until mono.Time) (*ended, bool) {
+// wait waits for the end of a send, or until the time to look again.
+func (e *Entry) wait(r *request, until mono.Time) *ended {
 	if r.inFlight() == 0 {
-		if e.waiting.Add(1) > maxWaiting {
-			e.waiting.Add(-1)
-			return nil, false
-		}
+		e.waiting.Add(1)
 		defer e.waiting.Add(-1)
 	}
 	t := time.NewTimer(until.Sub(e.o.Clock.Now()))
 	defer t.Stop()
 	select {
 	case x := <-r.ended:
-		return &x, true
+		return &x
 	case <-t.C:
-		return nil, true
+		return nil
 	}
 }
 
--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -29,6 +29,7 @@
 const (
 	reasonNoHome    = "not-home"
 	reasonNoLease   = "no-lease"
+	reasonNoGrant   = "no-grant"
 	reasonMoved     = "shard-moved"
 	reasonWaiting   = "shard-moving"
 	reasonDuplicate = "duplicate-request"
@@ -145,6 +146,10 @@
 		// The home waits for its lease a little; a standby whose home is well has none coming.
 		return h.moved(reasonNoLease), h.row.Home == h.o.Self || !h.o.Alive(h.row.Home)
 	}
+	if now := h.o.Clock.Now(); h.needsGrant() && !h.admit.Report(now).Down {
+		h.offerGrant(now)
+		return h.moved(reasonNoGrant), true
+	}
 	return nil, false
 }
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -45,6 +45,9 @@
 	former   *lease.Holder // of this daemon's last epoch, until the witnesses have been told that it stopped
 	asked    mono.Time     // when the lease was last asked for
 	held     bool          // as of the last look, to see a lease come and go
+	granted  ident.Epoch   // that a server which checks grants has taken
+	granting bool          // a grant is on its way
+	grantAt  mono.Time     // of the next try
 	stopped  bool          // the daemon hands back its lease and wants no other
 	returned bool          // the witnesses have been told that it stopped
 	admit    *admit.Server
@@ -106,6 +109,7 @@
 		return
 	}
 	h.former = h.holder
+	h.admit.TakeOver(now, h.o.Proven(h.id))
 	h.holder = lease.NewHolder(h.o.Terms, h.id, e, h.o.Life)
 	h.gate.SetHolder(h.holder)
 	h.asked = 0
@@ -180,6 +184,7 @@
 	if h.epoch == 0 || h.holder == nil || !h.holder.Holds(now) {
 		return
 	}
+	h.offerGrant(now)
 	if !now.Before(h.compare) {
 		h.compare = now.Add(peerEvery)
 		h.admit.Peers(now, h.o.Latencies(h.service.Name, h.id))
--- a/io/home/homes.go
+++ b/io/home/homes.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"heatherrouter/core/admit"
 	"heatherrouter/core/config"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/lease"
@@ -48,6 +49,7 @@
 	Alive     func(ident.Daemon) bool
 	Heard     func(ident.Daemon)
 	Latencies func(s ident.Service, without ident.Server) []time.Duration
+	Proven    func(s ident.Server) admit.Proven // what the last home reported of a server
 	Log       *log.Logger
 }
 
--- a/io/stand/service.go
+++ b/io/stand/service.go
@@ -203,7 +203,7 @@
 func (s *Stand) Publish(c context.Context, l ...admin.File) (ident.Rev, error) {
 	p := admin.Publish{Txn: NewTxn(), Files: l, By: "stand"}
 	var last error
-	for c.Err() == nil {
+	for ; c.Err() == nil; p.Again = true {
 		a, err := s.Admin(0).Publish(c, p)
 		if err == nil {
 			return a.Rev, nil
--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -26,7 +26,7 @@
 )
 
 const (
-	// Region is where all daemons and services of a stand are.
+	// Region is where all daemons and services of a stand are, unless its options say otherwise.
 	Region ident.Region = "region"
 
 	// OperatorKey opens the mutating calls of every admin page.
@@ -38,8 +38,10 @@
 	Dir     string // for settings, keys and logs
 	Binary  string // of heatherrouterd
 	Daemons int
-	Domains int // daemons and servers are spread over them in turn
-	Procs   int // processors that each daemon may use at once, as on a small host; 0 for all
+	Domains int            // daemons and servers are spread over them in turn
+	Names   []ident.Domain // of the domains; made up when empty
+	Region  ident.Region   // made up when empty
+	Procs   int            // processors that each daemon may use at once, as on a small host; 0 for all
 }
 
 // Stand is the platform's stand-ins and the daemons.
@@ -72,6 +74,12 @@
 
 // New starts the platform's stand-ins and writes the daemons' settings; Start starts the daemons.
 func New(o Options) (*Stand, error) {
+	for i := len(o.Names); i < o.Domains; i++ {
+		o.Names = append(o.Names, Domain(i))
+	}
+	if o.Region == "" {
+		o.Region = Region
+	}
 	s := &Stand{o: o, Servers: map[ident.Server]*server.Server{}}
 	var err error
 	if s.Table, err = fakes.NewTable(fakes.TableOptions{}); err != nil {
@@ -101,7 +109,7 @@
 }
 
 func (s *Stand) add(i int) error {
-	d := &Daemon{Name: ident.Daemon(fmt.Sprintf("h%02d", i+1)), Domain: Domain(i % s.o.Domains), stand: s}
+	d := &Daemon{Name: ident.Daemon(fmt.Sprintf("h%02d", i+1)), Domain: s.o.Names[i%s.o.Domains], stand: s}
 	for _, a := range []*netip.AddrPort{&d.Entry, &d.Peer, &d.Admin} {
 		x, err := freePort()
 		if err != nil {
@@ -119,7 +127,7 @@
 		return err
 	}
 	s.Daemons = append(s.Daemons, d)
-	s.listed = append(s.listed, hosts.Host{Name: d.Name, Peer: d.Peer, Domain: d.Domain, Region: Region, State: hosts.Live})
+	s.listed = append(s.listed, hosts.Host{Name: d.Name, Peer: d.Peer, Domain: d.Domain, Region: s.o.Region, State: hosts.Live})
 	return nil
 }
 
@@ -207,7 +215,7 @@
 func (s *Stand) writeSettings(d *Daemon, f keys.Files) error {
 	var b bytes.Buffer
 	err := settings.Execute(&b, map[string]any{
-		"Name": d.Name, "Domain": d.Domain, "Region": Region, "Entry": d.Entry, "Peer": d.Peer, "Admin": d.Admin,
+		"Name": d.Name, "Domain": d.Domain, "Region": s.o.Region, "Entry": d.Entry, "Peer": d.Peer, "Admin": d.Admin,
 		"Table": s.Table.URL(), "Hosts": s.Hosts.URL(), "CA": f.Authorities[0], "Certificate": f.Certificate, "Key": f.Key,
 	})
 	if err != nil {
--- a/io/stand/stand_test.go
+++ b/io/stand/stand_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherrouter/io/admin"
+	"heatherrouter/io/fakes"
 	"heatherrouter/io/fakes/server"
 	"heatherrouter/io/stand"
 )
@@ -154,7 +155,13 @@
 }
 
 func TestWholePath(t *testing.T) {
-	x := newSite(t, siteOptions{daemons: 3, domains: 3, servers: 4})
+	for _, grants := range []bool{false, true} {
+		t.Run(fmt.Sprintf("grants=%v", grants), func(t *testing.T) { testWholePath(t, grants) })
+	}
+}
+
+func testWholePath(t *testing.T, grants bool) {
+	x := newSite(t, siteOptions{daemons: 3, domains: 3, servers: 4, grants: grants})
 	for i := range 60 {
 		a := x.get(i%3, fmt.Sprintf("/keyed/read/key-%d", i))
 		require.Equal(t, http.StatusOK, a.status, a)
@@ -171,4 +178,5 @@
 	st, err = x.Admin(0).Status(t.Context())
 	require.NoError(t, err)
 	require.Len(t, st.Daemons, 3)
+	require.Empty(t, fakes.OneOwner(x.Work()))
 }
