--- a/core/lease/change.go
+++ b/core/lease/change.go
@@ -30,6 +30,9 @@
 	return &Change{terms: t, set: x, retired: map[ident.Daemon]bool{}, settles: mono.Never}
 }
 
+// Rev returns the revision of the row that the change was made from.
+func (c *Change) Rev() ident.Rev { return c.set.Rev }
+
 // Ask returns the witnesses that have yet to be told to retire.
 func (c *Change) Ask() []ident.Daemon {
 	var l []ident.Daemon
