--- a/core/live/live.go
+++ b/core/live/live.go
@@ -22,6 +22,9 @@
 	// only shortens the wait: a daemon that still speaks is alive, whatever the list says.
 	SilentListed = 600 * time.Millisecond
 
+	// PausedAfter is the gap between two calls from which on this process is taken to have been paused.
+	PausedAfter = 400 * time.Millisecond
+
 	// ForgetAfter is how long a silent daemon is remembered, so that a return can be told from a first sight.
 	ForgetAfter = 10 * time.Minute
 )
@@ -77,23 +80,42 @@
 }
 
 // View is what one daemon knows of all others; itself it always knows to be alive.
+//
+// Its owner asks it or tells it something several times within PausedAfter.
 type View struct {
 	self    ident.Daemon
 	daemons map[ident.Daemon]*Daemon
+	awake   mono.Time // a call after this means that the process was paused in between
 }
 
 // New returns a view that knows only the daemon itself.
 func New(now mono.Time, self Word) *View {
-	v := &View{self: self.Daemon, daemons: map[ident.Daemon]*Daemon{}}
+	v := &View{self: self.Daemon, daemons: map[ident.Daemon]*Daemon{}, awake: mono.Never}
 	v.Hear(now, self)
 	return v
 }
 
+// wake credits the others with the time of a pause of this process. Their words of that time wait in its
+// sockets. Without this, a daemon that was frozen for a second would find everybody silent at its first
+// look, and as a coordinator would move every home.
+func (v *View) wake(now mono.Time) {
+	if v.awake.Before(now) {
+		paused := v.awake.Add(-PausedAfter)
+		for _, d := range v.daemons {
+			if d.Alive(paused) {
+				d.Heard = max(d.Heard, now.Add(-PausedAfter))
+			}
+		}
+	}
+	v.awake = now.Add(PausedAfter)
+}
+
 // Hear takes in a word of a daemon.
 //
 // A word of an older incarnation is a late one from before a restart. Taken in, it would make a daemon
 // that has started anew and is silent look alive, and bring back a leaving flag of its former life.
 func (v *View) Hear(now mono.Time, w Word) {
+	v.wake(now)
 	d := v.daemons[w.Daemon]
 	if d != nil && w.Incarnation < d.Incarnation {
 		return
@@ -127,6 +149,7 @@
 
 // Daemons returns all that is known, sorted by name, and forgets daemons that have been silent for long.
 func (v *View) Daemons(now mono.Time) []Daemon {
+	v.wake(now)
 	v.daemons[v.self].Heard = max(v.daemons[v.self].Heard, now)
 	l := make([]Daemon, 0, len(v.daemons))
 	for id, d := range v.daemons {
@@ -142,6 +165,7 @@
 
 // Alive reports whether a daemon is alive.
 func (v *View) Alive(now mono.Time, id ident.Daemon) bool {
+	v.wake(now)
 	d := v.daemons[id]
 	return d != nil && (id == v.self || d.Alive(now))
 }
--- a/core/place/balance.go
+++ b/core/place/balance.go
@@ -21,30 +21,30 @@
 	}
 	p.memory.balancing = true
 	budget := int(p.memory.churn.tokens)
-	for range len(p.draft.shards) {
-		m, ok := p.bestMove(l, level, budget > 0)
-		if !ok {
+	stuck := map[ident.Server]bool{}
+	for range 2 * len(p.draft.shards) {
+		from, to := p.extremes(l, level, budget > 0, stuck)
+		if !p.worth(from, to, level) {
 			p.memory.balancing = false
 			return
 		}
-		if !p.draft.moveShard(m.shard, m.to.id, "balance") {
+		s, ok := p.bestShard(from, to, level)
+		if !ok {
+			stuck[from.id] = true
+			continue
+		}
+		if !p.draft.moveShard(s, to.id, "balance") {
 			return // the transaction is full
 		}
-		r := p.rate(m.shard)
-		m.from.load -= r
-		m.to.load += r
-		m.from.shards = slices.DeleteFunc(m.from.shards, func(s ident.Shard) bool { return s == m.shard })
-		if !p.fills(m.to) {
+		from.load -= p.rate(s)
+		to.load += p.rate(s)
+		from.shards = slices.DeleteFunc(from.shards, func(x ident.Shard) bool { return x == s })
+		if !p.fills(to) {
 			budget--
 		}
 	}
 }
 
-type move struct {
-	shard    ident.Shard
-	from, to *target
-}
-
 // carriers returns the servers that may carry load, by name.
 func carriers(t map[ident.Server]*target) []*target {
 	var l []*target
@@ -117,44 +117,44 @@
 	return false
 }
 
-// bestMove returns the next move: from the server with the most above its share to the one with the most
-// below, of the shard that comes closest to what both want.
-func (p *planner) bestMove(l []*target, level float64, budget bool) (move, bool) {
-	from, to := p.extremes(l, level, budget)
+// extremes returns the server with the most above its share, leaving out those that have no shard to give,
+// and the one with the most below.
+func (p *planner) extremes(l []*target, level float64, budget bool, stuck map[ident.Server]bool) (from, to *target) {
+	for _, x := range l {
+		e := p.excess(x, level) / x.weight
+		if !stuck[x.id] && (from == nil || e > p.excess(from, level)/from.weight) {
+			from = x
+		}
+		if !x.pinned && (budget || p.fills(x)) && (to == nil || e < p.excess(to, level)/to.weight) {
+			to = x
+		}
+	}
+	return from, to
+}
+
+// worth reports whether moving a shard between two servers is worth it, once a round has started.
+func (p *planner) worth(from, to *target, level float64) bool {
 	if from == nil || to == nil || from == to {
-		return move{}, false
+		return false
 	}
 	over, under := p.excess(from, level), -p.excess(to, level)
-	if over <= highStop*level*from.weight && under <= lowStop*level*to.weight {
-		return move{}, false
-	}
+	return over > highStop*level*from.weight || (over > 0 && under > lowStop*level*to.weight)
+}
+
+// bestShard returns the shard of a server that comes closest to what both have to move.
+func (p *planner) bestShard(from, to *target, level float64) (best ident.Shard, found bool) {
+	over, under := p.excess(from, level), -p.excess(to, level)
 	want := min(over, under)
-	best, found := ident.Shard(0), false
 	for _, s := range from.shards {
 		r := p.rate(s)
-		if !p.mayBalance(s, to) || r > (over+under)*(1-minGain) || r < want*minGain {
+		if !p.mayBalance(s, to) || r > (over+under)*largeMove || r < want*smallMove {
 			continue
 		}
 		if !found || math.Abs(r-want) < math.Abs(p.rate(best)-want) {
 			best, found = s, true
 		}
 	}
-	return move{shard: best, from: from, to: to}, found
-}
-
-func (p *planner) extremes(l []*target, level float64, budget bool) (from, to *target) {
-	for _, x := range l {
-		if from == nil || p.excess(x, level)/x.weight > p.excess(from, level)/from.weight {
-			from = x
-		}
-		if x.pinned || (!budget && !p.fills(x)) {
-			continue
-		}
-		if to == nil || p.excess(x, level)/x.weight < p.excess(to, level)/to.weight {
-			to = x
-		}
-	}
-	return from, to
+	return best, found
 }
 
 // mayBalance reports whether a shard is free to move for balance. One that moved lately is held, or two
--- a/core/place/daemons.go
+++ b/core/place/daemons.go
@@ -6,10 +6,9 @@
 	"heatherrouter/core/mono"
 )
 
-// usable reports whether a daemon may be given homes and witness seats.
-func (p *planner) usable(id ident.Daemon) bool {
-	d := p.daemons[id]
-	return d != nil && d.Alive(p.now) && d.Region == p.in.Service.Region && !p.leaving(id)
+// mayServe reports whether a daemon may be given homes and witness seats.
+func (p *planner) mayServe(d *live.Daemon) bool {
+	return d != nil && d.Alive(p.now) && d.Region == p.in.Service.Region && !p.leaving(d.Daemon)
 }
 
 // leaving reports whether a daemon, alive or not, is about to go.
--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -69,7 +69,7 @@
 // that the row and the standby's own takeover can't work against each other.
 func (p *planner) replaceSilent(row part.Server) {
 	home := row.Standby
-	if !p.usable(home) {
+	if !p.mayServe(p.daemons[home]) {
 		home = p.chooseHome(row.ID, row.Home)
 	}
 	if home != "" {
@@ -119,7 +119,7 @@
 // chooseHome returns the best daemon other than one for a server, or nothing when there is none.
 func (p *planner) chooseHome(id ident.Server, not ident.Daemon) ident.Daemon {
 	return p.best(id, p.homes, not, func(d *live.Daemon) bool {
-		return d.Domain == p.domainOf(id) && p.homes[d.Daemon] < p.mostHomes()
+		return d.Domain == p.domainOf(id) && p.homes[d.Daemon] < p.mostHome
 	})
 }
 
@@ -139,9 +139,8 @@
 		return 1
 	}
 	var b *live.Daemon
-	for i := range p.in.Daemons {
-		d := &p.in.Daemons[i]
-		if d.Daemon == not || !p.usable(d.Daemon) {
+	for _, d := range p.usable {
+		if d.Daemon == not {
 			continue
 		}
 		if b == nil || cmp.Or(
@@ -165,18 +164,6 @@
 	return ""
 }
 
-// mostHomes bounds how many homes one daemon gets for the sake of locality.
-func (p *planner) mostHomes() int {
-	usable := 0
-	for id := range p.daemons {
-		if p.usable(id) {
-			usable++
-		}
-	}
-	even := (len(p.servers) + usable - 1) / max(usable, 1)
-	return homeCap * max(even, 1)
-}
-
 // rebalanceHomes moves one home back to its server's domain, or from a daemon with many to one with few.
 // Each is a planned move; there is no hurry, so they come one at a time and only in quiet times.
 func (p *planner) rebalanceHomes() {
@@ -186,7 +173,7 @@
 	for _, id := range p.in.Part.ServerIDs() {
 		row := p.in.Part.Servers[id]
 		holder, held := p.in.Holders[id]
-		if p.servers[id] == nil || !p.usable(row.Home) || (held && holder != Holder{Daemon: row.Home, Epoch: row.Epoch}) {
+		if p.servers[id] == nil || !p.mayServe(p.daemons[row.Home]) || (held && holder != Holder{Daemon: row.Home, Epoch: row.Epoch}) {
 			continue
 		}
 		if to := p.chooseHome(id, row.Home); to != "" && p.betterHome(id, row.Home, to) {
@@ -204,7 +191,7 @@
 	domain := p.domainOf(id)
 	wasLocal, isLocal := f.Domain == domain, t.Domain == domain
 	if wasLocal != isLocal {
-		return isLocal && p.homes[to] < p.mostHomes()
+		return isLocal && p.homes[to] < p.mostHome
 	}
 	return p.homes[from] >= p.homes[to]+2
 }
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -109,8 +109,9 @@
 	}
 }
 
-// blind leaves out reports that still count requests of shards that have moved. Taken in, they would
-// charge the old owner's remaining shards with what has left, and the next round would move too much.
+// blind leaves out reports that count requests of shards that have moved, or of a time when the server was
+// slow or down. Taken in, they would charge the old owner's remaining shards with what has left, or take
+// the shards of a straggler for idle ones, and the next round would move the wrong shards.
 func (m *Memory) blind(now mono.Time, l ...*serverMemory) {
 	for _, s := range l {
 		if s != nil {
@@ -128,7 +129,13 @@
 	}
 	for id, r := range in.Reports {
 		s := m.servers[id]
-		if s == nil || r.Received <= s.rated || now.Before(s.blindUntil) || r.Down || r.Slow || !s.carries() {
+		if s == nil || r.Received <= s.rated {
+			continue
+		}
+		if r.Down || r.Slow {
+			m.blind(now, s)
+		}
+		if now.Before(s.blindUntil) || !s.carries() {
 			continue
 		}
 		weight := 1 - math.Exp(-float64(s.sinceRated(r.Received))/float64(rateWindow))
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -102,6 +102,8 @@
 	homes    map[ident.Daemon]int // of this service, by daemon
 	standbys map[ident.Daemon]int
 	isolated bool // most daemons seem silent at once
+	usable   []*live.Daemon
+	mostHome int // how many homes one daemon may have for the sake of locality
 }
 
 func newPlanner(now mono.Time, in Input) *planner {
@@ -121,6 +123,13 @@
 		p.standbys[s.Standby]++
 	}
 	p.isolated = p.mostSilent()
+	for i := range in.Daemons {
+		if d := &in.Daemons[i]; p.mayServe(d) {
+			p.usable = append(p.usable, d)
+		}
+	}
+	n := max(len(p.usable), 1)
+	p.mostHome = homeCap * max((len(p.servers)+n-1)/n, 1)
 	return p
 }
 
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"heatherrouter/core/ident"
@@ -154,6 +156,10 @@
 
 // planRemovals removes the rows of servers that left the config, once no shard names them any more.
 func (p *planner) planRemovals() {
+	gone := func(id ident.Server) bool { return p.servers[id] == nil }
+	if !slices.ContainsFunc(slices.Collect(maps.Keys(p.in.Part.Servers)), gone) {
+		return
+	}
 	used := map[ident.Server]bool{}
 	for i, o := range p.draft.shards {
 		used[o.Server], used[o.Previous] = true, true
--- a/core/place/shards.go
+++ b/core/place/shards.go
@@ -19,7 +19,7 @@
 	pinned bool // has one shard that is more than its fair load
 	away   bool // all its shards are to leave
 	reason string
-	step   int // how many of them may leave in one transaction
+	urgent bool // they leave all at once, since nobody serves them
 }
 
 // planShards gives shards that have no owner to one, takes them from servers that can't serve, and
@@ -83,16 +83,16 @@
 	lost := p.lostDomains()
 	slow := p.stragglers()
 	for id, row := range p.draft.servers {
-		x := &target{id: id, step: evacuateStep}
+		x := &target{id: id}
 		t[id] = x
 		c, m := p.servers[id], p.memory.servers[id]
 		switch {
 		case c == nil || row.State == part.Draining:
 			x.away, x.reason = true, "owner drains"
 		case row.State == part.Down:
-			x.away, x.reason, x.step = true, "owner is down", len(p.draft.shards)
+			x.away, x.urgent, x.reason = true, true, "owner is down"
 		case lost[c.Domain]:
-			x.away, x.reason, x.step = true, "domain of owner is silent", len(p.draft.shards)
+			x.away, x.urgent, x.reason = true, true, "domain of owner is silent"
 		case slow[id]:
 			x.away, x.reason = true, "owner is slow"
 		default:
@@ -159,24 +159,29 @@
 	})
 }
 
-// evacuate moves shards off servers that can't serve them, the busiest first, each to the server that is
-// then the least loaded. It reports whether such shards were there to move.
+// evacuate moves shards off servers that can't serve them, the busiest of all first, each to the server
+// that is then the least loaded. It reports whether such shards were there to move.
+//
+// Servers that still work give up their shards in several small transactions: each move makes its keys
+// wait for a release, and the receiving servers take the load up step by step.
 func (p *planner) evacuate(t map[ident.Server]*target) bool {
-	moved := false
+	var all []ident.Shard
 	for _, id := range slices.Sorted(maps.Keys(t)) {
-		x := t[id]
-		if !x.away {
+		if t[id].away {
+			all = append(all, t[id].shards...)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b ident.Shard) int { return cmp.Compare(p.rate(b), p.rate(a)) })
+	moved, planned := false, 0
+	for _, s := range all {
+		from := t[p.draft.shards[s].Server]
+		if !from.urgent && planned == evacuateStep {
 			continue
 		}
-		slices.SortStableFunc(x.shards, func(a, b ident.Shard) int { return cmp.Compare(p.rate(b), p.rate(a)) })
-		n := 0
-		for _, s := range x.shards {
-			if n == x.step {
-				break
-			}
-			if p.evacuateShard(t, x, s) {
-				n++
-				moved = true
+		if p.evacuateShard(t, from, s) {
+			moved = true
+			if !from.urgent {
+				planned++
 			}
 		}
 	}
--- a/core/place/tuning.go
+++ b/core/place/tuning.go
@@ -24,14 +24,14 @@
 const (
 	holdWait     = 60 * time.Second // a moved shard stays for this long, unless its owner fails
 	balanceWait  = 5 * time.Second  // between two rounds of balancing, so that rates show the last one
-	blindWait    = 2 * time.Second  // after a move, until the two servers' reports cover the new shards only
+	blindWait    = 3 * time.Second  // after a move, until the two servers' reports cover the new shards only
 	rampStep     = 5 * time.Second  // a returning server gets another quarter of its share after each
 	rampSteps    = 4
 	flapWait     = 10 * time.Second // a server that failed again soon waits this long, doubled with each time
 	flapMemory   = 2 * time.Minute  // failures further apart than this are not counted together
 	flapDoubles  = 5
 	churnShare   = 0.10 // of all shards a minute may be moved for balance alone
-	evacuateStep = 64   // shards of a draining or slow server in one transaction
+	evacuateStep = 64   // shards of draining and slow servers in one transaction
 )
 
 // Balance, as shares of the mean load.
@@ -40,15 +40,16 @@
 	lowStart  = 0.15 // or this much below
 	highStop  = 0.02 // and goes on until all are within these
 	lowStop   = 0.05
-	noiseGate = 3.0 // standard deviations of the measured rate that a difference must exceed
-	minGain   = 0.1 // a move must close at least this share of the gap between two servers
-	maxSlow   = 3   // at most one in so many servers is treated as a straggler
+	noiseGate = 2.5  // standard deviations of the measured rate that a difference must exceed
+	largeMove = 0.9  // share of the gap between two servers that one shard may close at most
+	smallMove = 0.02 // and at least, or it is not worth the move
+	maxSlow   = 3    // at most one in so many servers is treated as a straggler
 )
 
 // Estimates of rates.
 const (
-	rateWindow = 6 * time.Second // time constant of the moving mean
-	baseRate   = 0.02            // requests/s taken for a shard that has none, so that idle shards spread too
+	rateWindow = 10 * time.Second // time constant of the moving mean
+	baseRate   = 0.02             // requests/s taken for a shard that has none, so that idle shards spread too
 )
 
 // Sizes.
--- a/core/place/witness.go
+++ b/core/place/witness.go
@@ -75,8 +75,8 @@
 // settled counts the usable daemons that have been there for a while.
 func (p *planner) settled(wait time.Duration) int {
 	n := 0
-	for id, d := range p.daemons {
-		if p.usable(id) && !p.now.Before(d.Since.Add(wait)) {
+	for _, d := range p.usable {
+		if !p.now.Before(d.Since.Add(wait)) {
 			n++
 		}
 	}
@@ -106,8 +106,8 @@
 // perDomain returns how many witnesses one domain may have if they are spread evenly.
 func (p *planner) perDomain(wait time.Duration) int {
 	size := map[ident.Domain]int{}
-	for id, d := range p.daemons {
-		if p.usable(id) && !p.now.Before(d.Since.Add(wait)) {
+	for _, d := range p.usable {
+		if !p.now.Before(d.Since.Add(wait)) {
 			size[d.Domain]++
 		}
 	}
@@ -138,7 +138,7 @@
 	for len(l) < witnessCount {
 		var best ident.Daemon
 		for _, id := range rank {
-			if !taken[id] && p.usable(id) && (best == "" || count[p.daemons[id].Domain] < count[p.daemons[best].Domain]) {
+			if !taken[id] && p.mayServe(p.daemons[id]) && (best == "" || count[p.daemons[id].Domain] < count[p.daemons[best].Domain]) {
 				best = id
 			}
 		}
