--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -70,6 +71,8 @@
 		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, "header-too-large"
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status, reason = fasthttp.StatusRequestEntityTooLarge, "body-too-large"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		reason = "body-cut"
 	}
 	e.o.Counter.Answered("", "", "not-run", reason, 0)
 	x.SetConnectionClose()
