--- a/cmd/heatherbench/main.go
+++ b/cmd/heatherbench/main.go
@@ -8,12 +8,14 @@
 
 	"github.com/alecthomas/kong"
 
+	"heatherrouter/cmd/heatherbench/control"
 	"heatherrouter/cmd/heatherbench/path"
 )
 
 func main() {
 	var o struct {
-		Path path.Options `cmd:"" help:"Added latency, processor time and throughput of the request path."`
+		Path    path.Options    `cmd:"" help:"Added latency, processor time and throughput of the request path."`
+		Control control.Options `cmd:"" help:"What the daemons spend on control, without load, by their number."`
 	}
 	c := kong.Parse(&o, kong.Name("heatherbench"), kong.BindTo(os.Stdout, (*io.Writer)(nil)))
 	if err := c.Run(); err != nil {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -214,6 +214,9 @@
 		{"heatherrouter.requests.waiting", "", "requests held until there is room", func() float64 { return float64(d.entry.Waiting()) }},
 		{"heatherrouter.config.rev", "", "revision of the configuration in force", func() float64 { return float64(d.view.Get().Config.Rev) }},
 		{"heatherrouter.services.led", "", "services that this daemon coordinates", func() float64 { return float64(len(d.coord.Leads())) }},
+		{"heatherrouter.peer.connections", "", "open connections with other daemons", func() float64 { return float64(d.peers.Traffic().Conns) }},
+		{"heatherrouter.peer.sent", "By", "bytes sent to other daemons", func() float64 { return float64(d.peers.Traffic().BytesOut) }},
+		{"heatherrouter.peer.received", "By", "bytes received from other daemons", func() float64 { return float64(d.peers.Traffic().BytesIn) }},
 		{"heatherrouter.certificate.left", "s", "until this daemon's certificate expires", func() float64 { return time.Until(d.keys.Expires()).Seconds() }},
 	}
 	for _, x := range g {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -145,6 +145,7 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "daemon %s at %v", to, a)
 	}
+	t.count(q)
 	l := &link{conn: q, control: newLane(q.Context())}
 	if err := t.startLane(x, q, l.control); err != nil {
 		return nil, err
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -72,6 +72,8 @@
 	mu    sync.Mutex
 	links map[ident.Daemon]*link
 	tries map[ident.Daemon]*try
+	conns map[*quic.Conn]bool // of both directions
+	past  Traffic             // of closed connections
 }
 
 // New listens for peers; Stop ends all connections.
@@ -87,6 +89,7 @@
 		group:  group.New(c),
 		links:  map[ident.Daemon]*link{},
 		tries:  map[ident.Daemon]*try{},
+		conns:  map[*quic.Conn]bool{},
 	}
 	t.listen, err = t.quic.Listen(o.TLS.Server(), quicConfig())
 	if err != nil {
@@ -139,6 +142,7 @@
 			_ = q.CloseWithError(0, "no name in certificate")
 			continue
 		}
+		t.count(q)
 		g := group.New(c)
 		stop := context.AfterFunc(q.Context(), func() { g.Stop() })
 		g.Go(func(context.Context) error {
@@ -157,6 +161,46 @@
 	return ident.Daemon(l[0].DNSNames[0]), true
 }
 
+// Traffic is what all connections of a transport have carried, with the packets' own heads but not those of UDP and IP.
+type Traffic struct {
+	Conns     int // open now
+	BytesOut  uint64
+	BytesIn   uint64
+	PacketOut uint64
+}
+
+// Traffic sums up all connections, closed ones included.
+func (t *Transport) Traffic() Traffic {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := t.past
+	for q := range t.conns {
+		sum.add(q)
+	}
+	sum.Conns = len(t.conns)
+	return sum
+}
+
+func (x *Traffic) add(q *quic.Conn) {
+	s := q.ConnectionStats()
+	x.BytesOut += s.BytesSent
+	x.BytesIn += s.BytesReceived
+	x.PacketOut += s.PacketsSent
+}
+
+// count follows a connection until it is closed.
+func (t *Transport) count(q *quic.Conn) {
+	t.mu.Lock()
+	t.conns[q] = true
+	t.mu.Unlock()
+	context.AfterFunc(q.Context(), func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.conns, q)
+		t.past.add(q)
+	})
+}
+
 // Call sends a call to a peer and waits for its reply, at most until the context ends.
 func (t *Transport) Call(c context.Context, to ident.Daemon, m *wire.Call) (*wire.Reply, error) {
 	l, err := t.link(c, to)
