Home: keep for each service which witness wants reports

Cause: leases of two services are asked for at different times, and a witness answers whether it wants reports for the services of that message. Kept per witness only, the answer about a service that it does not coordinate ended the reports about the one that it does. The coordinator then never learnt that a server was down, nor any rates: its keys stayed with the dead server. Ruled out: the probes (the home's log has the server down after 0.9 s), the planner (it proposes the move once a report says down).

--- a/io/home/homes.go
+++ b/io/home/homes.go
@@ -55,7 +55,7 @@
 type Homes struct {
 	o     Options
 	wake  chan struct{} // a new snapshot, or a lease to ask for at once
-	wants sync.Map      // ident.Daemon -> bool: the witness wants reports
+	wants sync.Map      // recipient -> bool: the witness wants reports
 
 	mu   sync.RWMutex
 	list map[ident.Server]*Home
--- a/io/home/renew.go
+++ b/io/home/renew.go
@@ -17,6 +17,20 @@
 	hold   *wire.Hold
 }
 
+// recipient is a witness that may want reports of the servers of a service, since it coordinates the service.
+//
+// The answer is kept for each service: leases of two services are asked for at different times, and the answer about
+// the one that a witness does not coordinate would end the reports about the other. Its coordinator would never learn
+// of a server that is down.
+type recipient struct {
+	witness ident.Daemon
+	service ident.Service
+}
+
+func (a *ask) recipient(w ident.Daemon) recipient {
+	return recipient{witness: w, service: a.home.id.Service()}
+}
+
 // renew asks the witnesses for all leases that are due, in one message to each witness.
 func (s *Homes) renew(c context.Context) {
 	now := s.o.Clock.Now()
@@ -115,10 +129,9 @@
 // ask sends one message to a witness and hands each answer to its holder.
 func (s *Homes) ask(c context.Context, w ident.Daemon, l []ask) {
 	m := &wire.LeaseAsk{Incarnation: uint64(s.o.Life)}
-	_, full := s.wants.Load(w)
 	for _, a := range l {
 		h := a.hold
-		if !full {
+		if _, ok := s.wants.Load(a.recipient(w)); !ok {
 			h = &wire.Hold{Server: h.GetServer(), Epoch: h.GetEpoch(), Mode: h.GetMode(), Rev: h.GetRev()}
 		}
 		m.Holds = append(m.Holds, h)
@@ -129,10 +142,12 @@
 		return
 	}
 	s.o.Heard(w)
-	if r.GetWantReports() {
-		s.wants.Store(w, true)
-	} else {
-		s.wants.Delete(w)
+	for _, a := range l {
+		if r.GetWantReports() {
+			s.wants.Store(a.recipient(w), true)
+		} else {
+			s.wants.Delete(a.recipient(w))
+		}
 	}
 	gives := map[ident.Server]*wire.LeaseGive{}
 	for _, g := range r.GetGives() {
