Home: serve a drained server's shards until they move; take address and pool under the lock

Shards that have not moved after 2 s are refused as before, since a server that leaves gets no new work. Cause 2: the request's host and connection pool were read without the lock while a change of the configuration writes them; found by the race detector in a daemon under TestDrainKeyedServer.

--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -44,6 +45,8 @@
 	token    owner.Token // of a keyed service
 	keyed    bool
 	epoch    ident.Epoch
+	addr     netip.AddrPort // of the server, and pool its connections; the configuration may change both meanwhile
+	pool     *conns.Pool
 }
 
 // Do runs one exchange and returns its answer, whose outcome is certain.
@@ -105,7 +108,7 @@
 	}
 	switch v := d.(type) {
 	case admit.Start:
-		j.ticket = v.Ticket
+		j.ticket, j.addr, j.pool = v.Ticket, h.server.Addr, h.pool
 		return h.enter(j)
 	case admit.Refuse:
 		return h.refused(v), false
@@ -214,7 +217,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	h.fill(req, j)
 	req.SetBodyRaw(j.x.GetBody())
-	r := h.pool.Do(c, h.call(j), req, resp)
+	r := j.pool.Do(c, h.call(j), req, resp)
 	a := h.end(j, r)
 	if r.Outcome == retry.Answered {
 		a.Status = uint32(resp.StatusCode())
@@ -283,7 +286,7 @@
 		req.Header.AddBytesKV(x.GetName(), x.GetValue())
 	}
 	req.Header.SetMethod(j.x.GetMethod())
-	req.Header.SetHost(h.server.Addr.String())
+	req.Header.SetHost(j.addr.String())
 	req.SetRequestURIBytes(j.x.GetUri())
 	m := conns.Meta{
 		RequestID: ident.Request(j.x.GetRequestId()), Epoch: j.epoch,
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -24,7 +24,8 @@
 	sketchSize  = 64                     // shards whose rates are followed
 	sketchHalf  = 5 * time.Second
 	hotReported = 8
-	spareConns  = 2 // beyond the slots: probes, and connections that are being replaced
+	keyedDrain  = 2 * time.Second // of a drain, until the shards that have not moved are refused
+	spareConns  = 2               // beyond the slots: probes, and connections that are being replaced
 )
 
 // Home is this daemon's side of one backend server. Its lock guards the decisions of core, which are short; no I/O
@@ -54,6 +55,7 @@
 	released map[ident.Shard]ident.Epoch
 	open     int // exchanges under way, streamed ones included
 	compare  mono.Time
+	closeAt  mono.Time // when the drained server gets no new work any more; Never while it isn't drained
 }
 
 func newHome(o *Options, c *config.Service, v config.Server) *Home {
@@ -66,6 +68,7 @@
 		waits:    map[admit.Ticket]chan admit.Decision{},
 		hot:      topk.New[ident.Shard](now, sketchSize, sketchHalf),
 		released: map[ident.Shard]ident.Epoch{},
+		closeAt:  mono.Never,
 	}
 }
 
@@ -86,12 +89,30 @@
 	if h.holder != nil {
 		h.holder.SetWitnesses(h.set)
 	}
-	h.deliver(h.admit.Drain(now, row.State == part.Draining || n.Config.ServerDrained(&v)))
+	h.drain(now, row.State == part.Draining || n.Config.ServerDrained(&v))
 	if c.Keyed() {
 		h.takeShards(now, p)
 	}
 }
 
+// drain ends new work at a server that leaves.
+//
+// The work of a keyed server ends shard by shard as they move. Were it refused as soon as the drain is heard of, its
+// keys would go unserved until they have moved. Shards that have not moved by keyedDrain, such as in an outage of the
+// table, are refused all the same: a server that leaves gets no new work.
+func (h *Home) drain(now mono.Time, on bool) {
+	switch {
+	case !on:
+		h.closeAt = mono.Never
+	case h.closeAt != mono.Never:
+	case h.service.Keyed():
+		h.closeAt = now.Add(keyedDrain)
+	default:
+		h.closeAt = now
+	}
+	h.deliver(h.admit.Drain(now, !now.Before(h.closeAt)))
+}
+
 // setEpoch ends the holder of an older epoch and makes one for the new.
 func (h *Home) setEpoch(now mono.Time, e ident.Epoch) {
 	if e == h.epoch {
@@ -177,6 +198,9 @@
 		h.deliver(h.admit.Tick(now))
 	}
 	h.noteLease(now)
+	if !now.Before(h.closeAt) {
+		h.deliver(h.admit.Drain(now, true))
+	}
 	if h.epoch == 0 || h.holder == nil || !h.holder.Holds(now) {
 		return
 	}
@@ -185,7 +209,7 @@
 		h.admit.Peers(now, h.o.Latencies(h.service.Name, h.id))
 	}
 	if h.admit.ProbeDue(now) {
-		go h.probe(now)
+		go h.probe(h.pool, now)
 	}
 }
 
@@ -203,8 +227,8 @@
 	e.Str("server", string(h.id)).Uint64("epoch", uint64(h.epoch)).Bool("held", holds).Msg("lease of a backend server")
 }
 
-func (h *Home) probe(asked mono.Time) {
-	x, err := h.pool.Probe(h.o.Clock.Std(asked.Add(probeLimit)))
+func (h *Home) probe(p *conns.Pool, asked mono.Time) {
+	x, err := p.Probe(h.o.Clock.Std(asked.Add(probeLimit)))
 	if err != nil {
 		x = admit.Health{}
 	}
--- a/io/home/stream.go
+++ b/io/home/stream.go
@@ -57,7 +57,7 @@
 	if j.x.GetBodyFollows() {
 		req.SetBodyStream(t, int(j.x.GetBodySize()))
 	}
-	s, r := h.pool.DoStream(c, h.call(j), req, resp)
+	s, r := j.pool.DoStream(c, h.call(j), req, resp)
 	if s == nil {
 		finish(t, h.end(j, r))
 		return
