--- a/io/stand/stand_test.go
+++ b/io/stand/stand_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherrouter/io/admin"
+	"heatherrouter/io/fakes"
 	"heatherrouter/io/fakes/server"
 	"heatherrouter/io/stand"
 )
@@ -167,8 +168,11 @@
 }
 
 func TestWholePath(t *testing.T) {
-	t.Parallel()
-	x := newSite(t, siteOptions{daemons: 3, domains: 3, servers: 4})
+	bothKinds(t, testWholePath)
+}
+
+func testWholePath(t *testing.T, grants bool) {
+	x := newSite(t, siteOptions{daemons: 3, domains: 3, servers: 4, grants: grants})
 	for i := range 60 {
 		a := x.get(i%3, fmt.Sprintf("/keyed/read/key-%d", i))
 		require.Equal(t, http.StatusOK, a.status, a)
@@ -185,4 +189,5 @@
 	st, err = x.Admin(0).Status(t.Context())
 	require.NoError(t, err)
 	require.Len(t, st.Daemons, 3)
+	require.Empty(t, fakes.OneOwner(x.Work()))
 }
