--- a/core/place/witness.go
+++ b/core/place/witness.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"heatherrouter/core/ident"
@@ -134,7 +136,7 @@
 			count[d.Domain]++
 		}
 	}
-	rank := live.Rank(p.now, p.in.Service.Name, p.in.Service.Region, p.in.Daemons)
+	rank := live.Rank(p.now, live.Group(p.in.Service.Name, p.inRegion()), p.in.Service.Region, p.in.Daemons)
 	for len(l) < witnessCount {
 		var best ident.Daemon
 		for _, id := range rank {
@@ -149,7 +151,24 @@
 		count[p.daemons[best].Domain]++
 		l = append(l, best)
 	}
-	return l[:len(l)-(len(l)+1)%2]
+	l = l[:len(l)-(len(l)+1)%2]
+	// The first one coordinates. The services of a group share their witnesses, but not the work of deciding.
+	slices.SortFunc(l, func(a, b ident.Daemon) int {
+		n := string(p.in.Service.Name)
+		return cmp.Or(cmp.Compare(live.Score(n, b), live.Score(n, a)), cmp.Compare(a, b))
+	})
+	return l
+}
+
+// inRegion counts the daemons of the service's region, alive or not.
+func (p *planner) inRegion() int {
+	n := 0
+	for _, d := range p.daemons {
+		if d.Region == p.in.Service.Region {
+			n++
+		}
+	}
+	return n
 }
 
 // worse reports whether a next set would have fewer live members than the current one: a change that only
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -268,7 +268,7 @@
 // leads reports whether this daemon coordinates the service.
 func (x *Coordinator) leads(now mono.Time, d *duty, s *config.Service, p *part.Part, l []live.Daemon) bool {
 	if p == nil || len(p.Witnesses.Current) == 0 {
-		r := live.Rank(now, s.Name, s.Region, l)
+		r := live.Rank(now, string(s.Name), s.Region, l)
 		return len(r) > 0 && r[0] == x.o.Self
 	}
 	first := live.Coordinator(p.Witnesses.Current, x.o.Members.Alive)
@@ -280,7 +280,7 @@
 	if d.lost == mono.Never {
 		d.lost = now
 	}
-	r := live.Rank(now, s.Name, s.Region, l)
+	r := live.Rank(now, string(s.Name), s.Region, l)
 	return now.Sub(d.lost) >= lostAfter && len(r) > 0 && r[0] == x.o.Self
 }
 
--- a/io/home/homes.go
+++ b/io/home/homes.go
@@ -58,7 +58,7 @@
 	o     Options
 	wake  chan struct{} // a new snapshot, or a lease to ask for at once
 	moved chan struct{} // shards or leases may have come here
-	wants sync.Map      // ident.Daemon -> bool: the witness wants reports
+	wants sync.Map      // recipient -> bool: the witness wants reports
 
 	mu   sync.RWMutex
 	list map[ident.Server]*Home
