Probe only daemons whose renewals have stopped

Cause: probes went out after 350 ms of silence while homes renew every 400 ms, so every home was probed between renewals.

--- a/io/member/member.go
+++ b/io/member/member.go
@@ -21,7 +21,7 @@
 
 const (
 	tick        = 100 * time.Millisecond // between two looks at who is due for a probe
-	probeAfter  = 350 * time.Millisecond // of silence; a watched daemon that sends us leases or answers needs none
+	probeAfter  = 450 * time.Millisecond // of silence; longer than between two renewals, so that a home needs none
 	probeLimit  = 400 * time.Millisecond // for one probe
 	randomEvery = 500 * time.Millisecond // between two probes of a random daemon, which compare documents
 	listEvery   = 2 * time.Second        // between two readings of the host list
