Random test of what callers of the table are told

Cause: the tests of single faults don't show that their combinations hold.

Five committers race while the stand-in loses replies, writes late, hangs, errs and refuses; every outcome told is compared with the table at the end.

--- /dev/null
+++ b/io/table/outcomes_test.go
@@ -0,0 +1,140 @@
+package table_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/io/fakes"
+	"heatherrouter/io/table"
+)
+
+const seedVar = "HEATHERROUTER_SEED"
+
+// testSeed returns the seed of a random test, a fresh one unless the environment gives it, and prints it.
+func testSeed(t *testing.T) uint64 {
+	s := uint64(time.Now().UnixNano())
+	if v := os.Getenv(seedVar); v != "" {
+		n, err := strconv.ParseUint(v, 10, 64)
+		require.NoError(t, err)
+		s = n
+	}
+	t.Logf("seed: %s=%d", seedVar, s)
+	return s
+}
+
+// told is what the caller of one transaction was told last.
+type told struct {
+	rev ident.Rev // when written
+	err error
+}
+
+// Callers are told the truth about every transaction, whatever the service does meanwhile.
+// Five committers race on one document while the service loses replies, writes late, hangs, errs and refuses.
+// "Written" must be in the table at that revision, "conflict" and "unavailable" must never be there, also not once
+// the late writes have landed. "Unknown" is asked again until it is settled.
+func TestOutcomesAreTrue(t *testing.T) {
+	const committers, each = 5, 40
+	seed := testSeed(t)
+	f := newFake(t)
+	stop := make(chan struct{})
+	var faults sync.WaitGroup
+	faults.Go(func() { misbehave(f, rand.New(rand.NewPCG(seed, 99)), stop) })
+
+	var mu sync.Mutex
+	all := map[ident.Txn]told{}
+	var wg sync.WaitGroup
+	for i := range committers {
+		s := newStore(t, f.URL(), 40*time.Millisecond)
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(seed, uint64(i)))
+			for n := range each {
+				txn := ident.Txn(fmt.Sprintf("c%d-%d", i, n))
+				x := commitUntilTold(t, s, txn, r)
+				mu.Lock()
+				all[txn] = x
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	close(stop)
+	faults.Wait()
+	require.NoError(t, f.SetFaults(fakes.Faults{}))
+	time.Sleep(longestDelay + 50*time.Millisecond)
+	compare(t, f, all)
+}
+
+const longestDelay = 200 * time.Millisecond
+
+func misbehave(f *fakes.Table, r *rand.Rand, stop <-chan struct{}) {
+	outages := []fakes.Outage{fakes.UpOutage, fakes.UpOutage, fakes.UpOutage, fakes.HangOutage, fakes.ErrorOutage, fakes.RefuseOutage}
+	for {
+		x := fakes.Faults{
+			LatencyMS: r.IntN(5), LoseReplies: r.IntN(3), LoseSilently: r.IntN(2) == 0,
+			DelayWrites: r.IntN(3), DelayMS: r.IntN(int(longestDelay / time.Millisecond)),
+			Outage: outages[r.IntN(len(outages))],
+		}
+		_ = f.SetFaults(x)
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(20+r.IntN(60)) * time.Millisecond):
+		}
+	}
+}
+
+// commitUntilTold commits at the newest revision it can learn and asks again for as long as the outcome is unknown.
+func commitUntilTold(t *testing.T, s *table.Store, txn ident.Txn, r *rand.Rand) told {
+	var from ident.Rev
+	for {
+		var err error
+		if from, err = s.Head(t.Context(), doc); err == nil {
+			break
+		}
+		time.Sleep(time.Duration(1+r.IntN(10)) * time.Millisecond)
+	}
+	for {
+		rev, err := s.Commit(t.Context(), doc, from, txn, change("own/"+string(txn), string(txn)))
+		var u *table.UnknownError
+		if !errors.As(err, &u) {
+			return told{rev, err}
+		}
+		time.Sleep(time.Duration(1+r.IntN(10)) * time.Millisecond)
+	}
+}
+
+func compare(t *testing.T, f *fakes.Table, all map[ident.Txn]told) {
+	d, err := newStore(t, f.URL(), 5*time.Second).Load(t.Context(), doc)
+	require.NoError(t, err)
+	count := map[string]int{}
+	for txn, x := range all {
+		row := d.Rows[ident.Row("own/"+string(txn))]
+		var conflict *table.ConflictError
+		var unavailable *table.UnavailableError
+		switch {
+		case x.err == nil:
+			count["written"]++
+			require.Equal(t, x.rev, row.Rev, "%s was told to be written", txn)
+		case errors.As(x.err, &conflict):
+			count["conflict"]++
+			require.Zero(t, row.Rev, "%s was told to be a conflict", txn)
+		case errors.As(x.err, &unavailable):
+			count["unavailable"]++
+			require.Zero(t, row.Rev, "%s was told to be not written", txn)
+		default:
+			t.Fatalf("%s: %v", txn, x.err)
+		}
+	}
+	t.Log(count)
+	require.Equal(t, int(d.Rev), count["written"], "every revision has its transaction")
+	require.Len(t, d.Names("own/"), count["written"])
+}
