Backend server stand-in: resets, restarts that end work, deadlines in bodies

Cause: a restarted stand-in went on with the work of the process that it plays to have lost, and logged it as cancelled by the caller; a large body went on past its deadline; an overfed server only ever said 500.

Run: go test -race -count=5 ./io/fakes/server, passes.

--- a/io/fakes/server/conns.go
+++ b/io/fakes/server/conns.go
@@ -138,6 +138,18 @@
 	return x
 }
 
+// resetAny resets the connection, also one that the HTTP library has wrapped.
+func resetAny(c net.Conn) {
+	if u, ok := c.(interface{ UnsafeConn() net.Conn }); ok {
+		c = u.UnsafeConn()
+	}
+	if x, ok := c.(*conn); ok {
+		x.from.remove(x)
+		c = x.Conn
+	}
+	reset(c)
+}
+
 // reset closes a connection as a process that died does: with a reset, not an orderly end.
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
--- a/io/fakes/server/faults.go
+++ b/io/fakes/server/faults.go
@@ -42,7 +42,9 @@
 func (s *Server) Restart(down time.Duration, forgetGrants bool) {
 	s.conns.setDown(true)
 	s.mu.Lock()
-	s.renew()
+	if s.life != nil {
+		s.renew() // ends the work of the incarnation before, as a lost process does
+	}
 	s.downUntil = time.Time{}
 	if forgetGrants {
 		s.highest, s.grantEnds = 0, time.Time{}
--- a/io/fakes/server/server.go
+++ b/io/fakes/server/server.go
@@ -74,9 +74,11 @@
 	mu          sync.Mutex
 	faults      Faults
 	incarnation ident.Incarnation
-	tag         string // the incarnation as its header has it
-	done        int    // requests completed since the cold start
+	tag         string        // the incarnation as its header has it
+	done        int           // requests completed since the cold start
+	life        chan struct{} // closed when the incarnation ends
 	downUntil   time.Time
+	falls       int
 	highest     ident.Epoch
 	grantEnds   time.Time // zero for a grant that doesn't lapse
 	random      *rand.Rand
@@ -159,6 +161,10 @@
 	default:
 	}
 	close(s.stop)
+	s.mu.Lock()
+	close(s.life)
+	s.life = nil
+	s.mu.Unlock()
 	s.gate.set(false)
 	_ = s.conns.Close()
 	s.conns.closeAll()
@@ -170,4 +176,8 @@
 	s.incarnation = ident.Incarnation(uint64(time.Now().UnixMilli())<<20 | incarnations.Add(1)&(1<<20-1))
 	s.tag = formatIncarnation(s.incarnation)
 	s.done = 0
+	if s.life != nil {
+		close(s.life)
+	}
+	s.life = make(chan struct{})
 }
--- a/io/fakes/server/volume.go
+++ b/io/fakes/server/volume.go
@@ -88,7 +88,10 @@
 	return true
 }
 
-var errCut = errors.New("body cut on command")
+var (
+	errCut  = errors.New("body cut on command")
+	errLate = errors.New("deadline passed")
+)
 
 // body makes a large body chunk by chunk; its slot is taken until the last byte is written.
 type body struct {
@@ -100,6 +103,7 @@
 	cut    int64 // where it breaks off; -1 for nowhere
 	began  time.Time
 	closed bool
+	late   bool // the deadline passed
 }
 
 // Read implements io.Reader.
@@ -118,6 +122,10 @@
 	if !b.wait(n) {
 		return 0, errCut
 	}
+	if d := b.job.deadline; !d.IsZero() && !time.Now().Before(d) {
+		b.late = true
+		return 0, errLate
+	}
 	Fill(p[:n], b.next)
 	b.next += n
 	return int(n), nil
@@ -127,11 +135,11 @@
 func (b *body) wait(n int64) bool {
 	rate := b.server.opts.BodyRate
 	if rate <= 0 {
-		return true
+		return !b.job.over()
 	}
 	due := b.began.Add(time.Duration(float64(b.next+n-b.start) / float64(rate) * float64(time.Second)))
 	select {
-	case <-b.server.stop:
+	case <-b.job.life:
 		return false
 	case <-time.After(time.Until(due)):
 		return true
@@ -144,10 +152,12 @@
 		return nil
 	}
 	b.closed = true
-	switch b.next {
-	case b.end:
+	switch {
+	case b.next == b.end:
 		b.server.finish(b.job, fakes.AnsweredOutcome)
-	case b.cut:
+	case b.late:
+		b.server.finish(b.job, fakes.ExpiredOutcome)
+	case b.next == b.cut, b.job.over():
 		b.server.finish(b.job, fakes.FailedOutcome)
 	default:
 		b.server.finish(b.job, fakes.CancelledOutcome)
--- a/io/fakes/server/work.go
+++ b/io/fakes/server/work.go
@@ -72,9 +72,21 @@
 	tag      string
 	deadline time.Time // zero for none
 	takes    time.Duration
-	fails    bool   // the server falls over
-	volume   *int64 // size of the large body that is asked for
-	cutAt    int    // where it is cut; -1 for nowhere
+	fails    bool          // the server falls over
+	resets   bool          // and says so by a reset
+	life     chan struct{} // of the incarnation
+	volume   *int64        // size of the large body that is asked for
+	cutAt    int           // where it is cut; -1 for nowhere
+}
+
+// over reports whether the incarnation that took the job has ended.
+func (j *job) over() bool {
+	select {
+	case <-j.life:
+		return true
+	default:
+		return false
+	}
 }
 
 // admit decides about a request, which is the n-th inside.
@@ -89,7 +101,7 @@
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j.tag = s.tag
+	j.tag, j.life = s.tag, s.life
 	j.refused = s.refusal(now, j.deadline, epoch, n)
 	if s.work.on {
 		j.entry = s.work.begin(fakes.Work{
@@ -105,7 +117,10 @@
 	if s.opts.ChecksGrants && epoch > s.highest {
 		s.highest, s.grantEnds = epoch, time.Time{}
 	}
-	j.takes, j.fails = s.carry(now, n)
+	if j.takes, j.fails = s.carry(now, n); j.fails {
+		s.falls++
+		j.resets = s.falls%2 == 0
+	}
 	if size, ok := volumeSize(c); ok {
 		j.volume = &size
 		if s.faults.CutBodies > 0 {
@@ -149,6 +164,10 @@
 	if j.fails {
 		c.SetConnectionClose()
 		c.SetStatusCode(fasthttp.StatusInternalServerError)
+		if j.resets {
+			c.HijackSetNoResponse(true)
+			c.Hijack(resetAny)
+		}
 		return fakes.FailedOutcome, false
 	}
 	switch o := s.spend(c, j); o {
@@ -194,7 +213,7 @@
 			break
 		}
 		select {
-		case <-s.stop:
+		case <-j.life:
 			return fakes.FailedOutcome
 		case <-time.After(min(left, peekEvery)):
 		}
