--- a/io/fakes/faults.go
+++ b/io/fakes/faults.go
@@ -29,8 +29,8 @@
 	Conns  int `json:"conns"`  // connections accepted
 }
 
-// status is the answer of a control page.
-type status struct {
+// Status is the answer of a control page.
+type Status struct {
 	Faults Faults `json:"faults"`
 	Counts Counts `json:"counts"`
 }
@@ -155,5 +155,5 @@
 			return
 		}
 	}
-	writeJSON(w, http.StatusOK, status{Faults: f.Faults(), Counts: f.Counts()})
+	writeJSON(w, http.StatusOK, Status{Faults: f.Faults(), Counts: f.Counts()})
 }
--- a/io/table/faults_test.go
+++ b/io/table/faults_test.go
@@ -1,6 +1,7 @@
 package table_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -272,3 +273,27 @@
 	}
 	require.LessOrEqual(t, f.Counts().Conns, 5)
 }
+
+// The caller sees "unknown" as soon as its own deadline passes, not after the tries that would follow.
+func TestCallersDeadline(t *testing.T) {
+	f := newFake(t)
+	s := newStore(t, f.URL(), 5*time.Second)
+	set(t, f, fakes.Faults{Outage: fakes.HangOutage})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	var unknown *table.UnknownError
+	_, err := s.Commit(ctx, doc, 0, "t1", change("x", "1"))
+	var unavailable *table.UnavailableError
+	require.ErrorAs(t, err, &unavailable, "the head could not be read, nothing was sent")
+	s2 := newStore(t, f.URL(), 5*time.Second)
+	set(t, f, fakes.Faults{})
+	_, err = s2.Head(t.Context(), doc)
+	require.NoError(t, err)
+	set(t, f, fakes.Faults{Outage: fakes.HangOutage})
+	ctx, cancel = context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = s2.Commit(ctx, doc, 0, "t1", change("x", "1"))
+	require.ErrorAs(t, err, &unknown)
+	require.Less(t, time.Since(began), 2*time.Second)
+}
