--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -210,7 +210,7 @@
 // await waits for the first byte of the answer. From SuspectAt on it gives up a connection that is passed
 // by others: something between the two ends has lost track of it, or the server forgot it.
 func (c *conn) await(p *Pool, call Call) error {
-	before := p.answers.Load()
+	before, sent := p.answers.Load(), time.Now()
 	for at := call.SuspectAt; !at.IsZero() && at.Before(call.Deadline); at = time.Now().Add(p.options.ProbeTimeout) {
 		if err := c.net.SetReadDeadline(at); err != nil {
 			return err
@@ -219,7 +219,7 @@
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			break // read reports the error again
 		}
-		if p.answers.Load()-before >= othersAnswered {
+		if p.silenced(before, sent) {
 			p.closeIdle() // whatever silenced this one may have silenced them
 			return ErrSilent
 		}
@@ -227,6 +227,16 @@
 	return c.net.SetReadDeadline(call.Deadline)
 }
 
+// silenced reports whether others are answered while an exchange that was sent at the time, when there had been so
+// many answers, is not.
+//
+// When every connection in use goes silent at once there are no others, and all slots would stay taken by the
+// silent ones until their deadlines. A probe on a new connection then shows that the server is there.
+func (p *Pool) silenced(answers uint64, sent time.Time) bool {
+	n := p.answers.Load() - answers
+	return n >= othersAnswered || n == 0 && p.probed.Load() > sent.UnixNano()
+}
+
 const maxInterim = 8 // answers with a status of 1xx before the final one
 
 func (c *conn) read(p *Pool, req *fasthttp.Request, resp *fasthttp.Response, streamed bool) error {
