A bench of what the users measure, against random choice

`make policy` runs 12 daemons in 3 domains against stand-ins with one user's four services, and prints imbalance, churn, unavailable time, drains, losses, stragglers and cold restarts. Figures come from the servers' logs and from what callers were answered, never from the router's pages.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 TOOLS := bin/tools
 
-.PHONY: all build demo test fmt fmt-check lint unit wire bench slopes clean
+.PHONY: all build demo test fmt fmt-check lint unit wire bench slopes clean policy
 
 all: build
 
@@ -48,3 +48,7 @@
 # demo starts stand-ins and daemons as processes, sends real requests, prints the outcomes and ends by itself.
 demo: build
 	bin/heatherdemo
+
+# policy measures what the users measure, against random choice; BEFORE=path/to/heatherrouterd adds an older version.
+policy: build
+	bin/heatherbench policy $(if $(BEFORE),--before $(BEFORE))
--- a/cmd/heatherbench/main.go
+++ b/cmd/heatherbench/main.go
@@ -10,12 +10,14 @@
 
 	"heatherrouter/cmd/heatherbench/control"
 	"heatherrouter/cmd/heatherbench/path"
+	"heatherrouter/cmd/heatherbench/policy"
 )
 
 func main() {
 	var o struct {
 		Path    path.Options    `cmd:"" help:"Added latency, processor time and throughput of the request path."`
 		Control control.Options `cmd:"" help:"What the daemons spend on control, without load, by their number."`
+		Policy  policy.Options  `cmd:"" help:"Imbalance, churn, unavailable time and tail latency, against random choice."`
 	}
 	c := kong.Parse(&o, kong.Name("heatherbench"), kong.BindTo(os.Stdout, (*io.Writer)(nil)))
 	if err := c.Run(); err != nil {
--- /dev/null
+++ b/cmd/heatherbench/policy/site.go
@@ -0,0 +1,125 @@
+package policy
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"heatherrouter/io/admin"
+	"heatherrouter/io/fakes"
+	"heatherrouter/io/fakes/server"
+	"heatherrouter/io/load"
+	"heatherrouter/io/stand"
+)
+
+const (
+	publishLimit = 20 * time.Second
+	startLimit   = 60 * time.Second
+	warmLength   = 3 * time.Second
+	calmPart     = 1000 // one request in so many may go unanswered when the measurements start
+)
+
+// start brings up the servers and, for the router, the daemons with all services in force and warm.
+func (b *bench) start() error {
+	for i, x := range users[b.User] {
+		o := server.Options{
+			Slots: slots, ServiceTime: serviceTime, ColdWork: coldWork, ConnectCost: time.Millisecond,
+			ReportLag: time.Second, Seed: b.Seed + uint64(1000*i),
+		}
+		s := stand.Service{Name: x.name, Keyed: x.keyed}
+		if x.keyed {
+			s.Shards = shards
+		}
+		s, err := b.stand.AddService(s, x.servers, o)
+		if err != nil {
+			return err
+		}
+		if x.keyed {
+			b.keyed = s
+		} else {
+			b.unkeyed = append(b.unkeyed, s)
+		}
+	}
+	if !b.random {
+		if err := b.stand.Start(); err != nil {
+			return err
+		}
+		if err := b.publish(); err != nil {
+			return trace.Wrap(err, "daemon's log:\n%s", b.stand.Daemons[0].LogTail())
+		}
+	}
+	return b.warm()
+}
+
+// publish publishes all services as they are now.
+func (b *bench) publish() error {
+	var l []admin.File
+	for _, s := range append([]stand.Service{b.keyed}, b.unkeyed...) {
+		f, err := b.stand.File(s, slots)
+		if err != nil {
+			return err
+		}
+		l = append(l, f)
+	}
+	c, cancel := context.WithTimeout(context.Background(), publishLimit)
+	defer cancel()
+	rev, err := b.stand.Admin(0).ConfigRev(c)
+	if err != nil {
+		rev = 0 // no daemon answers yet; the publishing below waits for one
+	}
+	p := admin.Publish{Txn: stand.NewTxn(), BaseRev: rev, Files: l, By: "bench"}
+	for {
+		if _, err = b.stand.Admin(0).Publish(c, p); err == nil || c.Err() != nil {
+			return trace.Wrap(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// warm sends the usual load until nearly every request of a few seconds is answered. The random baseline has no
+// cold start of its own to wait for, but its servers do.
+func (b *bench) warm() error {
+	start := time.Now()
+	err := stand.Eventually(startLimit, func() error {
+		l := []load.Plan{b.probes(nil, warmLength)}
+		for _, s := range b.unkeyed {
+			l = append(l, b.reads(s, warmLength))
+		}
+		r := runAll(l)
+		if f, n := failed(r...); f*calmPart > n && !b.random {
+			return fmt.Errorf("%d of %d requests are not answered", f, n)
+		}
+		return nil
+	})
+	fell, refused := 0, 0
+	for _, s := range append([]stand.Service{b.keyed}, b.unkeyed...) {
+		for _, w := range worked(s, start) {
+			switch w.Outcome {
+			case fakes.FailedOutcome:
+				fell++
+			case fakes.NotRunOutcome:
+				refused++
+			}
+		}
+	}
+	fmt.Fprintf(b.out, "  %s: warm after %v; %d overfed, %d refused by servers\n", b.name, ms(time.Since(start)), fell, refused)
+	return err
+}
+
+func (b *bench) addrs(s stand.Service, without map[*stand.Daemon]bool) []string {
+	var l []string
+	if b.random {
+		for _, v := range s.Servers {
+			l = append(l, v.Addr())
+		}
+		return l
+	}
+	for _, d := range b.stand.Daemons {
+		if !without[d] {
+			l = append(l, d.Entry.String())
+		}
+	}
+	return l
+}
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -23,6 +23,7 @@
 	Length  time.Duration
 	Rate    int                                 // requests a second over all callers; 0 for as many as go
 	Request func(n uint64, r *fasthttp.Request) // fills request n; the host is set
+	Pick    func(n uint64) int                  // address of request n; nil for each caller to keep to one
 }
 
 // Result is what came back.
@@ -83,7 +84,7 @@
 	start := time.Now()
 	var w sync.WaitGroup
 	for i := range parts {
-		w.Go(func() { parts[i] = p.caller(clients[i%len(clients)], uint64(i), start) })
+		w.Go(func() { parts[i] = p.caller(clients, uint64(i), start) })
 	}
 	w.Wait()
 	out := newResult()
@@ -95,8 +96,9 @@
 }
 
 // caller sends every Callers-th request.
-func (p Plan) caller(c *fasthttp.HostClient, first uint64, start time.Time) Result {
+func (p Plan) caller(l []*fasthttp.HostClient, first uint64, start time.Time) Result {
 	out := newResult()
+	c := l[first%uint64(len(l))]
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -106,6 +108,9 @@
 			due = start.Add(time.Duration(float64(n) / float64(p.Rate) * float64(time.Second)))
 			time.Sleep(time.Until(due))
 		}
+		if p.Pick != nil {
+			c = l[p.Pick(n)]
+		}
 		req.Reset()
 		p.Request(n, req)
 		req.Header.SetHost(c.Addr)
