--- a/io/home/home.go
+++ b/io/home/home.go
@@ -116,6 +116,13 @@
 	h.deliver(h.admit.Drain(now, !now.Before(h.closeAt)))
 }
 
+// settings returns the server's settings as last published.
+func (h *Home) settings() config.Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.server
+}
+
 // setEpoch ends the holder of an older epoch and makes one for the new.
 func (h *Home) setEpoch(now mono.Time, e ident.Epoch) {
 	if e == h.epoch {
