Table and object stand-ins: request limits; items grouped by document

Cause: that many daemons coming back at once don't sink the table can only be shown against one that has a limit. A query looked at every item of every document, which at many documents measures the stand-in.

--- a/io/fakes/faults.go
+++ b/io/fakes/faults.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Faults says how the table or the object store stand-in misbehaves. The zero value is a sound one.
@@ -19,14 +21,19 @@
 	// DelayWrites is how many of the next writes take effect DelayMS late, also when their caller has gone.
 	DelayWrites int `json:"delay-writes"`
 	DelayMS     int `json:"delay-ms"`
+
+	// More requests per second than these are refused as throttled; 0 for no limit.
+	ReadLimit  int `json:"read-limit"`
+	WriteLimit int `json:"write-limit"`
 }
 
 // Counts is how many requests a stand-in has carried out.
 type Counts struct {
-	Reads  int `json:"reads"`
-	Writes int `json:"writes"` // those that took effect
-	Failed int `json:"failed"` // writes refused by their condition or for being wrong
-	Conns  int `json:"conns"`  // connections accepted
+	Reads     int `json:"reads"`
+	Writes    int `json:"writes"`    // those that took effect
+	Failed    int `json:"failed"`    // writes refused by their condition or for being wrong
+	Conns     int `json:"conns"`     // connections accepted
+	Throttled int `json:"throttled"` // requests refused by a limit
 }
 
 // Status is the answer of a control page.
@@ -42,11 +49,42 @@
 	counts Counts
 	change chan struct{} // closed when the faults change, so that hung requests look again
 	data   *endpoint
+
+	reads, writes *rate.Limiter // nil for no limit
+}
+
+// limiter allows a tenth of a second's requests at once.
+func limiter(perSecond int) *rate.Limiter {
+	if perSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, perSecond/10))
+}
+
+// throttled takes a request off the limit of its kind; true means that it must be refused.
+func (f *faulty) throttled(write bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.reads
+	if write {
+		l = f.writes
+	}
+	if l == nil || l.Allow() {
+		return false
+	}
+	f.counts.Throttled++
+	return true
 }
 
 // SetFaults replaces the faults and returns when they are in force.
 func (f *faulty) SetFaults(x Faults) error {
 	f.mu.Lock()
+	if x.ReadLimit != f.faults.ReadLimit {
+		f.reads = limiter(x.ReadLimit)
+	}
+	if x.WriteLimit != f.faults.WriteLimit {
+		f.writes = limiter(x.WriteLimit)
+	}
 	f.faults = x
 	close(f.change)
 	f.change = make(chan struct{})
--- a/io/fakes/items.go
+++ b/io/fakes/items.go
@@ -24,13 +24,18 @@
 	// attrs is an item; each value stays in its wire form, as {"S":"text"}.
 	attrs map[string]json.RawMessage
 
+	docKey struct {
+		table, doc string
+	}
+
 	itemKey struct {
-		table, doc, row string
+		docKey
+		row string
 	}
 )
 
-func (k itemKey) compare(o itemKey) int {
-	return cmp.Or(strings.Compare(k.table, o.table), strings.Compare(k.doc, o.doc), strings.Compare(k.row, o.row))
+func (k docKey) compare(o docKey) int {
+	return cmp.Or(strings.Compare(k.table, o.table), strings.Compare(k.doc, o.doc))
 }
 
 // text returns a string attribute.
@@ -48,7 +53,7 @@
 	if !ok || !ok2 || doc == "" || row == "" {
 		return itemKey{}, invalid("the key attributes %q and %q must be non-empty strings", partitionKey, sortKey)
 	}
-	return itemKey{table, doc, row}, nil
+	return itemKey{docKey{table, doc}, row}, nil
 }
 
 // apiError is an error answer of the service.
@@ -98,7 +103,7 @@
 	var out struct {
 		Item attrs `json:",omitempty"`
 	}
-	out.Item = t.items[k]
+	out.Item = t.docs[k.docKey][k.row]
 	return out, nil
 }
 
@@ -165,7 +170,7 @@
 	if in.Limit > 0 {
 		limit = min(limit, in.Limit)
 	}
-	return t.pageOf(in.TableName, doc, after, limit), nil
+	return t.pageOf(docKey{in.TableName, doc}, after, limit), nil
 }
 
 // queryPage is one answer to a query.
@@ -176,22 +181,23 @@
 	LastEvaluatedKey attrs `json:",omitempty"`
 }
 
-func (t *Table) pageOf(table, doc, after string, limit int) queryPage {
+func (t *Table) pageOf(doc docKey, after string, limit int) queryPage {
 	t.rows.Lock()
 	defer t.rows.Unlock()
-	var keys []itemKey
-	for k := range t.items {
-		if k.table == table && k.doc == doc && k.row > after {
-			keys = append(keys, k)
+	rows := t.docs[doc]
+	var names []string
+	for n := range rows {
+		if n > after {
+			names = append(names, n)
 		}
 	}
-	slices.SortFunc(keys, itemKey.compare)
+	slices.Sort(names)
 	p := queryPage{Items: []attrs{}}
-	for _, k := range keys[:min(limit, len(keys))] {
-		p.Items = append(p.Items, t.items[k])
+	for _, n := range names[:min(limit, len(names))] {
+		p.Items = append(p.Items, rows[n])
 	}
 	p.Count, p.ScannedCount = len(p.Items), len(p.Items)
-	if len(keys) > limit {
+	if len(names) > limit {
 		last := p.Items[limit-1]
 		p.LastEvaluatedKey = attrs{partitionKey: last[partitionKey], sortKey: last[sortKey]}
 	}
@@ -242,14 +248,22 @@
 	for i, x := range in.TransactItems {
 		switch {
 		case x.Put != nil:
-			t.items[keys[i]] = x.Put.Item
+			t.put(keys[i], x.Put.Item)
 		case x.Delete != nil:
-			delete(t.items, keys[i])
+			delete(t.docs[keys[i].docKey], keys[i].row)
 		}
 	}
 	return struct{}{}, nil
 }
 
+// put needs t.rows.
+func (t *Table) put(k itemKey, a attrs) {
+	if t.docs[k.docKey] == nil {
+		t.docs[k.docKey] = map[string]attrs{}
+	}
+	t.docs[k.docKey][k.row] = a
+}
+
 // checkAll evaluates every condition and returns the items' keys; it needs t.rows.
 func (t *Table) checkAll(l []transactItem) ([]itemKey, *apiError) {
 	keys := make([]itemKey, len(l))
@@ -269,7 +283,7 @@
 		if seen[k] {
 			return nil, invalid("the transaction has two actions on one item")
 		}
-		ok, fail := a.holds(a.ConditionExpression, t.items[k])
+		ok, fail := a.holds(a.ConditionExpression, t.docs[k.docKey][k.row])
 		if fail != nil {
 			return nil, fail
 		}
--- a/io/fakes/objects.go
+++ b/io/fakes/objects.go
@@ -79,6 +79,10 @@
 	if !o.admit(w, r) {
 		return
 	}
+	if o.throttled(r.Method == http.MethodPut) {
+		s3Error(w, http.StatusServiceUnavailable, "SlowDown")
+		return
+	}
 	switch r.Method {
 	case http.MethodPut:
 		o.put(w, r, b)
--- a/io/fakes/server/server_test.go
+++ b/io/fakes/server/server_test.go
@@ -447,3 +447,28 @@
 	require.Equal(t, int64(len(b)), m.Size)
 	require.Equal(t, strconv.FormatUint(xxhash.Sum64(b), 16), m.Hash)
 }
+
+// The caller's deadline passes while the server is frozen; the thawed server does no more for it and says 504.
+// The log has the deadline as the end: what is done under it is nothing, though the server notices late.
+func TestFrozenOverTheDeadline(t *testing.T) {
+	s := start(t, server.Options{ServiceTime: server.Fixed(100 * time.Millisecond)})
+	c := newClient(t, 5*time.Second)
+	deadline := time.Now().Add(300 * time.Millisecond).Truncate(time.Millisecond)
+	done := make(chan answer)
+	go func() {
+		a, err := ask(t, c, http.MethodPost, s.URL()+"/x", "",
+			server.DeadlineHeader, strconv.FormatInt(deadline.UnixMilli(), 10))
+		if err != nil {
+			t.Error(err)
+		}
+		done <- a
+	}()
+	require.Eventually(t, func() bool { return s.InFlight() == 1 }, time.Second, time.Millisecond)
+	s.Update(func(f *server.Faults) { f.Freeze = true })
+	time.Sleep(time.Until(deadline) + 100*time.Millisecond)
+	s.Update(func(f *server.Faults) { f.Freeze = false })
+	require.Equal(t, http.StatusGatewayTimeout, (<-done).status)
+	w := s.Log()[0]
+	require.Equal(t, fakes.ExpiredOutcome, w.Outcome)
+	require.Equal(t, deadline.UnixNano(), w.End)
+}
--- a/io/fakes/table.go
+++ b/io/fakes/table.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -27,15 +28,15 @@
 	page  int
 	admin *endpoint
 
-	rows  sync.Mutex
-	items map[itemKey]attrs
+	rows sync.Mutex
+	docs map[docKey]map[string]attrs // by document, then by row
 }
 
 const defaultPageRows = 100
 
 // NewTable starts a table service stand-in.
 func NewTable(o TableOptions) (*Table, error) {
-	t := &Table{page: o.PageRows, items: map[itemKey]attrs{}}
+	t := &Table{page: o.PageRows, docs: map[docKey]map[string]attrs{}}
 	if t.page <= 0 {
 		t.page = defaultPageRows
 	}
@@ -80,16 +81,14 @@
 func (t *Table) Dump() []map[string]any {
 	t.rows.Lock()
 	defer t.rows.Unlock()
-	keys := make([]itemKey, 0, len(t.items))
-	for k := range t.items {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, itemKey.compare)
-	l := make([]map[string]any, len(keys))
-	for i, k := range keys {
-		l[i] = map[string]any{"table": k.table}
-		for n, v := range t.items[k] {
-			l[i][n] = v
+	l := []map[string]any{}
+	for _, d := range slices.SortedFunc(maps.Keys(t.docs), docKey.compare) {
+		for _, r := range slices.Sorted(maps.Keys(t.docs[d])) {
+			m := map[string]any{"table": d.table}
+			for n, v := range t.docs[d][r] {
+				m[n] = v
+			}
+			l = append(l, m)
 		}
 	}
 	return l
@@ -97,6 +96,7 @@
 
 const (
 	targetPrefix = "DynamoDB_20120810."
+	opTransact   = "TransactWriteItems"
 	maxRequest   = 8 << 20
 )
 
@@ -108,12 +108,17 @@
 	if !t.admit(w, r) {
 		return
 	}
-	switch op := strings.TrimPrefix(r.Header.Get("X-Amz-Target"), targetPrefix); op {
+	op := strings.TrimPrefix(r.Header.Get("X-Amz-Target"), targetPrefix)
+	if t.throttled(op == opTransact) {
+		(&apiError{Type: errorPrefix + "ThrottlingException", Message: "limit exceeded"}).write(w)
+		return
+	}
+	switch op {
 	case "GetItem":
 		t.read(w, b, t.getItem)
 	case "Query":
 		t.read(w, b, t.query)
-	case "TransactWriteItems":
+	case opTransact:
 		t.delayWrite()
 		out, fail := t.transact(b)
 		if fail != nil {
--- a/io/fakes/work.go
+++ b/io/fakes/work.go
@@ -33,7 +33,7 @@
 	Method      string            `json:"method"`
 	Path        string            `json:"path"`
 	Start       int64             `json:"start"` // in unix nanoseconds
-	End         int64             `json:"end"`   // 0 while running
+	End         int64             `json:"end"`   // 0 while running; of expired work its deadline, though noticed later
 	Outcome     Outcome           `json:"outcome"`
 	Reason      string            `json:"reason,omitempty"` // of a refusal
 }
--- a/io/table/faults_test.go
+++ b/io/table/faults_test.go
@@ -297,3 +297,22 @@
 	require.ErrorAs(t, err, &unknown)
 	require.Less(t, time.Since(began), 2*time.Second)
 }
+
+// The caller sees "unavailable", at once and for sure, when the service refuses for too many requests.
+func TestThrottling(t *testing.T) {
+	f := newFake(t)
+	s := newStore(t, f.URL(), time.Second)
+	set(t, f, fakes.Faults{WriteLimit: 1})
+	_, err := s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+	require.NoError(t, err)
+	_, err = s.Commit(t.Context(), doc, 1, "t2", change("x", "2"))
+	var u *table.UnavailableError
+	require.ErrorAs(t, err, &u)
+	set(t, f, fakes.Faults{ReadLimit: 1})
+	_, err = s.Head(t.Context(), doc)
+	require.NoError(t, err)
+	_, err = s.Head(t.Context(), doc)
+	require.ErrorAs(t, err, &u)
+	require.Equal(t, 2, f.Counts().Throttled)
+	require.Equal(t, 1, f.Counts().Writes)
+}
