--- a/io/table/commit.go
+++ b/io/table/commit.go
@@ -211,12 +211,10 @@
 		}
 		return sentRejected
 	}
-	// The service answers 4xx only to what it didn't carry out; a 5xx may come from something in between.
-	if x := (*smithyhttp.ResponseError)(nil); errors.As(err, &x) {
-		if n := x.HTTPStatusCode(); n >= http.StatusBadRequest && n < http.StatusInternalServerError {
-			return sentRejected
-		}
-		return sentLost
+	// The service answers 400 to what it didn't carry out, throttling included. Any other status may come from
+	// something in between, which can't know what became of the request.
+	if x := (*smithyhttp.ResponseError)(nil); errors.As(err, &x) && x.HTTPStatusCode() == http.StatusBadRequest {
+		return sentRejected
 	}
 	return sentLost
 }
--- a/io/table/faults_test.go
+++ b/io/table/faults_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -316,3 +319,38 @@
 	require.Equal(t, 2, f.Counts().Throttled)
 	require.Equal(t, 1, f.Counts().Writes)
 }
+
+// The caller sees "unavailable" only for a status that the service itself gives to what it didn't carry out.
+// The other ones may come from a balancer that gave up on a request which the service got and carried out.
+func TestStatuses(t *testing.T) {
+	tests := []struct {
+		status  int
+		unknown bool
+	}{
+		{http.StatusBadRequest, false},
+		{http.StatusNotFound, true},
+		{http.StatusRequestTimeout, true},
+		{http.StatusInternalServerError, true},
+		{http.StatusBadGateway, true},
+		{http.StatusServiceUnavailable, true},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.status), func(t *testing.T) {
+			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.Header.Get("X-Amz-Target"), "TransactWriteItems") {
+					w.WriteHeader(tt.status)
+				}
+				_, _ = w.Write([]byte("{}"))
+			}))
+			t.Cleanup(h.Close)
+			_, err := newStore(t, h.URL, time.Second).Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+			var unknown *table.UnknownError
+			var unavailable *table.UnavailableError
+			if tt.unknown {
+				require.ErrorAs(t, err, &unknown)
+			} else {
+				require.ErrorAs(t, err, &unavailable)
+			}
+		})
+	}
+}
