--- a/io/table/faults_test.go
+++ b/io/table/faults_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -354,3 +355,17 @@
 		})
 	}
 }
+
+// The caller's tries are the only ones: an erring service gets one request for one read.
+// The SDK by default tries three times in all, and so trebles the load on a service that is already failing.
+func TestNoHiddenRetries(t *testing.T) {
+	var n atomic.Int64
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	t.Cleanup(h.Close)
+	_, err := newStore(t, h.URL, time.Second).Head(t.Context(), doc)
+	require.Error(t, err)
+	require.Equal(t, int64(1), n.Load())
+}
