--- a/io/table/faults_test.go
+++ b/io/table/faults_test.go
@@ -357,7 +357,7 @@
 }
 
 // The caller's tries are the only ones: an erring service gets one request for one read.
-// The SDK by default tries three times in all, and so trebles the load on a service that is already failing.
+// The SDK tries four times if left to itself, and so multiplies the load on a service that is already failing.
 func TestNoHiddenRetries(t *testing.T) {
 	var n atomic.Int64
 	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
