--- a/Makefile
+++ b/Makefile
@@ -52,3 +52,7 @@
 # policy measures what the users measure, against random choice; BEFORE=path/to/heatherrouterd adds an older version.
 policy: build
 	bin/heatherbench policy $(if $(BEFORE),--before $(BEFORE))
+
+# slopes measures what docs/CAPACITY.md multiplies by the size to come.
+slopes:
+	go test -run '^$$' -bench Slope -benchtime 20x ./io/rows ./io/lessor ./io/spread ./io/peer ./core/place
--- a/io/peer/lane.go
+++ b/io/peer/lane.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	laneRing    = 1024      // frames that wait for a lane's writer
-	laneBuffer  = 64 << 10  // bytes that a lane's reader asks for at once
-	maxBatch    = 128 << 10 // bytes of frames joined into one write
-	maxInFlight = 4096      // calls that a peer may have open on one lane
+	// A daemon may be connected with hundreds of others, with six lane ends each, so what a lane holds while it is
+	// idle counts: with buffers of 64 and 128 KiB a connection held 1.4 MB.
+	laneRing   = 128      // frames that wait for a lane's writer
+	laneBuffer = 4 << 10  // bytes that a lane's reader asks for at once
+	maxBatch   = 64 << 10 // bytes of frames joined into one write, in a buffer that is shared
+
+	maxInFlight = 4096 // calls that a peer may have open on one lane
 )
 
 // frame is one encoded message on its way to a lane's writer.
@@ -55,29 +58,41 @@
 // writeLane joins the frames that wait in the ring into few writes.
 // One write per frame would cost one packet and one wake-up each; this way the cost is shared under load.
 func writeLane(c context.Context, w io.Writer, r *ring.Ring[frame]) error {
-	batch := make([]byte, 0, maxBatch)
 	for {
 		f, err := r.Take(c)
 		if err != nil {
 			return err
 		}
-		batch = appendFrame(batch[:0], f)
-		for len(batch) < maxBatch {
-			f, ok := r.TryTake()
-			if !ok {
-				break
-			}
-			batch = appendFrame(batch, f)
-		}
-		if len(batch) == 0 {
-			continue
-		}
-		if _, err := w.Write(batch); err != nil {
+		if err := writeBatch(w, r, f); err != nil {
 			return err
 		}
 	}
 }
 
+var batchPool = sync.Pool{New: func() any { b := make([]byte, 0, maxBatch); return &b }}
+
+// writeBatch writes a frame and those that wait behind it.
+func writeBatch(w io.Writer, r *ring.Ring[frame], f frame) error {
+	p, _ := batchPool.Get().(*[]byte)
+	defer batchPool.Put(p)
+	batch := appendFrame((*p)[:0], f)
+	for len(batch) < maxBatch {
+		f, ok := r.TryTake()
+		if !ok {
+			break
+		}
+		batch = appendFrame(batch, f)
+	}
+	if cap(batch) <= 2*maxBatch {
+		*p = batch[:0] // grown a little; one grown by a large body is left to the collector
+	}
+	if len(batch) == 0 {
+		return nil
+	}
+	_, err := w.Write(batch)
+	return err
+}
+
 func appendFrame(b []byte, f frame) []byte {
 	defer freeFrame(f.data)
 	if f.call != nil && !f.call.take() {
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -229,3 +230,35 @@
 	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkSlopeConns measures what connections to other daemons hold in memory; all ends are in this process.
+func BenchmarkSlopeConns(b *testing.B) {
+	for _, n := range []int{10, 50, 150} {
+		b.Run(fmt.Sprintf("peers=%d", n), func(b *testing.B) {
+			a, err := keytest.New(b.TempDir(), "authority")
+			require.NoError(b, err)
+			k := &book{addrs: map[ident.Daemon]netip.AddrPort{}}
+			p := newTransport(b, a, k, "h0", io.Discard)
+			for i := range n {
+				newTransport(b, a, k, ident.Daemon(fmt.Sprintf("p%d", i)), io.Discard)
+			}
+			before := inUse()
+			for range b.N {
+				for i := range n {
+					_, err := p.Call(context.Background(), ident.Daemon(fmt.Sprintf("p%d", i)), exchange("echo", nil))
+					require.NoError(b, err)
+				}
+			}
+			b.ReportMetric(float64(inUse()-before)/float64(n), "B/connection-both-ends")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// inUse returns the bytes of heap and stacks in use.
+func inUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
