Read only the changed rows of a new copy of assignments

Change: rows.Advance reads the rows changed since the old part; names are shared. Conclusion: kept; a removed server and a changed shape still read everything, which is rare.

--- a/io/rows/rows.go
+++ b/io/rows/rows.go
@@ -2,6 +2,8 @@
 package rows
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -18,7 +20,7 @@
 //
 // It takes rows as the table has them and does not apply the rules of changes again: whoever wrote them did.
 func Decode(s ident.Service, d *docs.Doc) (*part.Part, error) {
-	r := reader{p: part.New(s), chunks: map[int]*wire.ShardsRow{}}
+	r := newReader(part.New(s))
 	r.p.Rev = d.Rev
 	for _, n := range d.Names("") {
 		r.row(n, d.Body(n))
@@ -30,12 +32,68 @@
 	return r.p, nil
 }
 
+// Advance builds the part from a newer copy of the document that the old part was built from. Only the rows that have
+// changed are read: a move of one shard must not cost the reading of a million others.
+func Advance(old *part.Part, d *docs.Doc) (*part.Part, error) {
+	if old == nil || d.Rev < old.Rev {
+		return Decode(ident.Service(strings.TrimPrefix(string(d.Name), "part/")), d)
+	}
+	r := newReader(&part.Part{
+		Service: old.Service, Rev: d.Rev, Witnesses: old.Witnesses,
+		Servers: maps.Clone(old.Servers), Shards: slices.Clone(old.Shards),
+	})
+	for n, x := range d.Rows {
+		if x.Rev <= old.Rev {
+			continue
+		}
+		if len(x.Body) == 0 {
+			return Decode(old.Service, d) // a removed server is rare, and may still be named by any shard
+		}
+		r.row(n, x.Body)
+	}
+	for i, m := range r.chunks {
+		if !r.replace(i, m) {
+			return Decode(old.Service, d)
+		}
+	}
+	if err := r.f.Err(); err != nil {
+		return nil, err
+	}
+	return r.p, nil
+}
+
+// replace puts a row of shards in the place of the old one; false when the shape of the shards has changed.
+func (r *reader) replace(i int, m *wire.ShardsRow) bool {
+	first := i * part.ChunkSize
+	if first+len(m.Owners) > len(r.p.Shards) || len(m.Owners) != min(part.ChunkSize, len(r.p.Shards)-first) {
+		return false
+	}
+	for j, o := range m.Owners {
+		r.p.Shards[first+j] = r.owner(part.ShardsRow(i), first+j, o)
+	}
+	return true
+}
+
 type reader struct {
 	p      *part.Part
+	ids    map[string]ident.Server // by short name; one string for all shards of a server
 	chunks map[int]*wire.ShardsRow
 	f      check.Findings
 }
 
+func newReader(p *part.Part) *reader {
+	return &reader{p: p, ids: map[string]ident.Server{}, chunks: map[int]*wire.ShardsRow{}}
+}
+
+func (r *reader) id(short string) ident.Server {
+	id, ok := r.ids[short]
+	if !ok {
+		id = ident.MakeServer(r.p.Service, short)
+		r.ids[short] = id
+	}
+	return id
+}
+
 func (r *reader) addf(n ident.Row, format string, args ...any) {
 	r.f.Addf(check.Place{File: string(ident.PartDoc(r.p.Service)), Key: string(n)}, format, args...)
 }
@@ -110,6 +168,9 @@
 
 // shards joins the rows of shards; a gap is a finding, since every later shard would get the wrong number.
 func (r *reader) shards() {
+	if len(r.chunks) > 0 {
+		r.p.Shards = make([]part.Ownership, 0, len(r.chunks)*part.ChunkSize)
+	}
 	for i := range len(r.chunks) {
 		m, ok := r.chunks[i]
 		if !ok {
@@ -120,25 +181,25 @@
 			r.addf(part.ShardsRow(i), "%d shards, though only the last row may be short", len(m.Owners))
 		}
 		for _, o := range m.Owners {
-			r.p.Shards = append(r.p.Shards, r.owner(part.ShardsRow(i), o))
+			r.p.Shards = append(r.p.Shards, r.owner(part.ShardsRow(i), len(r.p.Shards), o))
 		}
 	}
 }
 
-func (r *reader) owner(n ident.Row, m *wire.ShardOwner) part.Ownership {
+func (r *reader) owner(n ident.Row, shard int, m *wire.ShardOwner) part.Ownership {
 	o := part.Ownership{Epoch: ident.Epoch(m.GetEpoch())}
 	if m.GetServer() != "" {
-		o.Server = ident.MakeServer(r.p.Service, m.Server)
+		o.Server = r.id(m.Server)
 	}
 	if m.GetPrevious() != "" {
-		o.Previous = ident.MakeServer(r.p.Service, m.Previous)
+		o.Previous = r.id(m.Previous)
 	}
 	if o.Server == "" || o.Epoch == 0 {
-		r.addf(n, "shard %d needs an owner and an epoch", len(r.p.Shards))
+		r.addf(n, "shard %d needs an owner and an epoch", shard)
 	}
 	for _, s := range []ident.Server{o.Server, o.Previous} {
 		if _, ok := r.p.Servers[s]; s != "" && !ok {
-			r.addf(n, "shard %d names %s, which has no row", len(r.p.Shards), s)
+			r.addf(n, "shard %d names %s, which has no row", shard, s)
 		}
 	}
 	return o
--- a/io/rows/slope_test.go
+++ b/io/rows/slope_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -61,3 +62,63 @@
 		})
 	}
 }
+
+// BenchmarkSlopeAdvance measures how long a copy takes that differs by one shard.
+func BenchmarkSlopeAdvance(b *testing.B) {
+	for _, n := range []int{10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprintf("shards=%d", n), func(b *testing.B) {
+			d := bigDoc(n, max(15, n/128))
+			p, err := rows.Decode("big", d)
+			require.NoError(b, err)
+			moved := moveOne(p, d)
+			for b.Loop() {
+				_, err := rows.Advance(p, moved)
+				require.NoError(b, err)
+			}
+		})
+	}
+}
+
+// moveOne returns the document after shard 70 has moved to the next server.
+func moveOne(p *part.Part, d *docs.Doc) *docs.Doc {
+	o := slices.Clone(p.Chunk(1))
+	o[6] = part.Ownership{Server: o[7].Server, Epoch: o[6].Epoch + 1, Previous: o[6].Server}
+	x := docs.Delta{Name: d.Name, From: d.Rev, Rev: d.Rev + 1, Rows: map[ident.Row]docs.Row{}}
+	for _, c := range rows.Encode([]part.Change{part.SetShards{Chunk: 1, Owners: o}}) {
+		x.Rows[c.Row] = docs.Row{Rev: x.Rev, Body: c.Body}
+	}
+	next, _ := d.Apply(x)
+	return next
+}
+
+func TestAdvanceIsDecode(t *testing.T) {
+	d := bigDoc(1000, 15)
+	p, err := rows.Decode("big", d)
+	require.NoError(t, err)
+	for _, next := range []*docs.Doc{moveOne(p, d), withoutServer(d), bigger(d)} {
+		a, err := rows.Advance(p, next)
+		want, wantErr := rows.Decode("big", next)
+		require.Equal(t, wantErr, err)
+		require.Equal(t, want, a)
+	}
+	require.Equal(t, part.Ownership{Server: "big/server-00010", Epoch: 9}, p.Owner(70), "the old part must not change")
+}
+
+// withoutServer removes the row of a server that still owns shards, which is a finding.
+func withoutServer(d *docs.Doc) *docs.Doc {
+	next, _ := d.Apply(docs.Delta{Name: d.Name, From: d.Rev, Rev: d.Rev + 1, Rows: map[ident.Row]docs.Row{
+		part.ServerRow("big/server-00014"): {Rev: d.Rev + 1},
+	}})
+	return next
+}
+
+// bigger is a document with more shards.
+func bigger(d *docs.Doc) *docs.Doc {
+	x := bigDoc(1200, 15)
+	delta := docs.Delta{Name: d.Name, From: d.Rev, Rev: d.Rev + 1, Rows: map[ident.Row]docs.Row{}}
+	for n, r := range x.Rows {
+		delta.Rows[n] = docs.Row{Rev: delta.Rev, Body: r.Body}
+	}
+	next, _ := d.Apply(delta)
+	return next
+}
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -93,7 +93,7 @@
 // takePart keeps the older assignments when the new ones can't be read: serving on from what was accepted is
 // safe, since leases and epochs decide who may send, and a service without any assignment would be down.
 func (v *View) takePart(n *Snapshot, s ident.Service, d *docs.Doc) {
-	p, err := rows.Decode(s, d)
+	p, err := rows.Advance(n.Parts[s], d)
 	if err != nil {
 		v.log.Error().Err(err).Str("service", string(s)).Msg("assignments not usable, the older ones stay in use")
 		return
