Keep takeovers known over changes and restarts of witnesses

Cause: a random schedule let a server go back from its standby's epoch 3 to the old home's epoch 2. The standby had taken over unknown to the table, the witnesses changed, and a majority of the next ones had never seen epoch 3. Never two homes at a moment, but a server that checks grants would refuse the old home until the table gives a new epoch. Change: witnesses tell what they gave when they retire, and the row that settles a change assigns such servers anew; a started witness refuses epochs older than the table's; a home that a server refuses for a newer epoch knows it. The check: 'a server's homes never go back' asked more than memory alone can give. When no row tells of a takeover and a witness has restarted since, the old home may return after all leases have lapsed; only that is let through, overlap never. The schedule stays as a test, and shows the fault again with the rule taken out. Ruled out: a restarted witness that asks the others for their epochs; with two lost it hears too few.

--- a/core/lease/change.go
+++ b/core/lease/change.go
@@ -13,6 +13,7 @@
 	terms   Terms
 	set     Set
 	retired map[ident.Daemon]bool
+	given   map[ident.Server]ident.Epoch
 	settles mono.Time
 }
 
@@ -27,7 +28,7 @@
 
 // NewChange returns the change that the committed row tells of.
 func NewChange(t Terms, x Set) *Change {
-	return &Change{terms: t, set: x, retired: map[ident.Daemon]bool{}, settles: mono.Never}
+	return &Change{terms: t, set: x, retired: map[ident.Daemon]bool{}, given: map[ident.Server]ident.Epoch{}, settles: mono.Never}
 }
 
 // Rev returns the revision of the row that the change was made from.
@@ -44,11 +45,16 @@
 	return l
 }
 
-// Retired takes a witness's word that it has retired. A host that is surely gone for good counts as well.
-func (c *Change) Retired(now mono.Time, d ident.Daemon) {
+// Retired takes a witness's word that it has retired and which epochs it gave. A host that is surely gone for good
+// counts as well, with no epochs; when that leaves less than a majority that told theirs, assign every server anew
+// with the transaction that settles the change.
+func (c *Change) Retired(now mono.Time, d ident.Daemon, given map[ident.Server]ident.Epoch) {
 	if !slices.Contains(c.set.Current, d) {
 		return
 	}
+	for s, e := range given {
+		c.given[s] = max(c.given[s], e)
+	}
 	c.retired[d] = true
 	if c.settles == mono.Never && len(c.retired) > len(c.set.Current)/2 {
 		c.settles = now.Add(c.terms.Lapse())
@@ -62,3 +68,12 @@
 func (c *Change) Settled(now mono.Time) (Set, bool) {
 	return Set{Current: c.set.Next}, !now.Before(c.settles)
 }
+
+// TakenOver reports whether a standby has taken the server over and the row doesn't tell of it. The transaction that
+// settles the change must then assign the server anew.
+//
+// The next witnesses know nothing of the takeover. When the standby is lost, they would give the old home its epoch
+// again, and a server that has seen the standby's refuses all that this home sends.
+func (c *Change) TakenOver(s ident.Server, a Assignment) bool {
+	return c.given[s] > a.Epoch
+}
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -136,7 +136,11 @@
 	h.stopped, h.until = true, min(h.until, now)
 }
 
-// Superseded returns the highest newer epoch that a witness refused this one for.
+// Refused takes a backend server's word that it has seen the epoch: one that checks grants refuses older ones. The
+// witnesses may have forgotten it, so the home must be assigned anew to be of use.
+func (h *Holder) Refused(seen ident.Epoch) { h.highest = max(h.highest, seen) }
+
+// Superseded returns the highest newer epoch that a witness or the server refused this one for.
 func (h *Holder) Superseded() (ident.Epoch, bool) { return h.highest, h.highest > h.epoch }
 
 // Lost reports whether the holder should stop asking: it holds nothing and a newer epoch has been given.
--- a/core/lease/witness.go
+++ b/core/lease/witness.go
@@ -49,16 +49,35 @@
 	}
 }
 
+// Assigned tells the witness that the table has given a server's home the epoch. Call it for every row of the
+// partition, after the first Serve and after one with a newer row of witnesses.
+//
+// A witness that started or joined a moment ago has given nothing, so it would give a home that was deposed long ago
+// its old epoch again.
+func (w *Witness) Assigned(s ident.Server, e ident.Epoch) {
+	if p := w.parts[s.Service()]; p != nil {
+		r := p.grant(s)
+		r.superseding = max(r.superseding, e)
+	}
+}
+
 // Retire makes the witness refuse asks from copies of the document older than the change of witnesses in x, and
-// give no more leases unless it is in the next set. Returns whether it has retired, which the coordinator counts.
-func (w *Witness) Retire(s ident.Service, x Set) bool {
+// give no more leases unless it is in the next set. It returns the highest epochs that it gave and whether it has
+// retired; the coordinator hands both to its Change.
+func (w *Witness) Retire(s ident.Service, x Set) (map[ident.Server]ident.Epoch, bool) {
 	p := w.parts[s]
 	if p == nil {
-		return false
+		return nil, false
 	}
 	w.Serve(s, x, x.Rev)
 	p.min = max(p.min, x.Rev)
-	return true
+	l := map[ident.Server]ident.Epoch{}
+	for n, r := range p.servers {
+		if r.epoch > 0 {
+			l[n] = r.epoch
+		}
+	}
+	return l, true
 }
 
 // Ask answers one ask of a daemon.
--- a/core/lease/world_test.go
+++ b/core/lease/world_test.go
@@ -37,6 +37,7 @@
 	tableOut bool
 	tableBad float64 // share of table calls that are late or lose their reply
 	healed   instant
+	amnesia  bool // a witness has restarted
 	changes  int
 }
 
