--- a/core/lease/change.go
+++ b/core/lease/change.go
@@ -45,16 +45,19 @@
 	return l
 }
 
-// Retired takes a witness's word that it has retired and which epochs it gave. A host that is surely gone for good
-// counts as well, with no epochs; when that leaves less than a majority that told theirs, assign every server anew
-// with the transaction that settles the change.
-func (c *Change) Retired(now mono.Time, d ident.Daemon, given map[ident.Server]ident.Epoch) {
+// Gave takes what a witness has given, as it tells when it retires. Call it before Retired, so that the change can't
+// settle without it.
+func (c *Change) Gave(l map[ident.Server]ident.Epoch) {
+	for s, e := range l {
+		c.given[s] = max(c.given[s], e)
+	}
+}
+
+// Retired takes a witness's word that it has retired. A host that is surely gone for good counts as well.
+func (c *Change) Retired(now mono.Time, d ident.Daemon) {
 	if !slices.Contains(c.set.Current, d) {
 		return
 	}
-	for s, e := range given {
-		c.given[s] = max(c.given[s], e)
-	}
 	c.retired[d] = true
 	if c.settles == mono.Never && len(c.retired) > len(c.set.Current)/2 {
 		c.settles = now.Add(c.terms.Lapse())
--- a/core/lease/coordinator_test.go
+++ b/core/lease/coordinator_test.go
@@ -166,13 +166,17 @@
 	c := d.change
 	for _, n := range c.Ask() {
 		if d.w.off[retireOld] {
-			c.Retired(d.clock(), n, nil)
+			c.Retired(d.clock(), n)
 			continue
 		}
 		w, life := d.w.byName(n), d.life
 		d.w.send(d, w, func() {
-			if l, ok := w.witness.Retire("svc", x); ok {
-				d.w.reply(w, d, life, func() { c.Retired(d.clock(), n, l) })
+			if w.witness.Retire("svc", x) {
+				l := w.witness.Gave("svc")
+				d.w.reply(w, d, life, func() {
+					c.Gave(l)
+					c.Retired(d.clock(), n)
+				})
 			}
 		})
 	}
--- a/core/lease/daemon_test.go
+++ b/core/lease/daemon_test.go
@@ -172,7 +172,7 @@
 // giveBack tells the witnesses of leases that ended, once nothing is in flight.
 func (d *daemon) giveBack(i int) {
 	h := d.homes[i]
-	if len(h.ending) == 0 || !h.gate.Idle(d.clock()) {
+	if len(h.ending) == 0 || !d.w.off[idleFirst] && !h.gate.Idle(d.clock()) {
 		return
 	}
 	for _, x := range h.ending {
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -63,8 +63,11 @@
 	return slices.Compact(l)
 }
 
-// Ask returns what to ask every witness. The rev is that of the daemon's copy of the partition's document, and must
-// not be newer than the row last handed to SetWitnesses allows: hand in both from one copy.
+// Ask returns what to ask every witness. The rev is that of the copy of the partition's document from which
+// SetWitnesses got its row.
+//
+// With a newer one the witnesses would believe that the holder has heard of a change of theirs, and would give a lease
+// that it then counts by the old set.
 func (h *Holder) Ask(m Mode, rev ident.Rev) Ask {
 	return Ask{Server: h.server, Epoch: h.epoch, Mode: m, Incarnation: h.life, Rev: rev}
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -42,6 +42,8 @@
 	// Supersede stops the renewals of older epochs at once and takes the lease when they have lapsed.
 	Supersede
 	// Stopped gives the lease back: the sender sends no more under this epoch and nothing that it sent is in flight.
+	// Had it work in flight, the next home could release a shard that the server is still at work on.
+	// A daemon that goes on under a higher epoch needs no Stopped: a witness lets the same process pass at once.
 	Stopped
 )
 
@@ -57,14 +59,14 @@
 // Give is a witness's answer to an Ask.
 type Give struct {
 	Server  ident.Server
-	Epoch   ident.Epoch // of the ask
-	Given   bool        // the lease is given
-	Clear   bool        // retired: nobody else holds a lease of this witness, and nobody will
-	Retired bool        // the asker must learn the witnesses in Set before it asks again
-	Highest ident.Epoch // highest epoch given or superseding
-	Wait    time.Duration
-	Rev     ident.Rev // lowest revision at which the holder may act on its copy of the document
-	Set     Set       // with Clear or Retired: the witnesses as this one knows them
+	Epoch   ident.Epoch   // of the ask
+	Given   bool          // the lease is given
+	Clear   bool          // retired: nobody else holds a lease of this witness, and nobody will
+	Retired bool          // the asker must learn the witnesses in Set before it asks again
+	Highest ident.Epoch   // highest epoch given or superseding
+	Wait    time.Duration // how long to wait before asking again
+	Rev     ident.Rev     // lowest revision at which the holder may act on its copy of the document
+	Set     Set           // with Clear or Retired: the witnesses as this one knows them
 }
 
 // Set names the witnesses of a partition.
--- a/core/lease/rules_test.go
+++ b/core/lease/rules_test.go
@@ -35,6 +35,7 @@
 	compareAndSet
 	tableEpochs
 	tellEpochs
+	idleFirst
 	nRules
 )
 
@@ -66,6 +67,7 @@
 	moveOnce:         "a shard moves on only when released",
 	compareAndSet:    "a write is a compare-and-set",
 	tableEpochs:      "a started witness refuses epochs older than the table's",
+	idleFirst:        "a lease is given back when nothing is in flight",
 	tellEpochs:       "a change of witnesses tells of takeovers",
 }
 
@@ -122,6 +124,7 @@
 	{[]rule{floor}, 371},
 	{[]rule{moveOnce}, 7},
 	{[]rule{compareAndSet}, 33},
+	{[]rule{idleFirst}, 2},
 	{[]rule{startRetired, floor}, 1119},
 	{[]rule{oneDaemon, ownEpochs}, 44},
 }
--- a/core/lease/traps_test.go
+++ b/core/lease/traps_test.go
@@ -137,9 +137,9 @@
 
 	c := lease.NewChange(b.terms, bothOf)
 	for _, d := range c.Ask()[:3] {
-		given, ok := b.witnesses[d].Retire(testService, bothOf)
-		require.True(t, ok)
-		c.Retired(b.now, d, given)
+		require.True(t, b.witnesses[d].Retire(testService, bothOf))
+		c.Gave(b.witnesses[d].Gave(testService))
+		c.Retired(b.now, d)
 	}
 	g := stale.send(lease.Renew, "w1")
 	require.True(t, g.Retired)
@@ -173,8 +173,8 @@
 	home.learn(bothOf)
 	for range 20 {
 		for _, d := range c.Ask() {
-			given, _ := b.witnesses[d].Retire(testService, bothOf)
-			c.Retired(b.now, d, given)
+			b.witnesses[d].Retire(testService, bothOf)
+			c.Retired(b.now, d)
 			break
 		}
 		home.ask(lease.Renew)
@@ -295,9 +295,9 @@
 	c := lease.NewChange(b.terms, bothOf)
 	require.False(t, c.TakenOver(testServer, row))
 	for _, d := range []ident.Daemon{"w3", "w4", "w5"} {
-		given, ok := b.witnesses[d].Retire(testService, bothOf)
-		require.True(t, ok)
-		c.Retired(b.now, d, given)
+		require.True(t, b.witnesses[d].Retire(testService, bothOf))
+		c.Gave(b.witnesses[d].Gave(testService))
+		c.Retired(b.now, d)
 	}
 	require.True(t, c.TakenOver(testServer, row))
 	require.False(t, c.TakenOver(testServer, row.TakenOver("d3")), "the row tells of it")
--- a/core/lease/witness.go
+++ b/core/lease/witness.go
@@ -62,22 +62,29 @@
 }
 
 // Retire makes the witness refuse asks from copies of the document older than the change of witnesses in x, and
-// give no more leases unless it is in the next set. It returns the highest epochs that it gave and whether it has
-// retired; the coordinator hands both to its Change.
-func (w *Witness) Retire(s ident.Service, x Set) (map[ident.Server]ident.Epoch, bool) {
+// give no more leases unless it is in the next set. Returns whether it has retired, which the coordinator counts.
+func (w *Witness) Retire(s ident.Service, x Set) bool {
 	p := w.parts[s]
 	if p == nil {
-		return nil, false
+		return false
 	}
 	w.Serve(s, x, x.Rev)
 	p.min = max(p.min, x.Rev)
+	return true
+}
+
+// Gave returns the highest epoch that the witness has given for each server of the partition. A witness that retires
+// sends it along; read it after Retire.
+func (w *Witness) Gave(s ident.Service) map[ident.Server]ident.Epoch {
 	l := map[ident.Server]ident.Epoch{}
-	for n, r := range p.servers {
-		if r.epoch > 0 {
-			l[n] = r.epoch
+	if p := w.parts[s]; p != nil {
+		for n, r := range p.servers {
+			if r.epoch > 0 {
+				l[n] = r.epoch
+			}
 		}
 	}
-	return l, true
+	return l
 }
 
 // Ask answers one ask of a daemon.
--- a/core/lease/witness_test.go
+++ b/core/lease/witness_test.go
@@ -136,11 +136,9 @@
 	b := newBench(t)
 	home, standby := b.client("d1", 2, oldSet), b.client("d2", 3, bothOf)
 	home.ask(lease.Renew)
-	given, ok := b.witnesses["w1"].Retire(testService, bothOf)
-	require.True(t, ok)
-	require.Equal(t, map[ident.Server]ident.Epoch{testServer: 2}, given)
-	_, ok = b.witnesses["w5"].Retire(testService, bothOf)
-	require.True(t, ok)
+	require.True(t, b.witnesses["w1"].Retire(testService, bothOf))
+	require.Equal(t, map[ident.Server]ident.Epoch{testServer: 2}, b.witnesses["w1"].Gave(testService))
+	require.True(t, b.witnesses["w5"].Retire(testService, bothOf))
 
 	g := home.send(lease.Renew, "w1")
 	require.True(t, g.Retired && !g.Given && !g.Clear)
@@ -159,6 +157,6 @@
 
 func TestRetireBeforeServe(t *testing.T) {
 	w := lease.NewWitness("w1", lease.DefaultTerms(), 0)
-	_, ok := w.Retire(testService, bothOf)
-	require.False(t, ok)
+	require.False(t, w.Retire(testService, bothOf))
+	require.Empty(t, w.Gave(testService))
 }
--- a/core/owner/gate.go
+++ b/core/owner/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"heatherrouter/core/ident"
@@ -16,7 +17,7 @@
 	holder  *lease.Holder // nil before the process is home
 	rev     ident.Rev
 	rows    map[ident.Shard]Row
-	seen    map[ident.Shard]ident.Rev   // lowest revision at which the row's epoch was seen
+	seen    map[ident.Shard]ident.Rev   // of shards to be released: lowest revision at which the row was seen
 	freed   map[ident.Shard]ident.Epoch // released by the previous owner for this epoch
 	flights map[Token]flight
 	last    Token
@@ -48,12 +49,20 @@
 	if rev < g.rev {
 		return
 	}
+	seen := map[ident.Shard]ident.Rev{}
 	for s, r := range rows {
-		if _, ok := g.seen[s]; !ok || g.rows[s].Epoch != r.Epoch {
-			g.seen[s] = rev
+		if r.Owner != g.server || r.Previous == "" {
+			continue
+		}
+		seen[s] = rev
+		if old, ok := g.seen[s]; ok && g.rows[s].Epoch == r.Epoch {
+			seen[s] = old
 		}
 	}
-	g.rev, g.rows = rev, rows
+	g.rev, g.rows, g.seen = rev, rows, seen
+	maps.DeleteFunc(g.freed, func(s ident.Shard, e ident.Epoch) bool {
+		return rows[s].Owner != g.server || rows[s].Epoch > e
+	})
 }
 
 // Start is a request that may be sent.
