--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -63,8 +63,11 @@
 	return slices.Compact(l)
 }
 
-// Ask returns what to ask every witness. The rev is that of the daemon's copy of the partition's document, and must
-// not be newer than the row last handed to SetWitnesses allows: hand in both from one copy.
+// Ask returns what to ask every witness. The rev is that of the copy of the partition's document from which
+// SetWitnesses got its row.
+//
+// With a newer one the witnesses would believe that the holder has heard of a change of theirs, and would give a lease
+// that it then counts by the old set.
 func (h *Holder) Ask(m Mode, rev ident.Rev) Ask {
 	return Ask{Server: h.server, Epoch: h.epoch, Mode: m, Incarnation: h.life, Rev: rev}
 }
@@ -136,7 +139,11 @@
 	h.stopped, h.until = true, min(h.until, now)
 }
 
-// Superseded returns the highest newer epoch that a witness refused this one for.
+// Refused takes a backend server's word that it has seen the epoch: one that checks grants refuses older ones. The
+// witnesses may have forgotten it, so the home must be assigned anew to be of use.
+func (h *Holder) Refused(seen ident.Epoch) { h.highest = max(h.highest, seen) }
+
+// Superseded returns the highest newer epoch that a witness or the server refused this one for.
 func (h *Holder) Superseded() (ident.Epoch, bool) { return h.highest, h.highest > h.epoch }
 
 // Lost reports whether the holder should stop asking: it holds nothing and a newer epoch has been given.
