--- a/core/part/part_test.go
+++ b/core/part/part_test.go
@@ -76,6 +76,8 @@
 		{"settled", changing, w(next, nil, old), ""},
 		{"settled without retired", changing, w(next, nil, nil), RuleWitnessChange},
 		{"second change under way", changing, w(old, []ident.Daemon{"5"}, nil), RuleWitnessChange},
+		{"second change that claims to retire", changing, w(old, []ident.Daemon{"5"}, old), RuleWitnessChange},
+		{"settled to others", changing, w([]ident.Daemon{"5"}, nil, old), RuleWitnessChange},
 		{"even number", same, w(old, old[:2], nil), RuleWitnesses},
 		{"twice the same", same, w(old, []ident.Daemon{"4", "4", "5"}, nil), RuleWitnesses},
 		{"standby takes over", same, server("a", "2", 2, "3"), ""},
--- a/core/place/balance.go
+++ b/core/place/balance.go
@@ -12,7 +12,7 @@
 // budget lasts.
 func (p *planner) balance(t map[ident.Server]*target) {
 	l := carriers(t)
-	if len(l) < 2 || p.now.Before(p.memory.balanceAt) {
+	if len(l) < 2 || len(p.draft.shards) > len(p.in.Part.Shards) || p.now.Before(p.memory.balanceAt) {
 		return
 	}
 	level := p.level(l)
@@ -106,9 +106,10 @@
 // unbalanced reports whether a difference is worth a round of moves: larger than the hysteresis, and
 // larger than chance makes it at the rates that were measured.
 func (p *planner) unbalanced(l []*target, level float64) bool {
+	base := baseRate * float64(len(p.draft.shards)) / float64(len(l))
 	for _, x := range l {
 		share := level * x.weight
-		noise := noiseGate * math.Sqrt(share/rateWindow.Seconds())
+		noise := noiseGate * math.Sqrt(max(share-base, 0)/rateWindow.Seconds())
 		e := p.excess(x, level)
 		if e > max(highStart*share, noise) || (!x.pinned && -e > max(lowStart*share, noise)) {
 			return true
--- a/core/place/daemons.go
+++ b/core/place/daemons.go
@@ -21,10 +21,8 @@
 func (p *planner) silentAt(id ident.Daemon) mono.Time {
 	d := p.daemons[id]
 	switch {
-	case d == nil && p.isolated:
-		return p.memory.startedAt.Add(isolatedWait)
 	case d == nil:
-		return p.memory.startedAt.Add(live.SilentAfter)
+		return p.memory.startedAt.Add(unknownWait)
 	case p.isolated:
 		return d.Heard.Add(isolatedWait)
 	}
@@ -44,7 +42,8 @@
 	return p.memory.startedAt
 }
 
-// mostSilent reports whether most of the daemons that should be there are silent.
+// mostSilent reports whether most of the daemons that spoke lately are silent. Those that are gone for
+// longer don't count, or every site whose hosts were replaced one by one would look like a cut.
 //
 // Then it is likelier that this daemon is cut off, or was paused, than that the others are gone. Acting at
 // once would move every home away from daemons that work. The table would take it: moves are safe, but the
@@ -55,33 +54,36 @@
 		switch {
 		case d.Alive(p.now):
 			alive++
-		case d.Listed != live.ListedGone && !p.leaving(id):
+		case p.now.Before(d.Heard.Add(recentWait)) && d.Listed != live.ListedGone && !p.leaving(id):
 			silent++
 		}
 	}
 	return silent > alive
 }
 
-// lostDomains returns the domains of which more than one daemon is known and none is heard: their servers
-// are taken to be gone too.
+// lostServers returns the servers of domains of which more than one daemon is known and none is heard,
+// unless their home, which is then elsewhere, has seen them work since.
 //
-// A home of a lost server would first have to lapse, the next home to try the server in vain, and only
-// then would the shards move. Moving them right away saves that second wait; when only the daemons of the
-// domain were lost, it costs the churn of one domain.
-func (p *planner) lostDomains() map[ident.Domain]bool {
-	all, silent := map[ident.Domain]int{}, map[ident.Domain]int{}
+// A lost server's home would first have to lapse, the next home to try the server in vain, and only then
+// would the shards move. Moving them right away saves that second wait; when only the daemons of the domain
+// were lost, it costs the churn of one domain.
+func (p *planner) lostServers() map[ident.Server]bool {
+	count := map[ident.Domain]int{}
+	last := map[ident.Domain]mono.Time{}
+	heard := map[ident.Domain]bool{}
 	for id, d := range p.daemons {
 		if d.Listed == live.ListedGone || p.leaving(id) {
 			continue
 		}
-		all[d.Domain]++
-		if p.silent(id) {
-			silent[d.Domain]++
-		}
+		count[d.Domain]++
+		last[d.Domain] = max(last[d.Domain], d.SilentAt())
+		heard[d.Domain] = heard[d.Domain] || !p.silent(id)
 	}
-	lost := map[ident.Domain]bool{}
-	for d, n := range silent {
-		lost[d] = n > 1 && n == all[d]
+	lost := map[ident.Server]bool{}
+	for id, c := range p.servers {
+		if count[c.Domain] > 1 && !heard[c.Domain] && p.in.Reports[id].Received.Before(last[c.Domain]) {
+			lost[id] = true
+		}
 	}
 	return lost
 }
--- /dev/null
+++ b/core/place/homes_test.go
@@ -0,0 +1,235 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/ident"
+)
+
+// homesOf returns the servers that a daemon is home of.
+func (s *site) homesOf(d ident.Daemon) []ident.Server {
+	var l []ident.Server
+	for _, id := range s.in.Part.ServerIDs() {
+		if s.in.Part.Servers[id].Home == d {
+			l = append(l, id)
+		}
+	}
+	return l
+}
+
+// A home dies. Its standby waits for the lease to lapse and takes over by itself with the next epoch; the
+// coordinator notices the silence earlier and writes just that epoch, so that neither has to give way.
+// A second writer with another epoch would cost the keys another lease time.
+func TestSilentHomeGoesToStandbyWithItsEpoch(t *testing.T) {
+	s := newSite(t, 15, 512)
+	s.run(3 * time.Second)
+	lost := s.in.Part.Servers["svc/s00"]
+	s.run(800*time.Millisecond, lost.Home)
+	require.Equal(t, lost, s.in.Part.Servers["svc/s00"])
+	s.run(300*time.Millisecond, lost.Home)
+	row := s.in.Part.Servers["svc/s00"]
+	require.Equal(t, lost.Standby, row.Home)
+	require.Equal(t, lost.Epoch+1, row.Epoch)
+	require.True(t, row.Supersede)
+	require.Empty(t, s.homesOf(lost.Home))
+}
+
+// The standby takes over while the coordinator still hears the old home, say over a path that the lease
+// renewals don't share. The row must follow the lease, or the entries go on asking the old home.
+func TestStandbyThatTookOverIsWrittenDown(t *testing.T) {
+	s := newSite(t, 15, 512)
+	s.run(3 * time.Second)
+	old := s.in.Part.Servers["svc/s00"]
+	s.in.Holders["svc/s00"] = Holder{Daemon: old.Standby, Epoch: old.Epoch + 1}
+	s.step()
+	row := s.in.Part.Servers["svc/s00"]
+	require.Equal(t, old.Standby, row.Home)
+	require.Equal(t, old.Epoch+1, row.Epoch)
+	require.NotEqual(t, old.Standby, row.Standby)
+}
+
+// Home and standby die together. No epoch is authorised for anybody else, so a third daemon gets one past
+// the standby's: had the standby taken over unseen, its leases must not count as the new home's.
+func TestHomeAndStandbyLostGiveNewEpochToThird(t *testing.T) {
+	s := newSite(t, 15, 512)
+	s.run(3 * time.Second)
+	old := s.in.Part.Servers["svc/s00"]
+	s.run(1100*time.Millisecond, old.Home, old.Standby)
+	row := s.in.Part.Servers["svc/s00"]
+	require.NotContains(t, []ident.Daemon{old.Home, old.Standby}, row.Home)
+	require.Equal(t, old.Epoch+2, row.Epoch)
+}
+
+// A daemon gets SIGTERM and says that it leaves. Its homes and its witness seat go while it lives, in one
+// transaction, and nobody is told to supersede it: it has work in flight that must end first.
+func TestLeavingDaemonHandsOverAlive(t *testing.T) {
+	s := newSite(t, 15, 512)
+	s.run(3 * time.Second)
+	w := s.in.Part.Witnesses.Current[0]
+	for i := range s.in.Daemons {
+		if s.in.Daemons[i].Daemon == w {
+			s.in.Daemons[i].Leaving = true
+		}
+	}
+	moved := s.homesOf(w)
+	require.NotEmpty(t, moved)
+	d := s.step()
+	require.Empty(t, s.homesOf(w))
+	require.NotContains(t, s.in.Part.Witnesses.Next, w)
+	require.Len(t, s.in.Part.Witnesses.Next, 5)
+	for _, id := range moved {
+		require.False(t, s.in.Part.Servers[id].Supersede)
+	}
+	require.Contains(t, d.Reasons, "home leaves")
+	// The old home falls silent before it has handed over: now the new one must not wait for it.
+	s.in.Holders[moved[0]] = Holder{Daemon: w, Epoch: 1}
+	s.run(1100*time.Millisecond, w)
+	require.True(t, s.in.Part.Servers[moved[0]].Supersede)
+}
+
+// The coordinator is cut off and hears nobody, or all others froze. Were it to act at once, it would take
+// all homes upon itself while the others serve well.
+func TestIsolatedCoordinatorWaits(t *testing.T) {
+	s := newSite(t, 15, 512)
+	s.run(3 * time.Second)
+	n := s.commits
+	var others []ident.Daemon
+	for _, d := range s.in.Daemons[1:] {
+		others = append(others, d.Daemon)
+	}
+	s.run(4*time.Second, others...)
+	require.Equal(t, n, s.commits, "%v", s.reasons)
+	s.run(2*time.Second, others...)
+	require.Greater(t, s.commits, n, "but not for ever")
+}
+
+// All daemons are replaced at once; the part names daemons that nobody has ever heard. The assignment of
+// shards stays, homes and witnesses move to the new daemons within seconds.
+func TestAllDaemonsReplaced(t *testing.T) {
+	s := newSite(t, 15, 512)
+	s.run(3 * time.Second)
+	old := s.in.Part
+	for i := range s.in.Daemons {
+		s.in.Daemons[i].Daemon = "new-" + s.in.Daemons[i].Daemon
+	}
+	s.in.Memory = NewMemory()
+	s.run(3 * time.Second)
+	require.Equal(t, old.Shards, s.in.Part.Shards)
+	for _, row := range s.in.Part.Servers {
+		require.Contains(t, row.Home, "new-")
+		require.Contains(t, row.Standby, "new-")
+		require.Greater(t, row.Epoch, old.Servers[row.ID].Epoch+1)
+	}
+	s.run(30 * time.Second)
+	for _, w := range s.in.Part.Witnesses.Current {
+		require.Contains(t, w, "new-")
+	}
+}
+
+func TestWitnessesAreReplacedOneChangeAtATime(t *testing.T) {
+	s := newSite(t, 15, 512)
+	s.run(3 * time.Second)
+	old := s.in.Part.Witnesses.Current
+	dead := old[1:3]
+	s.run(4*time.Second, dead...)
+	require.False(t, s.in.Part.Witnesses.Changing(), "two may be silent for a while")
+	s.run(1200*time.Millisecond, dead...)
+	s.run(time.Second, dead...)
+	w := s.in.Part.Witnesses
+	require.False(t, w.Changing())
+	require.Equal(t, old, w.Retired)
+	require.NotContains(t, w.Current, dead[0])
+	require.NotContains(t, w.Current, dead[1])
+	require.Equal(t, old[0], w.Current[0])
+}
+
+// One of only three daemons leaves, and nobody can take its seat. A set of one witness in its place would
+// be lost with a single daemon; two of the three that stay still form a majority.
+func TestWitnessWithoutReplacementStays(t *testing.T) {
+	s := newSite(t, 3, 64)
+	s.in.Daemons = s.in.Daemons[:3]
+	s.run(3 * time.Second)
+	require.Len(t, s.in.Part.Witnesses.Current, 3)
+	s.in.Daemons[1].Leaving = true
+	s.run(time.Minute)
+	require.Len(t, s.in.Part.Witnesses.Current, 3)
+	require.Empty(t, s.in.Part.Witnesses.Retired)
+}
+
+// A domain of daemons goes and the witnesses flee to the other two; it comes back. Three of five would
+// stay in one domain, whose loss then stops all leases, unless they are spread again.
+func TestWitnessesSpreadAgainAfterDomainReturns(t *testing.T) {
+	s := newSite(t, 15, 512)
+	s.run(3 * time.Second)
+	var z1 []ident.Daemon
+	for _, d := range s.in.Daemons {
+		if d.Domain == "z1" {
+			z1 = append(z1, d.Daemon)
+		}
+	}
+	s.run(20*time.Second, z1...)
+	count := s.witnessDomains()
+	require.Zero(t, count["z1"])
+	for i := range s.in.Daemons {
+		if s.in.Daemons[i].Domain == "z1" {
+			s.in.Daemons[i].Since = s.now
+		}
+	}
+	s.run(40 * time.Second)
+	for _, n := range s.witnessDomains() {
+		require.LessOrEqual(t, n, 2)
+	}
+	require.False(t, s.in.Part.Witnesses.Changing())
+}
+
+func (s *site) witnessDomains() map[ident.Domain]int {
+	m := map[ident.Domain]int{}
+	for _, w := range s.in.Part.Witnesses.Current {
+		m[s.domain(w)]++
+	}
+	return m
+}
+
+func TestHomesReturnToTheirDomainOneByOne(t *testing.T) {
+	s := newSite(t, 15, 512)
+	s.run(3 * time.Second)
+	lost := s.in.Part.Servers["svc/s00"].Home
+	s.run(5*time.Second, lost)
+	n := s.commits
+	s.run(5 * time.Minute)
+	for _, c := range s.in.Service.Servers {
+		require.Equal(t, c.Domain, s.domain(s.in.Part.Servers[c.ID].Home))
+	}
+	require.LessOrEqual(t, s.commits-n, 4, "%v", s.reasons)
+}
+
+func TestDaemonsOfOtherRegionsGetNothing(t *testing.T) {
+	s := newSite(t, 15, 512)
+	for i := range 6 {
+		s.in.Daemons[i].Region = "elsewhere"
+	}
+	s.run(3 * time.Second)
+	for _, row := range s.in.Part.Servers {
+		for _, d := range []ident.Daemon{row.Home, row.Standby} {
+			require.GreaterOrEqual(t, d, ident.Daemon("d06"))
+		}
+	}
+	require.Len(t, s.in.Part.Witnesses.Current, 5)
+}
+
+// All daemons of a new site start within seconds, and the first one to plan knows only itself. Were it to
+// assign at once, it would be the home of everything, and all of that would move seconds later.
+func TestFirstDaemonWaitsForTheOthers(t *testing.T) {
+	s := newSite(t, 15, 512)
+	all := s.in.Daemons
+	s.in.Daemons = all[:1]
+	s.run(time.Second)
+	require.Zero(t, s.commits)
+	s.in.Daemons = all
+	s.run(2 * time.Second)
+	require.Equal(t, 1, s.commits)
+	require.Len(t, s.in.Part.Witnesses.Current, 5)
+}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -23,6 +23,7 @@
 	in      Input
 	commits int
 	reasons []string
+	mute    bool // homes don't tell of releases
 }
 
 // newSite has servers and four daemons in each of three domains.
@@ -95,12 +96,15 @@
 		return
 	}
 	clear(s.in.Released)
+	s.in.MaySettle = s.in.Part.Witnesses.Changing()
+	if s.mute {
+		return
+	}
 	for _, l := range s.in.Part.Unreleased() {
 		for _, x := range l {
 			s.in.Released[x.Shard] = x.Epoch
 		}
 	}
-	s.in.MaySettle = s.in.Part.Witnesses.Changing()
 }
 
 func TestFirstAssignmentIsEvenAndThenStays(t *testing.T) {
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -54,8 +54,8 @@
 
 // observeReport flips down and slow once reports have said the same for long enough.
 func (s *serverMemory) observeReport(now mono.Time, r Report) {
-	flipped := s.flip(now, &s.down, &s.flipAt, r.Down, downWait, upWait)
-	lagged := s.flip(now, &s.slow, &s.lagAt, r.Slow, slowWait, fastWait)
+	flipped := flip(now, r.Received, &s.down, &s.flipAt, r.Down, downWait, upWait)
+	lagged := flip(now, r.Received, &s.slow, &s.lagAt, r.Slow, slowWait, fastWait)
 	switch {
 	case (flipped && s.down) || (lagged && s.slow):
 		s.noteFailure(now)
@@ -64,25 +64,34 @@
 	}
 }
 
-func (s *serverMemory) flip(now mono.Time, is *bool, at *mono.Time, said bool, on, off time.Duration) bool {
+// flip turns a state once reports have said the other for the wait, and reports whether it did.
+//
+// One report is not enough, however old it grows: it may be the last word of a home from before it was
+// lost, and would bring its server back while nobody has seen it work.
+func flip(now, received mono.Time, is *bool, at *mono.Time, said bool, on, off time.Duration) bool {
 	if said == *is {
 		*at = mono.Never
 		return false
 	}
+	wait := off
+	if said {
+		wait = on
+	}
 	if *at == mono.Never {
-		wait := off
-		if said {
-			wait = on
-		}
-		*at = now.Add(wait)
+		*at = received.Add(wait)
 	}
-	if now.Before(*at) {
+	if now.Before(*at) || received <= at.Add(-wait) {
 		return false
 	}
 	*is, *at = said, mono.Never
 	return true
 }
 
+// lose takes the server for down without a report; only reports bring it back.
+func (s *serverMemory) lose() {
+	s.down, s.flipAt = true, mono.Never
+}
+
 // noteFailure makes a server that fails again and again wait longer each time. Without it, one that falls
 // over as soon as it is loaded would be filled and emptied every few seconds, and all its keys with it.
 func (s *serverMemory) noteFailure(now mono.Time) {
@@ -128,6 +137,9 @@
 
 // planStates writes down which servers may be given work.
 func (p *planner) planStates() {
+	for id := range p.lostServers() {
+		p.memory.servers[id].lose()
+	}
 	for _, id := range p.in.Part.ServerIDs() {
 		row := p.draft.servers[id]
 		want, reason := p.wantedState(id)
--- a/core/place/shards.go
+++ b/core/place/shards.go
@@ -34,11 +34,16 @@
 	p.balance(t)
 }
 
-// firstShards assigns shards that no row holds yet, evenly, a whole row at a time.
+// firstShards assigns shards that no row holds yet, evenly, a whole row at a time. It waits for the rows
+// of all servers, which may need more than one transaction, so that none starts without shards.
 func (p *planner) firstShards() {
 	var ids []ident.Server
-	for _, id := range slices.Sorted(maps.Keys(p.draft.servers)) {
-		if p.draft.servers[id].State == part.Active && p.servers[id] != nil {
+	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
+		row, ok := p.draft.servers[id]
+		if !ok {
+			return
+		}
+		if row.State == part.Active {
 			ids = append(ids, id)
 		}
 	}
@@ -80,7 +85,6 @@
 // targets returns every server that has a row, by name.
 func (p *planner) targets() map[ident.Server]*target {
 	t := map[ident.Server]*target{}
-	lost := p.lostDomains()
 	slow := p.stragglers()
 	for id, row := range p.draft.servers {
 		x := &target{id: id}
@@ -91,8 +95,6 @@
 			x.away, x.reason = true, "owner drains"
 		case row.State == part.Down:
 			x.away, x.urgent, x.reason = true, true, "owner is down"
-		case lost[c.Domain]:
-			x.away, x.urgent, x.reason = true, true, "domain of owner is silent"
 		case slow[id]:
 			x.away, x.reason = true, "owner is slow"
 		default:
--- a/core/place/sim_test.go
+++ b/core/place/sim_test.go
@@ -163,17 +163,6 @@
 	}
 }
 
-// owned returns the shards of a server.
-func (m *sim) owned(id ident.Server) int {
-	n := 0
-	for _, o := range m.in.Part.Shards {
-		if o.Server == id {
-			n++
-		}
-	}
-	return n
-}
-
 // result is one line of the table.
 type result struct {
 	expect
--- a/core/place/tuning.go
+++ b/core/place/tuning.go
@@ -5,6 +5,8 @@
 // Waiting times. Each is long enough that the usual short trouble passes without a change.
 const (
 	firstWait       = 2 * time.Second         // from the first plan to the first assignment
+	unknownWait     = 2 * time.Second         // from the first plan, for daemons of the part that were never heard
+	recentWait      = 15 * time.Second        // a daemon that is silent for longer does not hint at a cut
 	isolatedWait    = 5 * time.Second         // silence of most daemons at once
 	downWait        = 700 * time.Millisecond  // a report of down, until the shards move
 	upWait          = time.Second             // a report of up, until the server counts as up
--- a/core/place/witness.go
+++ b/core/place/witness.go
@@ -87,17 +87,21 @@
 // daemon that has been there for a while. Otherwise the return of a lost domain would leave the witnesses
 // where they fled to, and the next loss could take a majority of them.
 func (p *planner) spreadWitnesses(l []ident.Daemon) (keep []ident.Daemon, reason string) {
+	if p.settled(spreadWait) < len(l) {
+		return nil, ""
+	}
 	most := p.perDomain(spreadWait)
 	count := map[ident.Domain]int{}
 	for _, id := range l {
 		d := p.daemons[id]
-		if d != nil && count[d.Domain] >= most {
+		if d == nil {
+			return nil, "" // a silent one that is about to be replaced anyway
+		}
+		if count[d.Domain] >= most {
 			reason = "witnesses spread better"
 			continue
 		}
-		if d != nil {
-			count[d.Domain]++
-		}
+		count[d.Domain]++
 		keep = append(keep, id)
 	}
 	return keep, reason
@@ -149,7 +153,10 @@
 		count[p.daemons[best].Domain]++
 		l = append(l, best)
 	}
-	return l[:len(l)-(len(l)+1)%2]
+	if len(l)%2 == 0 && len(l) > 0 {
+		l = l[:len(l)-1]
+	}
+	return l
 }
 
 // worse reports whether a next set would have fewer live members than the current one: a change that only
