Server stand-in: work that expires ends at its deadline

The log gave work that a frozen server had in flight an end at the thaw, seconds after its deadline, though the server does nothing while frozen and gives the work up when it looks at the deadline. OneOwner took that for a second owner (TestFrozenServer, two runs of four). The check stays as strict: expired work now ends at its deadline, the stand-in looks at the deadline first after a thaw, and also before it answers work of no service time, which it did not before. Work that is answered after its deadline still counts to its very end. Run: go test -race ./io/fakes/server; TestFrozenServer with and without grants passes after.

--- a/io/fakes/server/log.go
+++ b/io/fakes/server/log.go
@@ -29,11 +29,16 @@
 	return len(w.l) - 1
 }
 
-func (w *workLog) end(n int, o fakes.Outcome, reason string) {
+// end notes how the work ended. Work that expired ended at its deadline: a server that was frozen over it notices
+// late, but has done nothing since.
+func (w *workLog) end(n int, o fakes.Outcome, reason string, deadline time.Time) {
 	if !w.on {
 		return
 	}
 	now := time.Now().UnixNano()
+	if o == fakes.ExpiredOutcome {
+		now = min(now, deadline.UnixNano())
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.l[n].End, w.l[n].Outcome, w.l[n].Reason = now, o, reason
--- a/io/fakes/server/work.go
+++ b/io/fakes/server/work.go
@@ -43,7 +43,7 @@
 	c.Response.Header.Set(IncarnationHeader, j.tag)
 	if j.refused != "" {
 		s.serial.Add(-1)
-		s.work.end(j.entry, fakes.NotRunOutcome, j.refused)
+		s.work.end(j.entry, fakes.NotRunOutcome, j.refused, j.deadline)
 		refuse(c, j.refused)
 		return
 	}
@@ -199,18 +199,28 @@
 		case <-time.After(min(left, peekEvery)):
 		}
 		s.gate.pass()
+		if j.expired() {
+			return fakes.ExpiredOutcome
+		}
 		if x != nil && x.gone() {
 			return fakes.CancelledOutcome
 		}
 	}
 	s.gate.pass()
+	if j.expired() {
+		return fakes.ExpiredOutcome
+	}
 	return fakes.AnsweredOutcome
 }
 
+func (j *job) expired() bool {
+	return !j.deadline.IsZero() && !time.Now().Before(j.deadline)
+}
+
 // finish ends a job that was not refused.
 func (s *Server) finish(j job, o fakes.Outcome) {
 	s.serial.Add(-1)
-	s.work.end(j.entry, o, "")
+	s.work.end(j.entry, o, "", j.deadline)
 	if o == fakes.AnsweredOutcome && s.opts.ColdWork > 0 {
 		s.mu.Lock()
 		s.done++
