An accepted publish is held by two other daemons before its operator is told

Cause: the notice of a new revision went out after the answer, and a peer acknowledged it before it had pulled. A daemon killed right after its answer while the table went out took the revision with it: TestAcceptedConfig, part "both", had the others on revision 3 instead of 4 after 7 s. Now a peer acknowledges what it holds, and the committing daemon waits for two of them, 0.5 s at the most.

--- a/io/daemon/backend.go
+++ b/io/daemon/backend.go
@@ -35,6 +35,7 @@
 func (c configDocs) Commit(x context.Context, n ident.Doc, from ident.Rev, t ident.Txn, l []docs.Change) (ident.Rev, error) {
 	rev, err := c.d.store.Commit(x, n, from, t, l)
 	if err == nil {
+		c.d.store.Confirm(n, rev)
 		return rev, nil
 	}
 	var conflict *table.ConflictError
--- a/io/daemon/calls.go
+++ b/io/daemon/calls.go
@@ -47,8 +47,10 @@
 		}
 		return peer.Refuse("no-such-document")
 	case *wire.Call_Notice:
-		d.store.Noticed(from, b.Notice)
-		return ack()
+		if d.store.Noticed(c, from, b.Notice) {
+			return ack()
+		}
+		return peer.Refuse("not-pulled")
 	case *wire.Call_Release:
 		return &wire.Reply{Body: &wire.Reply_Release{Release: d.homes.Release(b.Release)}}
 	case *wire.Call_Retire:
--- a/io/spread/spread.go
+++ b/io/spread/spread.go
@@ -31,6 +31,10 @@
 	fanOut    = 3 // daemons that are told of a new revision
 	callLimit = time.Second
 
+	// holders is how many other daemons hold what an operator has committed before the operator is told.
+	holders      = 2
+	confirmLimit = 500 * time.Millisecond
+
 	// A daemon's budget at the table. All daemons that come back at once must stay under what the table
 	// carries: 820 daemons at these rates ask for 1,640 reads and, only if all commit all the time, 820 writes
 	// a second; what is over the budget waits here instead of failing there.
@@ -204,17 +208,47 @@
 func (s *Store) tell(d ident.Doc, r ident.Rev) {
 	m := &wire.DocNotice{Revs: []*wire.DocRev{{Doc: string(d), Rev: uint64(r)}}}
 	for _, p := range s.peers().Random(fanOut) {
-		go s.notify(p, m)
+		go func() { _ = s.notify(p, m) }()
 	}
 }
 
-func (s *Store) notify(p ident.Daemon, n *wire.DocNotice) {
+// notify tells a peer of revisions and reports whether it holds them now.
+func (s *Store) notify(p ident.Daemon, n *wire.DocNotice) bool {
 	c, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	_, err := s.caller.Call(c, p, &wire.Call{Body: &wire.Call_Notice{Notice: n}})
+	r, err := s.caller.Call(c, p, &wire.Call{Body: &wire.Call_Notice{Notice: n}})
 	if err != nil {
 		s.log.Debug().Err(err).Str("peer", string(p)).Msg("notice not delivered, a probe will mend it")
 	}
+	return err == nil && r.GetAck() != nil
+}
+
+// Confirm waits until a few other daemons hold the revision, or a little while.
+//
+// An operator who has been told of a revision may count on it. Were this daemon lost right after its answer, while the
+// table is out, nobody else would know the revision until the table is back.
+func (s *Store) Confirm(d ident.Doc, r ident.Rev) {
+	m := &wire.DocNotice{Revs: []*wire.DocRev{{Doc: string(d), Rev: uint64(r)}}}
+	l := s.peers().Random(2 * fanOut)
+	told := make(chan bool, len(l))
+	for _, p := range l {
+		go func() { told <- s.notify(p, m) }()
+	}
+	limit := time.After(confirmLimit)
+	have := 0
+	for range l {
+		select {
+		case ok := <-told:
+			if ok {
+				have++
+			}
+		case <-limit:
+			return
+		}
+		if have == holders {
+			return
+		}
+	}
 }
 
 // Reconcile brings this daemon's copies and a peer's to the same revisions.
@@ -231,21 +265,25 @@
 		}
 	}
 	if len(n.GetRevs()) > 0 {
-		s.notify(from, n)
+		_ = s.notify(from, n)
 	}
 }
 
-// Noticed takes in a peer's notice: what is newer there is pulled.
-func (s *Store) Noticed(from ident.Daemon, n *wire.DocNotice) {
+// Noticed takes in a peer's notice: what is newer there is pulled. It reports whether all of it is here now.
+func (s *Store) Noticed(c context.Context, from ident.Daemon, n *wire.DocNotice) bool {
 	theirs := map[ident.Doc]ident.Rev{}
 	for _, r := range n.GetRevs() {
 		theirs[ident.Doc(r.GetDoc())] = ident.Rev(r.GetRev())
 	}
-	go func() {
-		c, cancel := context.WithTimeout(context.Background(), callLimit)
-		defer cancel()
-		s.pullNewer(c, from, theirs)
-	}()
+	x, cancel := context.WithTimeout(c, callLimit)
+	defer cancel()
+	s.pullNewer(x, from, theirs)
+	for name, rev := range theirs {
+		if d := s.Get(name); d == nil || d.Rev < rev {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *Store) pullNewer(c context.Context, from ident.Daemon, theirs map[ident.Doc]ident.Rev) {
