Give up connections that all went silent at once

When all connections of a server go silent at once, its slots stay taken by the silent ones until their deadlines, and nobody else is answered. A probe answered on a new connection now counts for connections that have been used before; a server that is usually slow is given eight times its usual time first. Ruled out: the entry's hedges (they queue for the same slots). Left: writes in flight on silent connections stay until their deadlines, since giving them up could only tell "unknown" sooner; a slow idempotent request among many fast ones is still given up by the older rule.

--- a/core/admit/report.go
+++ b/core/admit/report.go
@@ -81,3 +81,8 @@
 		Incarnation:     s.life,
 	}
 }
+
+// Usual returns the usual service time as our own exchanges show it, or 0 before the first answer.
+func (s *Server) Usual() time.Duration {
+	return s.speed.median(nil)
+}
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -209,8 +209,13 @@
 
 // await waits for the first byte of the answer. From SuspectAt on it gives up a connection that is passed
 // by others: something between the two ends has lost track of it, or the server forgot it.
+//
+// When every connection in use goes silent at once few others are left, and all slots would stay taken by the
+// silent ones until their deadlines. A probe on a new connection then shows that the server is there. That alone says
+// little of a slow request, so it is not held against a new connection: the next send, which finds the idle ones
+// closed and gets a new one, is not given up for the same reason.
 func (c *conn) await(p *Pool, call Call) error {
-	before := p.answers.Load()
+	before, sent := p.answers.Load(), time.Now()
 	for at := call.SuspectAt; !at.IsZero() && at.Before(call.Deadline); at = time.Now().Add(p.options.ProbeTimeout) {
 		if err := c.net.SetReadDeadline(at); err != nil {
 			return err
@@ -219,7 +224,7 @@
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			break // read reports the error again
 		}
-		if p.answers.Load()-before >= othersAnswered {
+		if p.answers.Load()-before >= othersAnswered || c.used && p.probed.Load() > sent.UnixNano() {
 			p.closeIdle() // whatever silenced this one may have silenced them
 			return ErrSilent
 		}
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -65,8 +65,8 @@
 	Deadline time.Time // for the whole answer; in DoStream for the header of the answer
 
 	// SuspectAt is from when a connection without any answer is given up as silent if later exchanges on
-	// others were answered; zero for never. Set it for idempotent requests only: for others it could only
-	// bring forward the unknown outcome.
+	// others were answered, or a probe on a new connection; zero for never. Set it for
+	// idempotent requests only: for others it could only bring forward the unknown outcome.
 	SuspectAt time.Time
 
 	// Guard is asked right before the first byte is written, nil for none. It is the place to check the
@@ -105,6 +105,7 @@
 	closed bool
 
 	answers atomic.Uint64 // whole answers so far
+	probed  atomic.Int64  // when the last probe was asked that was answered on a new connection, in unix nanoseconds
 	stop    context.CancelFunc
 	probes  sync.WaitGroup
 }
--- a/io/conns/probe.go
+++ b/io/conns/probe.go
@@ -13,6 +13,7 @@
 // Probe asks for the health page on a new connection of its own, so that it finds out whether the server
 // takes new ones. Any whole answer counts as alive: what the page says lags and misleads.
 func (p *Pool) Probe(deadline time.Time) (admit.Health, error) {
+	asked := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	c, err := p.dial(ctx, deadline)
@@ -20,7 +21,11 @@
 		return admit.Health{}, trace.Wrap(err, "dial %v", p.addr)
 	}
 	defer c.close()
-	return p.health(c, deadline)
+	h, err := p.health(c, deadline)
+	if err == nil {
+		p.probed.Store(asked.UnixNano())
+	}
+	return h, err
 }
 
 func (p *Pool) health(c *conn, deadline time.Time) (admit.Health, error) {
--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -23,7 +23,8 @@
 	settleWait  = 400 * time.Millisecond
 	settleEvery = 3 * time.Millisecond
 
-	suspectAfter = 300 * time.Millisecond // of no answer, when others are answered
+	suspectAfter  = 300 * time.Millisecond // of no answer, when others are answered
+	suspectFactor = 8                      // times the usual service time
 )
 
 // Reasons of answers that the backend server did not give; kebab case.
@@ -48,6 +49,7 @@
 	epoch    ident.Epoch
 	addr     netip.AddrPort // of the server, and pool its connections; the configuration may change both meanwhile
 	pool     *conns.Pool
+	suspect  time.Duration // without an answer, until the connection is doubted; 0 for never
 }
 
 // Do runs one exchange and returns its answer, whose outcome is certain.
@@ -110,6 +112,7 @@
 	switch v := d.(type) {
 	case admit.Start:
 		j.ticket, j.addr, j.pool = v.Ticket, h.server.Addr, h.pool
+		j.suspect = h.suspectAfter(j)
 		return h.enter(j)
 	case admit.Refuse:
 		return h.refused(v), false
@@ -234,12 +237,21 @@
 
 func (h *Home) call(j *job) conns.Call {
 	x := conns.Call{Deadline: h.o.Clock.Std(j.deadline), Guard: func() bool { return h.maySend(j) }}
-	if j.kind.Idempotent {
-		x.SuspectAt = time.Now().Add(suspectAfter)
+	if j.suspect > 0 {
+		x.SuspectAt = time.Now().Add(j.suspect)
 	}
 	return x
 }
 
+// suspectAfter returns how long an exchange may go without an answer before its connection is doubted. A server that
+// is usually slow is given more time: its answers would else be given up again and again.
+func (h *Home) suspectAfter(j *job) time.Duration {
+	if !j.kind.Idempotent {
+		return 0
+	}
+	return max(suspectAfter, suspectFactor*h.admit.Usual())
+}
+
 // maySend checks the lease right before the first byte: the process may have been paused since it took the job,
 // and somebody else may be home by now.
 func (h *Home) maySend(j *job) bool {
