Tests of failures with real processes

Each runs a steady load of keyed reads and writes, unkeyed swaps and downloads at several entries, and reads the servers' logs: one owner of each key at any moment, writes and swaps at most once, not run truly not run.

--- a/io/stand/stand_test.go
+++ b/io/stand/stand_test.go
@@ -1,6 +1,7 @@
 package stand_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -61,13 +62,19 @@
 	server                    server.Options
 }
 
+// sites bounds how many stands run at once: beyond it the machine is what is tested.
+var sites = make(chan struct{}, 3)
+
 func newSite(t *testing.T, o siteOptions) *site {
 	t.Helper()
-	s, err := stand.New(stand.Options{Dir: t.TempDir(), Binary: binary, Daemons: o.daemons, Domains: o.domains})
+	sites <- struct{}{}
+	t.Cleanup(func() { <-sites })
+	s, err := stand.New(stand.Options{Dir: t.ArtifactDir(), Binary: binary, Daemons: o.daemons, Domains: o.domains})
 	require.NoError(t, err)
 	x := &site{Stand: s, t: t}
 	t.Cleanup(func() {
 		s.Close()
+		x.checkRaces()
 		if t.Failed() {
 			x.printLogs()
 		}
@@ -98,15 +105,7 @@
 func (x *site) serves() {
 	x.t.Helper()
 	for i := range x.Daemons {
-		for _, p := range []string{"/keyed/read/k1", "/plain/read/x"} {
-			require.NoError(x.t, stand.Eventually(20*time.Second, func() error {
-				a := x.get(i, p)
-				if a.status != http.StatusOK {
-					return fmt.Errorf("%s at %s: %v", p, x.Daemons[i].Name, a)
-				}
-				return nil
-			}))
-		}
+		require.NoError(x.t, stand.Eventually(20*time.Second, func() error { return x.serving(i) }))
 	}
 }
 
@@ -116,6 +115,16 @@
 	}
 }
 
+// checkRaces fails the test when the race detector has found something in a daemon.
+func (x *site) checkRaces() {
+	for _, d := range x.Daemons {
+		b, err := os.ReadFile(d.Log)
+		if _, after, ok := bytes.Cut(b, []byte("WARNING: DATA RACE")); err == nil && ok {
+			x.t.Errorf("data race in %s:%s", d.Name, after[:min(len(after), 3000)])
+		}
+	}
+}
+
 type reply struct {
 	status  int
 	outcome string
@@ -138,6 +147,10 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
+	return send(r)
+}
+
+func send(r *http.Request) reply {
 	a, err := client.Do(r)
 	if err != nil {
 		return reply{err: err}
@@ -155,9 +168,7 @@
 }
 
 func TestWholePath(t *testing.T) {
-	for _, grants := range []bool{false, true} {
-		t.Run(fmt.Sprintf("grants=%v", grants), func(t *testing.T) { testWholePath(t, grants) })
-	}
+	bothKinds(t, testWholePath)
 }
 
 func testWholePath(t *testing.T, grants bool) {
