--- a/io/fakes/faults.go
+++ b/io/fakes/faults.go
@@ -26,10 +26,11 @@
 	Reads  int `json:"reads"`
 	Writes int `json:"writes"` // those that took effect
 	Failed int `json:"failed"` // writes refused by their condition or for being wrong
+	Conns  int `json:"conns"`  // connections accepted
 }
 
-// status is the answer of a control page.
-type status struct {
+// Status is the answer of a control page.
+type Status struct {
 	Faults Faults `json:"faults"`
 	Counts Counts `json:"counts"`
 }
@@ -68,7 +69,9 @@
 func (f *faulty) Counts() Counts {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.counts
+	c := f.counts
+	c.Conns = int(f.data.conns.Load())
+	return c
 }
 
 func (f *faulty) count(c Counts) {
@@ -152,5 +155,5 @@
 			return
 		}
 	}
-	writeJSON(w, http.StatusOK, status{Faults: f.Faults(), Counts: f.Counts()})
+	writeJSON(w, http.StatusOK, Status{Faults: f.Faults(), Counts: f.Counts()})
 }
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -116,6 +116,13 @@
 	h.deliver(h.admit.Drain(now, !now.Before(h.closeAt)))
 }
 
+// settings returns the server's settings as last published.
+func (h *Home) settings() config.Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.server
+}
+
 // setEpoch ends the holder of an older epoch and makes one for the new.
 func (h *Home) setEpoch(now mono.Time, e ident.Epoch) {
 	if e == h.epoch {
@@ -194,19 +201,20 @@
 	return true
 }
 
-// tick lets time pass for the decisions.
-func (h *Home) tick(now mono.Time) {
+// tick lets time pass for the decisions; it reports whether the lease has just come.
+func (h *Home) tick(now mono.Time) (came bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !now.Before(h.admit.NextTick()) {
 		h.deliver(h.admit.Tick(now))
 	}
+	held := h.held
 	h.noteLease(now)
 	if !now.Before(h.closeAt) {
 		h.deliver(h.admit.Drain(now, true))
 	}
-	if h.epoch == 0 || h.holder == nil || !h.holder.Holds(now) {
-		return
+	if h.epoch == 0 || !h.held {
+		return false
 	}
 	h.offerGrant(now)
 	if !now.Before(h.compare) {
@@ -216,6 +224,7 @@
 	if h.admit.ProbeDue(now) {
 		go h.probe(h.pool, now)
 	}
+	return !held
 }
 
 // noteLease logs leases as they come and go.
--- a/io/home/homes.go
+++ b/io/home/homes.go
@@ -57,6 +57,7 @@
 type Homes struct {
 	o     Options
 	wake  chan struct{} // a new snapshot, or a lease to ask for at once
+	moved chan struct{} // shards or leases may have come here
 	wants sync.Map      // recipient -> bool: the witness wants reports
 
 	mu   sync.RWMutex
@@ -65,7 +66,7 @@
 
 // New starts the duties in the group.
 func New(g *group.Group, o Options) *Homes {
-	s := &Homes{o: o, wake: make(chan struct{}, 1), list: map[ident.Server]*Home{}}
+	s := &Homes{o: o, wake: make(chan struct{}, 1), moved: make(chan struct{}, 1), list: map[ident.Server]*Home{}}
 	o.View.OnChange(func(*view.Snapshot) { s.poke() })
 	g.Go(s.loop)
 	g.Go(s.release)
@@ -88,10 +89,13 @@
 		if n := s.o.View.Get(); n != last {
 			last = n
 			s.take(n)
+			s.lookForReleases()
 		}
 		s.renew(c)
 		for _, h := range s.all() {
-			h.tick(s.o.Clock.Now())
+			if h.tick(s.o.Clock.Now()) {
+				s.lookForReleases()
+			}
 		}
 		select {
 		case <-c.Done():
@@ -103,6 +107,14 @@
 	}
 }
 
+// lookForReleases wakes the duty that asks for shards.
+func (s *Homes) lookForReleases() {
+	select {
+	case s.moved <- struct{}{}:
+	default:
+	}
+}
+
 func (s *Homes) all() []*Home {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -156,10 +168,26 @@
 				seen[v.ID] = true
 			}
 		}
+		s.takeRemoved(n, c, p, seen)
 	}
 	s.drop(seen)
 }
 
+// takeRemoved keeps the homes of servers that left the configuration for as long as they have a row. Their shards
+// move on only after this daemon has released them: were the home dropped at once, the keys would be without a
+// server until its lease and every deadline had passed.
+func (s *Homes) takeRemoved(n *view.Snapshot, c *config.Service, p *part.Part, seen map[ident.Server]bool) {
+	for id, row := range p.Servers {
+		h := s.get(id)
+		if h == nil || seen[id] {
+			continue
+		}
+		a := lease.Assignment{Home: row.Home, Epoch: row.Epoch, Standby: row.Standby}
+		h.update(n, c, h.settings(), p, row, a.EpochOf(s.o.Self))
+		seen[id] = true
+	}
+}
+
 // takeServer makes or updates the home of one server; it reports whether the home is still needed.
 func (s *Homes) takeServer(n *view.Snapshot, c *config.Service, v *config.Server, p *part.Part, row part.Server) bool {
 	a := lease.Assignment{Home: row.Home, Epoch: row.Epoch, Standby: row.Standby}
--- a/io/lessor/lessor.go
+++ b/io/lessor/lessor.go
@@ -106,15 +106,15 @@
 func (l *Lessor) Ask(from ident.Daemon, a *wire.LeaseAsk) *wire.LeaseAnswer {
 	l.o.Heard(from)
 	r := &wire.LeaseAnswer{}
-	asked := map[ident.Service]bool{}
+	leads := map[ident.Service]bool{}
 	for _, h := range a.GetHolds() {
-		r.Gives = append(r.Gives, l.ask(from, ident.Incarnation(a.GetIncarnation()), h))
-		asked[ident.Server(h.GetServer()).Service()] = true
-	}
-	for s := range asked {
-		if l.Coordinates(s) {
-			r.WantReports = true
+		s := ident.Server(h.GetServer()).Service()
+		if _, ok := leads[s]; !ok {
+			leads[s] = l.Coordinates(s)
 		}
+		g := l.ask(from, ident.Incarnation(a.GetIncarnation()), h)
+		g.WantReport = leads[s]
+		r.Gives = append(r.Gives, g)
 	}
 	return r
 }
