A server whose lease nobody holds gets a home again

Cause: a standby that takes its home for silent asks for the next epoch; witnesses that give it, or whose answer is lost, refuse the home's epoch for good. When the standby then heard the home again it stopped asking, the home had stopped for the newer epoch, and nothing wrote another row: the keys of that server stayed unserved. Concluded from reading, after a run of TestLostHome/grants=true where nobody ever got the lease of keyed/s02 after a busy start (35 s without an answer, to the test's end); the state was not dumped in that run. Now the standby goes on once it has begun, and the planner gives the home a higher epoch when a lease was held by nobody for 3 s while others are held.

--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -139,6 +139,16 @@
 // Superseded returns the highest newer epoch that a witness refused this one for.
 func (h *Holder) Superseded() (ident.Epoch, bool) { return h.highest, h.highest > h.epoch }
 
+// Given reports whether any witness has given the lease under this epoch, be it too few of them.
+func (h *Holder) Given() bool {
+	for _, v := range h.votes {
+		if v.until > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Lost reports whether the holder should stop asking: it holds nothing and a newer epoch has been given.
 func (h *Holder) Lost(now mono.Time) bool {
 	_, ok := h.Superseded()
--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -60,11 +60,24 @@
 		// renewing and the new home waits for ever; told to supersede, the witnesses stop renewing it.
 		row.Supersede = true
 		p.draft.setServer(row, "last home is silent")
+	case !held && p.unheld(row.ID):
+		p.rehome(row, row.Home, "nobody holds the lease")
 	default:
 		p.planStandby(row, held && holder != Holder{Daemon: row.Home, Epoch: row.Epoch})
 	}
 }
 
+// unheld reports whether nobody has held a server's lease for long, though its home is alive.
+//
+// A standby that took its home for silent may have asked for the next epoch at some witnesses and stopped when it
+// heard the home again. Those witnesses refuse the home's epoch for good, and neither goes on asking: the server's
+// keys would stay without service. A higher epoch for the home ends that. That no lease at all is seen says
+// more about the witness that tells of them than about the homes.
+func (p *planner) unheld(id ident.Server) bool {
+	m := p.memory.servers[id]
+	return m != nil && !p.now.Before(m.unheldAt) && (len(p.in.Holders) > 0 || len(p.in.Part.Servers) == 1)
+}
+
 // replaceSilent makes the standby the home, under the epoch that it may already have taken by itself, so
 // that the row and the standby's own takeover can't work against each other.
 func (p *planner) replaceSilent(row part.Server) {
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -71,6 +71,8 @@
 			m.servers[id] = s
 		}
 		s.observeRow(now, in.Part.Servers[id])
+		_, held := in.Holders[id]
+		s.observeHolder(now, in.Part.Servers[id], held)
 		if r, ok := in.Reports[id]; ok && now.Before(r.Received.Add(reportWait)) {
 			s.observeReport(now, r)
 		}
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -26,6 +26,9 @@
 	failures  int
 	forgiveAt mono.Time // when failures are forgotten
 
+	epoch    ident.Epoch // of the row, as last seen
+	unheldAt mono.Time   // when the lease counts as held by nobody
+
 	rated      mono.Time // time of the last report that counted for rates
 	blindUntil mono.Time
 }
@@ -52,6 +55,13 @@
 	s.state, s.known = row.State, true
 }
 
+// observeHolder notes whether anybody holds the lease.
+func (s *serverMemory) observeHolder(now mono.Time, row part.Server, held bool) {
+	if held || row.Epoch != s.epoch {
+		s.epoch, s.unheldAt = row.Epoch, now.Add(unheldWait)
+	}
+}
+
 // observeReport flips down and slow once reports have said the same for long enough.
 func (s *serverMemory) observeReport(now mono.Time, r Report) {
 	flipped := s.flip(now, &s.down, &s.flipAt, r.Down, downWait, upWait)
--- a/core/place/tuning.go
+++ b/core/place/tuning.go
@@ -17,6 +17,7 @@
 	witnessLastWait = 1500 * time.Millisecond // the same when one more loss would stop all leases
 	spreadWait      = 30 * time.Second        // a daemon that came, until it is used to spread witnesses better
 	standbyWait     = 5 * time.Second         // a silent standby, until it is replaced
+	unheldWait      = 3 * time.Second         // a server whose lease nobody holds, until its home is given a new epoch
 	homeWait        = 10 * time.Second        // between two moves of homes that only spread them better
 )
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -35,30 +35,31 @@
 	id   ident.Server
 	pool *conns.Pool
 
-	mu       sync.Mutex
-	service  *config.Service
-	server   config.Server
-	row      part.Server
-	epoch    ident.Epoch // that this daemon may ask under; 0 when it is neither home nor standby
-	rev      ident.Rev   // of the part that row is from
-	set      lease.Set
-	holder   *lease.Holder // nil before the first epoch
-	former   *lease.Holder // of this daemon's last epoch, until the witnesses have been told that it stopped
-	asked    mono.Time     // when the lease was last asked for
-	held     bool          // as of the last look, to see a lease come and go
-	granted  ident.Epoch   // that a server which checks grants has taken
-	granting bool          // a grant is on its way
-	grantAt  mono.Time     // of the next try
-	stopped  bool          // the daemon hands back its lease and wants no other
-	returned bool          // the witnesses have been told that it stopped
-	admit    *admit.Server
-	gate     *owner.Gate
-	waits    map[admit.Ticket]chan admit.Decision
-	hot      *topk.Sketch[ident.Shard]
-	released map[ident.Shard]ident.Epoch
-	open     int // exchanges under way, streamed ones included
-	compare  mono.Time
-	closeAt  mono.Time // when the drained server gets no new work any more; Never while it isn't drained
+	mu        sync.Mutex
+	service   *config.Service
+	server    config.Server
+	row       part.Server
+	epoch     ident.Epoch // that this daemon may ask under; 0 when it is neither home nor standby
+	rev       ident.Rev   // of the part that row is from
+	set       lease.Set
+	holder    *lease.Holder // nil before the first epoch
+	former    *lease.Holder // of this daemon's last epoch, until the witnesses have been told that it stopped
+	asked     mono.Time     // when the lease was last asked for
+	held      bool          // as of the last look, to see a lease come and go
+	granted   ident.Epoch   // that a server which checks grants has taken
+	granting  bool          // a grant is on its way
+	grantAt   mono.Time     // of the next try
+	stopped   bool          // the daemon hands back its lease and wants no other
+	returned  bool          // the witnesses have been told that it stopped
+	admit     *admit.Server
+	gate      *owner.Gate
+	waits     map[admit.Ticket]chan admit.Decision
+	hot       *topk.Sketch[ident.Shard]
+	released  map[ident.Shard]ident.Epoch
+	open      int // exchanges under way, streamed ones included
+	compare   mono.Time
+	takeUntil mono.Time // as a standby: until when to ask for the lease, though the home is heard again
+	closeAt   mono.Time // when the drained server gets no new work any more; Never while it isn't drained
 }
 
 func newHome(o *Options, c *config.Service, v config.Server) *Home {
@@ -140,7 +141,7 @@
 	h.admit.TakeOver(now, h.o.Proven(h.id))
 	h.holder = lease.NewHolder(h.o.Terms, h.id, e, h.o.Life)
 	h.gate.SetHolder(h.holder)
-	h.asked = 0
+	h.asked, h.takeUntil = 0, 0
 }
 
 // takeShards hands the gate the shards that concern this server, and the queued work of lost ones back.
--- a/io/home/renew.go
+++ b/io/home/renew.go
@@ -92,7 +92,9 @@
 // wantsAsk reports whether to ask now.
 //
 // A standby asks only once the home is silent: a lease that the home hands back for a moment, or that a
-// restarted witness has forgotten, must not be snatched from it.
+// restarted witness has forgotten, must not be snatched from it. Once it has begun it goes on, though the home is heard
+// again: a witness that has given it the lease refuses the home, and were both to stop asking, the server would
+// stay without a home. While the home holds its lease the witnesses that renew it refuse the standby.
 func (h *Home) wantsAsk(now mono.Time, early time.Duration) bool {
 	if h.handingBack(now) {
 		return true
@@ -110,6 +112,15 @@
 	return now.Sub(h.asked) >= askPause
 }
 
+// takesOver reports whether a standby is to ask. An answer to its asks may have been lost, so it goes on for a while even
+// when it has been given nothing.
+func (h *Home) takesOver(now mono.Time, alive func(ident.Daemon) bool) bool {
+	if !alive(h.row.Home) {
+		h.takeUntil = now.Add(2 * h.o.Terms.Lapse())
+	}
+	return now.Before(h.takeUntil) || h.holder.Given()
+}
+
 // handingBack reports whether the witnesses are to be told that this home has stopped: with it they give the lease
 // to the next home at once, instead of after its lapse. Streams of an unkeyed service go on meanwhile: no key is
 // theirs, and a download must not keep the server from everybody else.
