--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -65,7 +65,7 @@
 	Deadline time.Time // for the whole answer; in DoStream for the header of the answer
 
 	// SuspectAt is from when a connection without any answer is given up as silent if later exchanges on
-	// others were answered, or if none was and a probe on a new connection was; zero for never. Set it for
+	// others were answered, or a probe on a new connection; zero for never. Set it for
 	// idempotent requests only: for others it could only bring forward the unknown outcome.
 	SuspectAt time.Time
 
