A cold server is no straggler

The verdict holds back until all slots are open; until then the ramp bounds what the server gets. A restart also drops the old verdict. TestColdIsNoStraggler holds it.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -77,7 +77,7 @@
 	s.options.Proven = p
 	s.life, s.lifeAt = 0, now
 	s.ramp = newRamp(now, s.options.Slots)
-	s.speed.n = 0
+	s.speed.forget()
 	s.health = newHealth(now) // with a probe at once
 }
 
@@ -282,7 +282,7 @@
 // restart treats the server as cold. How fast it was before says nothing about it now.
 func (s *Server) restart(now mono.Time) {
 	s.ramp.restart(now)
-	s.speed.n = 0
+	s.speed.forget()
 }
 
 func (s *Server) sample(e *entry, d time.Duration) {
--- a/core/admit/health_test.go
+++ b/core/admit/health_test.go
@@ -199,6 +199,25 @@
 	run(12*time.Millisecond, func() bool { require.False(t, slow(), "2.4 times is no straggler"); return now > end })
 }
 
+// A restarted server is ten times as slow as its peers until it is warm. Told as a straggler, it would be sent next to
+// nothing and stay cold; the verdict holds back until its slots are open, and then falls if it is still slow.
+func TestColdIsNoStraggler(t *testing.T) {
+	now := mono.Time(0)
+	s := New(now, Options{Slots: 3})
+	for i := 0; s.Report(now).OpenSlots < 3; i++ {
+		require.Less(t, now, mono.Time(2*time.Minute))
+		s.Peers(now, []time.Duration{5 * time.Millisecond})
+		require.False(t, s.Report(now).Slow)
+		if v, ok := arrive(t, s, now, work(i)).(Start); ok {
+			now = now.Add(50 * time.Millisecond)
+			s.Done(now, v.Ticket, Result{End: EndAnswered})
+		}
+		now = now.Add(maxGap)
+	}
+	s.Peers(now, []time.Duration{5 * time.Millisecond})
+	require.True(t, s.Report(now).Slow)
+}
+
 // A server that hangs finishes nothing; the age of what it holds tells.
 func TestHangingStraggler(t *testing.T) {
 	s, now := warm(3, 5*time.Millisecond)
--- a/core/admit/report.go
+++ b/core/admit/report.go
@@ -66,12 +66,18 @@
 	return s.speed.median(s.ages)
 }
 
+// slow reports whether callers are to be led away. A cold server is slow, and work is what warms it: led away from it,
+// callers would keep it cold and slow for good. While it ramps up, the ramp alone bounds what it gets.
+func (s *Server) slow() bool {
+	return s.speed.slow && s.ramp.full()
+}
+
 // Report returns what the home sees of the server.
 func (s *Server) Report(now mono.Time) Report {
 	s.held = slices.DeleteFunc(s.held, func(t mono.Time) bool { return !now.Before(t) })
 	return Report{
 		Down:            s.health.down,
-		Slow:            s.speed.slow,
+		Slow:            s.slow(),
 		Draining:        s.draining,
 		InFlight:        len(s.inFlight) + len(s.held),
 		Queued:          len(s.queue.l),
--- a/core/admit/speed.go
+++ b/core/admit/speed.go
@@ -35,6 +35,11 @@
 	s.n++
 }
 
+// forget drops what was measured, and the verdict that rests on it.
+func (s *speed) forget() {
+	s.n, s.slow, s.since = 0, false, mono.Never
+}
+
 // median returns the moving median of finished exchanges, or the age of the youngest unfinished one if that
 // is more. The caller hands ages in only while all open slots are busy: a server that hangs finishes
 // nothing and would else look as fast as before, while a single long query says nothing.
