Rates of a new home count after it has measured for a while

Cause: a home that has just taken over a server reports a rate that rises from nothing; the planner took the server for idle and moved shards to it, by every change of homes. Reports are left out for 10 s after a change of home.

--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -105,6 +105,7 @@
 	for id, s := range p.Servers {
 		if old, ok := m.last.Servers[id]; !ok || old.Home != s.Home {
 			m.spreadAt = now.Add(homeWait)
+			m.unsure(now, m.servers[id])
 		}
 	}
 }
@@ -115,11 +116,19 @@
 func (m *Memory) blind(now mono.Time, l ...*serverMemory) {
 	for _, s := range l {
 		if s != nil {
-			s.blindUntil = now.Add(blindWait)
+			s.blindUntil = max(s.blindUntil, now.Add(blindWait))
 		}
 	}
 }
 
+// unsure leaves out what a new home reports of a server before it has measured for a while. Taken in, a rate that has
+// just begun to rise from nothing would make the server look idle, and shards would move to it by every change of homes.
+func (m *Memory) unsure(now mono.Time, s *serverMemory) {
+	if s != nil {
+		s.blindUntil = now.Add(unsureWait)
+	}
+}
+
 // observeRates spreads what each home measured over the shards of its server: the busiest by their own
 // rate, the others evenly.
 func (m *Memory) observeRates(now mono.Time, in *Input) {
--- a/core/place/tuning.go
+++ b/core/place/tuning.go
@@ -25,6 +25,7 @@
 	holdWait     = 60 * time.Second // a moved shard stays for this long, unless its owner fails
 	balanceWait  = 5 * time.Second  // between two rounds of balancing, so that rates show the last one
 	blindWait    = 3 * time.Second  // after a move, until the two servers' reports cover the new shards only
+	unsureWait   = 10 * time.Second // after a change of a server's home, until the new one's rates are believed
 	rampStep     = 5 * time.Second  // a returning server gets another quarter of its share after each
 	rampSteps    = 4
 	flapWait     = 10 * time.Second // a server that failed again soon waits this long, doubled with each time
