--- a/core/place/server.go
+++ b/core/place/server.go
@@ -28,6 +28,7 @@
 
 	epoch    ident.Epoch // of the row, as last seen
 	unheldAt mono.Time   // when the lease counts as held by nobody
+	unhelds  int         // times in a row that it was, and a new epoch did not help
 
 	rated      mono.Time // time of the last report that counted for rates
 	blindUntil mono.Time
@@ -57,8 +58,14 @@
 
 // observeHolder notes whether anybody holds the lease.
 func (s *serverMemory) observeHolder(now mono.Time, row part.Server, held bool) {
-	if held || row.Epoch != s.epoch {
-		s.epoch, s.unheldAt = row.Epoch, now.Add(unheldWait)
+	switch {
+	case held:
+		s.epoch, s.unheldAt, s.unhelds = row.Epoch, now.Add(unheldWait), 0
+	case row.Epoch != s.epoch:
+		// A home that can't get its lease under the new epoch either has some other trouble; new epochs without
+		// end would not mend it, and would eat the table's writes.
+		s.epoch, s.unheldAt = row.Epoch, now.Add(unheldWait<<min(s.unhelds, unheldDoubles))
+		s.unhelds++
 	}
 }
 
--- a/core/place/shards_test.go
+++ b/core/place/shards_test.go
@@ -231,6 +231,7 @@
 func TestPlansUnderRandomEvents(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		s := newSite(t, rapid.IntRange(1, 9).Draw(r, "servers"), rapid.SampledFrom([]int{0, 1, 64, 130}).Draw(r, "shards"))
+		s.holding = true
 		down, silent := map[ident.Server]bool{}, map[ident.Daemon]bool{}
 		all := append([]config.Server(nil), s.in.Service.Servers...)
 		for range rapid.IntRange(1, 25).Draw(r, "events") {
--- a/core/place/tuning.go
+++ b/core/place/tuning.go
@@ -19,6 +19,7 @@
 	witnessLastWait = 1500 * time.Millisecond // the same when one more loss would stop all leases
 	spreadWait      = 30 * time.Second        // a daemon that came, until it is used to spread witnesses better
 	standbyWait     = 5 * time.Second         // a silent standby, until it is replaced
+	unheldDoubles   = 6                       // of unheldWait, while new epochs don't help
 	unheldWait      = 3 * time.Second         // a server whose lease nobody holds, until its home is given a new epoch
 	homeWait        = 10 * time.Second        // between two moves of homes that only spread them better
 )
@@ -28,6 +29,7 @@
 	holdWait     = 60 * time.Second // a moved shard stays for this long, unless its owner fails
 	balanceWait  = 5 * time.Second  // between two rounds of balancing, so that rates show the last one
 	blindWait    = 3 * time.Second  // after a move, until the two servers' reports cover the new shards only
+	unsureWait   = 10 * time.Second // after a change of a server's home, until the new one's rates are believed
 	rampStep     = 5 * time.Second  // a returning server gets another quarter of its share after each
 	rampSteps    = 4
 	flapWait     = 10 * time.Second // a server that failed again soon waits this long, doubled with each time
