--- a/core/live/rank.go
+++ b/core/live/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,10 +34,27 @@
 	return x.Sum64()
 }
 
-// Rank orders the daemons of a region that are alive and stay, by rendezvous score, taking one domain
+// groupSize is how many daemons of a region share one set of witnesses at least.
+const groupSize = 16
+
+// Group names the group of daemons that gives a service's witnesses, among n daemons of the region.
+//
+// Were each service's witnesses chosen by themselves, a daemon that is home in several services would renew its
+// leases with up to five others for each: at 12 daemons and four services that was three quarters of all
+// control traffic. Services of one group share five. The number of groups is a power of two, so that a daemon that
+// comes or goes hardly ever changes it.
+func Group(s ident.Service, n int) string {
+	groups := uint64(1)
+	for groups*2*groupSize <= uint64(n) { //nolint:gosec // a count
+		groups *= 2
+	}
+	return fmt.Sprintf("group-%d-of-%d", xxhash.Sum64String(string(s))%groups, groups)
+}
+
+// Rank orders the daemons of a region that are alive and stay, by rendezvous score for the name, taking one domain
 // after the other, so that the first five of them are good witnesses. Before a service has witnesses,
 // the first one of the rank acts as coordinator.
-func Rank(now mono.Time, s ident.Service, r ident.Region, daemons []Daemon) []ident.Daemon {
+func Rank(now mono.Time, name string, r ident.Region, daemons []Daemon) []ident.Daemon {
 	byDomain := map[ident.Domain][]ident.Daemon{}
 	for _, d := range daemons {
 		if d.Alive(now) && !d.Leaves() && d.Region == r {
@@ -44,7 +62,7 @@
 		}
 	}
 	score := func(a, b ident.Daemon) int {
-		return cmp.Or(cmp.Compare(Score(string(s), b), Score(string(s), a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(Score(name, b), Score(name, a)), cmp.Compare(a, b))
 	}
 	var lists [][]ident.Daemon
 	for _, l := range byDomain {
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -24,7 +24,8 @@
 	sketchSize  = 64                     // shards whose rates are followed
 	sketchHalf  = 5 * time.Second
 	hotReported = 8
-	spareConns  = 2 // beyond the slots: probes, and connections that are being replaced
+	keyedDrain  = 2 * time.Second // of a drain, until the shards that have not moved are refused
+	spareConns  = 2               // beyond the slots: probes, and connections that are being replaced
 )
 
 // Home is this daemon's side of one backend server. Its lock guards the decisions of core, which are short; no I/O
@@ -57,7 +58,7 @@
 	released map[ident.Shard]ident.Epoch
 	open     int // exchanges under way, streamed ones included
 	compare  mono.Time
-	drainAt  mono.Time // when admission refuses all work of a draining server; Never when it doesn't drain
+	closeAt  mono.Time // when the drained server gets no new work any more; Never while it isn't drained
 }
 
 func newHome(o *Options, c *config.Service, v config.Server) *Home {
@@ -70,7 +71,7 @@
 		waits:    map[admit.Ticket]chan admit.Decision{},
 		hot:      topk.New[ident.Shard](now, sketchSize, sketchHalf),
 		released: map[ident.Shard]ident.Epoch{},
-		drainAt:  mono.Never,
+		closeAt:  mono.Never,
 	}
 }
 
@@ -91,32 +92,28 @@
 	if h.holder != nil {
 		h.holder.SetWitnesses(h.set)
 	}
-	h.setDrain(now, row.State == part.Draining || n.Config.ServerDrained(&v))
+	h.drain(now, row.State == part.Draining || n.Config.ServerDrained(&v))
 	if c.Keyed() {
 		h.takeShards(now, p)
 	}
 }
 
-// keyedDrain is how long a draining server of a keyed service still gets the work of the shards that it owns.
+// drain ends new work at a server that leaves.
 //
-// Its keys have no other owner until the shards have moved, a second or so later; refused at once, they would be
-// without a server by a planned change. The end keeps the promise of no new work within 3 s where moves hang.
-const keyedDrain = 2500 * time.Millisecond
-
-func (h *Home) setDrain(now mono.Time, on bool) {
+// The work of a keyed server ends shard by shard as they move. Were it refused as soon as the drain is heard of, its
+// keys would go unserved until they have moved. Shards that have not moved by keyedDrain, such as in an outage of the
+// table, are refused all the same: a server that leaves gets no new work.
+func (h *Home) drain(now mono.Time, on bool) {
 	switch {
 	case !on:
-		h.drainAt = mono.Never
-	case h.drainAt == mono.Never && h.service.Keyed():
-		h.drainAt = now.Add(keyedDrain)
-	case h.drainAt == mono.Never:
-		h.drainAt = now
+		h.closeAt = mono.Never
+	case h.closeAt != mono.Never:
+	case h.service.Keyed():
+		h.closeAt = now.Add(keyedDrain)
+	default:
+		h.closeAt = now
 	}
-	h.drain(now)
-}
-
-func (h *Home) drain(now mono.Time) {
-	h.deliver(h.admit.Drain(now, !now.Before(h.drainAt)))
+	h.deliver(h.admit.Drain(now, !now.Before(h.closeAt)))
 }
 
 // settings returns the server's settings as last published.
@@ -208,12 +205,14 @@
 func (h *Home) tick(now mono.Time) (came bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.drain(now)
 	if !now.Before(h.admit.NextTick()) {
 		h.deliver(h.admit.Tick(now))
 	}
 	held := h.held
 	h.noteLease(now)
+	if !now.Before(h.closeAt) {
+		h.deliver(h.admit.Drain(now, true))
+	}
 	if h.epoch == 0 || !h.held {
 		return false
 	}
@@ -223,7 +222,7 @@
 		h.admit.Peers(now, h.o.Latencies(h.service.Name, h.id))
 	}
 	if h.admit.ProbeDue(now) {
-		go h.probe(now)
+		go h.probe(h.pool, now)
 	}
 	return !held
 }
@@ -242,8 +241,8 @@
 	e.Str("server", string(h.id)).Uint64("epoch", uint64(h.epoch)).Bool("held", holds).Msg("lease of a backend server")
 }
 
-func (h *Home) probe(asked mono.Time) {
-	x, err := h.pool.Probe(h.o.Clock.Std(asked.Add(probeLimit)))
+func (h *Home) probe(p *conns.Pool, asked mono.Time) {
+	x, err := p.Probe(h.o.Clock.Std(asked.Add(probeLimit)))
 	if err != nil {
 		x = admit.Health{}
 	}
--- a/io/home/renew.go
+++ b/io/home/renew.go
@@ -18,6 +18,23 @@
 	hold   *wire.Hold
 }
 
+// recipient is a witness that may want reports of the servers of a service, since it coordinates the service.
+//
+// The answer is kept for each service: the answer about one that a witness does not coordinate would otherwise end
+// the reports about another, and its coordinator would never learn of a server that is down.
+type recipient struct {
+	witness ident.Daemon
+	service ident.Service
+}
+
+func (s *Homes) noteWant(r recipient, wants bool) {
+	if wants {
+		s.wants.Store(r, true)
+	} else {
+		s.wants.Delete(r)
+	}
+}
+
 // renew asks the witnesses for all leases that are due, in one message to each witness.
 func (s *Homes) renew(c context.Context) {
 	now := s.o.Clock.Now()
@@ -65,7 +82,7 @@
 	a := x.Ask(m, h.rev)
 	for _, w := range x.Witnesses() {
 		y := &wire.Hold{Server: string(a.Server), Epoch: uint64(a.Epoch), Mode: encodeMode(a.Mode), Rev: uint64(a.Rev)}
-		if _, ok := s.wants.Load(w); ok {
+		if _, ok := s.wants.Load(recipient{witness: w, service: h.id.Service()}); ok {
 			y.Report = h.report(h.o.Clock.Now(), true)
 		}
 		out[w] = append(out[w], ask{home: h, holder: x, hold: y})
@@ -137,17 +154,13 @@
 		return
 	}
 	s.o.Heard(w)
-	if r.GetWantReports() {
-		s.wants.Store(w, true)
-	} else {
-		s.wants.Delete(w)
-	}
 	gives := map[ident.Server]*wire.LeaseGive{}
 	for _, g := range r.GetGives() {
 		gives[ident.Server(g.GetServer())] = g
 	}
 	for _, a := range l {
 		if g := gives[a.home.id]; g != nil {
+			s.noteWant(recipient{witness: w, service: a.home.id.Service()}, g.GetWantReport())
 			a.home.answered(sent, w, a.holder, g)
 		}
 	}
--- a/io/table/faults_test.go
+++ b/io/table/faults_test.go
@@ -1,8 +1,13 @@
 package table_test
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -272,3 +277,95 @@
 	}
 	require.LessOrEqual(t, f.Counts().Conns, 5)
 }
+
+// The caller sees "unknown" as soon as its own deadline passes, not after the tries that would follow.
+func TestCallersDeadline(t *testing.T) {
+	f := newFake(t)
+	s := newStore(t, f.URL(), 5*time.Second)
+	set(t, f, fakes.Faults{Outage: fakes.HangOutage})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	var unknown *table.UnknownError
+	_, err := s.Commit(ctx, doc, 0, "t1", change("x", "1"))
+	var unavailable *table.UnavailableError
+	require.ErrorAs(t, err, &unavailable, "the head could not be read, nothing was sent")
+	s2 := newStore(t, f.URL(), 5*time.Second)
+	set(t, f, fakes.Faults{})
+	_, err = s2.Head(t.Context(), doc)
+	require.NoError(t, err)
+	set(t, f, fakes.Faults{Outage: fakes.HangOutage})
+	ctx, cancel = context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = s2.Commit(ctx, doc, 0, "t1", change("x", "1"))
+	require.ErrorAs(t, err, &unknown)
+	require.Less(t, time.Since(began), 2*time.Second)
+}
+
+// The caller sees "unavailable", at once and for sure, when the service refuses for too many requests.
+func TestThrottling(t *testing.T) {
+	f := newFake(t)
+	s := newStore(t, f.URL(), time.Second)
+	set(t, f, fakes.Faults{WriteLimit: 1})
+	_, err := s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+	require.NoError(t, err)
+	_, err = s.Commit(t.Context(), doc, 1, "t2", change("x", "2"))
+	var u *table.UnavailableError
+	require.ErrorAs(t, err, &u)
+	set(t, f, fakes.Faults{ReadLimit: 1})
+	_, err = s.Head(t.Context(), doc)
+	require.NoError(t, err)
+	_, err = s.Head(t.Context(), doc)
+	require.ErrorAs(t, err, &u)
+	require.Equal(t, 2, f.Counts().Throttled)
+	require.Equal(t, 1, f.Counts().Writes)
+}
+
+// The caller sees "unavailable" only for a status that the service itself gives to what it didn't carry out.
+// The other ones may come from a balancer that gave up on a request which the service got and carried out.
+func TestStatuses(t *testing.T) {
+	tests := []struct {
+		status  int
+		unknown bool
+	}{
+		{http.StatusBadRequest, false},
+		{http.StatusNotFound, true},
+		{http.StatusRequestTimeout, true},
+		{http.StatusInternalServerError, true},
+		{http.StatusBadGateway, true},
+		{http.StatusServiceUnavailable, true},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.status), func(t *testing.T) {
+			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.Header.Get("X-Amz-Target"), "TransactWriteItems") {
+					w.WriteHeader(tt.status)
+				}
+				_, _ = w.Write([]byte("{}"))
+			}))
+			t.Cleanup(h.Close)
+			_, err := newStore(t, h.URL, time.Second).Commit(t.Context(), doc, 0, "t1", change("x", "1"))
+			var unknown *table.UnknownError
+			var unavailable *table.UnavailableError
+			if tt.unknown {
+				require.ErrorAs(t, err, &unknown)
+			} else {
+				require.ErrorAs(t, err, &unavailable)
+			}
+		})
+	}
+}
+
+// The caller's tries are the only ones: an erring service gets one request for one read.
+// The SDK tries four times if left to itself, and so multiplies the load on a service that is already failing.
+func TestNoHiddenRetries(t *testing.T) {
+	var n atomic.Int64
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	t.Cleanup(h.Close)
+	_, err := newStore(t, h.URL, time.Second).Head(t.Context(), doc)
+	require.Error(t, err)
+	require.Equal(t, int64(1), n.Load())
+}
