--- a/cmd/heatherbench/policy/loss.go
+++ b/cmd/heatherbench/policy/loss.go
@@ -73,7 +73,7 @@
 // counted later are theirs.
 func (b *bench) settle() {
 	if !b.settled && !b.random {
-		runAll([]load.Plan{b.probes(nil, settled)})
+		runAll([]load.Plan{b.probes(nil, settled/2)})
 	}
 	b.settled = true
 }
@@ -94,6 +94,7 @@
 	most, fell := 0, 0
 	up := time.Now()
 	err = b.underLoad(event{name: "server returns cold", target: "", victim: v.Name(), happen: nothing})
+	b.settled = false // the server is still being filled
 	most, fell = feeding(workedBy(v, up))
 	b.put("server returns cold", "most at once, failed in its log", "<= 3, 0", fmt.Sprintf("%d, %d", most, fell))
 	return err
@@ -122,6 +123,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { b.settled = false }()
 	return b.underLoad(event{
 		name: "server put back", target: "0s", planned: true, victim: v.Name(), happen: publish(all.Servers),
 	})
@@ -212,6 +214,7 @@
 			late += len(workedBy(v, at.Add(noNewWork)))
 		}
 	}
+	defer func() { b.settled = false }()
 	b.put("domain drained", "new work after 3 s", "0", fmt.Sprint(late))
 	return b.underLoad(event{name: "domain restored", target: "0s", planned: true, happen: call(b.stand.Admin(0).Restore)})
 }
