--- a/core/lease/change.go
+++ b/core/lease/change.go
@@ -13,6 +13,7 @@
 	terms   Terms
 	set     Set
 	retired map[ident.Daemon]bool
+	given   map[ident.Server]ident.Epoch
 	settles mono.Time
 }
 
@@ -27,7 +28,7 @@
 
 // NewChange returns the change that the committed row tells of.
 func NewChange(t Terms, x Set) *Change {
-	return &Change{terms: t, set: x, retired: map[ident.Daemon]bool{}, settles: mono.Never}
+	return &Change{terms: t, set: x, retired: map[ident.Daemon]bool{}, given: map[ident.Server]ident.Epoch{}, settles: mono.Never}
 }
 
 // Rev returns the revision of the row that the change was made from.
@@ -44,6 +45,14 @@
 	return l
 }
 
+// Gave takes what a witness has given, as it tells when it retires. Call it before Retired, so that the change can't
+// settle without it.
+func (c *Change) Gave(l map[ident.Server]ident.Epoch) {
+	for s, e := range l {
+		c.given[s] = max(c.given[s], e)
+	}
+}
+
 // Retired takes a witness's word that it has retired. A host that is surely gone for good counts as well.
 func (c *Change) Retired(now mono.Time, d ident.Daemon) {
 	if !slices.Contains(c.set.Current, d) {
@@ -62,3 +71,12 @@
 func (c *Change) Settled(now mono.Time) (Set, bool) {
 	return Set{Current: c.set.Next}, !now.Before(c.settles)
 }
+
+// TakenOver reports whether a standby has taken the server over and the row doesn't tell of it. The transaction that
+// settles the change must then assign the server anew.
+//
+// The next witnesses know nothing of the takeover. When the standby is lost, they would give the old home its epoch
+// again, and a server that has seen the standby's refuses all that this home sends.
+func (c *Change) TakenOver(s ident.Server, a Assignment) bool {
+	return c.given[s] > a.Epoch
+}
--- a/core/lease/witness_test.go
+++ b/core/lease/witness_test.go
@@ -137,6 +137,7 @@
 	home, standby := b.client("d1", 2, oldSet), b.client("d2", 3, bothOf)
 	home.ask(lease.Renew)
 	require.True(t, b.witnesses["w1"].Retire(testService, bothOf))
+	require.Equal(t, map[ident.Server]ident.Epoch{testServer: 2}, b.witnesses["w1"].Gave(testService))
 	require.True(t, b.witnesses["w5"].Retire(testService, bothOf))
 
 	g := home.send(lease.Renew, "w1")
@@ -157,4 +158,5 @@
 func TestRetireBeforeServe(t *testing.T) {
 	w := lease.NewWitness("w1", lease.DefaultTerms(), 0)
 	require.False(t, w.Retire(testService, bothOf))
+	require.Empty(t, w.Gave(testService))
 }
--- a/core/place/tuning.go
+++ b/core/place/tuning.go
@@ -5,6 +5,8 @@
 // Waiting times. Each is long enough that the usual short trouble passes without a change.
 const (
 	firstWait       = 2 * time.Second         // from the first plan to the first assignment
+	unknownWait     = 2 * time.Second         // from the first plan, for daemons of the part that were never heard
+	recentWait      = 15 * time.Second        // a daemon that is silent for longer does not hint at a cut
 	isolatedWait    = 5 * time.Second         // silence of most daemons at once
 	downWait        = 700 * time.Millisecond  // a report of down, until the shards move
 	upWait          = time.Second             // a report of up, until the server counts as up
@@ -17,6 +19,7 @@
 	witnessLastWait = 1500 * time.Millisecond // the same when one more loss would stop all leases
 	spreadWait      = 30 * time.Second        // a daemon that came, until it is used to spread witnesses better
 	standbyWait     = 5 * time.Second         // a silent standby, until it is replaced
+	unheldWait      = 3 * time.Second         // a server whose lease nobody holds, until its home is given a new epoch
 	homeWait        = 10 * time.Second        // between two moves of homes that only spread them better
 )
 
