--- a/io/coord/input.go
+++ b/io/coord/input.go
@@ -41,10 +41,24 @@
 	}
 	if p != nil && p.Witnesses.Changing() {
 		in.MaySettle = x.retire(now, d, n, p, l)
+		x.noteTakeovers(d, p, in.Holders)
 	}
 	return in
 }
 
+// noteTakeovers names the standbys that took over by the word of the old witnesses. The plan then writes them down in
+// the transaction that settles the change: the next witnesses know nothing of them.
+func (x *Coordinator) noteTakeovers(d *duty, p *part.Part, holders map[ident.Server]place.Holder) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for id, row := range p.Servers {
+		a := lease.Assignment{Home: row.Home, Epoch: row.Epoch, Standby: row.Standby}
+		if d.change.TakenOver(id, a) {
+			holders[id] = place.Holder{Daemon: row.Standby, Epoch: row.Epoch + 1}
+		}
+	}
+}
+
 func report(y lessor.Seen) place.Report {
 	r := place.Report{
 		Received: y.At, Down: y.Report.GetDown(), Slow: y.Report.GetSlow(), InFlight: int(y.Report.GetInFlight()),
@@ -88,10 +102,10 @@
 	for _, w := range ask {
 		switch {
 		case x.surelyOut(now, d, w, l):
-			x.retired(d, w)
+			x.retired(d, w, nil)
 		case w == x.o.Self:
-			if x.o.Lessor.Retire(p, rev) {
-				x.retired(d, w)
+			if gave, ok := x.o.Lessor.Retire(p, rev); ok {
+				x.retired(d, w, gave)
 			}
 		default:
 			go x.askRetire(d, w, p.Rev)
@@ -118,9 +132,10 @@
 	return false
 }
 
-func (x *Coordinator) retired(d *duty, w ident.Daemon) {
+func (x *Coordinator) retired(d *duty, w ident.Daemon, gave map[ident.Server]ident.Epoch) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	d.change.Gave(gave)
 	d.change.Retired(x.o.Clock.Now(), w)
 }
 
@@ -130,18 +145,31 @@
 	r, err := x.o.Caller.Call(c, w, &wire.Call{Body: &wire.Call_Retire{Retire: &wire.Retire{
 		Service: string(d.service), Rev: uint64(rev),
 	}}})
-	if err == nil && r.GetAck() != nil {
-		x.retired(d, w)
+	if err != nil || r.GetRetired() == nil {
+		return
+	}
+	gave := map[ident.Server]ident.Epoch{}
+	for _, g := range r.GetRetired().GetGave() {
+		gave[ident.Server(g.GetServer())] = ident.Epoch(g.GetEpoch())
 	}
+	x.retired(d, w, gave)
 }
 
-// Retire answers a coordinator that tells this daemon's witness of a change; false when its copy of the document
-// has not come as far.
-func (x *Coordinator) Retire(m *wire.Retire) bool {
+// Retire answers a coordinator that tells this daemon's witness of a change; nil when its copy of the document has
+// not come as far.
+func (x *Coordinator) Retire(m *wire.Retire) *wire.Retired {
 	n := x.o.View.Get()
 	p := n.Part(ident.Service(m.GetService()))
 	if p == nil || p.Rev < ident.Rev(m.GetRev()) {
-		return false
+		return nil
+	}
+	gave, ok := x.o.Lessor.Retire(p, n.Docs[p.Service].Rows[part.WitnessesRow].Rev)
+	if !ok {
+		return nil
 	}
-	return x.o.Lessor.Retire(p, n.Docs[p.Service].Rows[part.WitnessesRow].Rev)
+	r := &wire.Retired{}
+	for s, e := range gave {
+		r.Gave = append(r.Gave, &wire.ServerEpoch{Server: string(s), Epoch: uint64(e)})
+	}
+	return r
 }
--- a/io/daemon/calls.go
+++ b/io/daemon/calls.go
@@ -54,8 +54,8 @@
 	case *wire.Call_Release:
 		return &wire.Reply{Body: &wire.Reply_Release{Release: d.homes.Release(b.Release)}}
 	case *wire.Call_Retire:
-		if d.coord.Retire(b.Retire) {
-			return ack()
+		if x := d.coord.Retire(b.Retire); x != nil {
+			return &wire.Reply{Body: &wire.Reply_Retired{Retired: x}}
 		}
 		return peer.Refuse("not-retired")
 	}
--- a/io/home/grant.go
+++ b/io/home/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -54,6 +55,13 @@
 		h.granted = e
 		return
 	}
+	var refused struct {
+		Highest ident.Epoch `json:"highest"`
+	}
+	if r.Outcome == retry.Answered && resp.StatusCode() == fasthttp.StatusConflict &&
+		json.Unmarshal(resp.Body(), &refused) == nil && h.holder.Epoch() == e {
+		h.holder.Refused(refused.Highest)
+	}
 	h.o.Log.Warn().Err(r.Err).Str("server", string(h.id)).Uint64("epoch", uint64(e)).Int("status", resp.StatusCode()).
 		Msg("grant not taken by the backend server")
 }
--- a/io/lessor/lessor.go
+++ b/io/lessor/lessor.go
@@ -57,8 +57,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := SetOf(p, witnessRev)
+	old, known := l.sets[p.Service]
 	l.sets[p.Service] = s
 	l.witness.Serve(p.Service, s, p.Rev)
+	if known && s.Rev <= old.Rev {
+		return
+	}
+	for id, row := range p.Servers {
+		l.witness.Assigned(id, row.Epoch)
+	}
 }
 
 // Serves reports whether the lessor has been told of the service's witnesses.
@@ -69,11 +76,13 @@
 	return ok
 }
 
-// Retire makes the witness retire for the change of witnesses that the part tells of.
-func (l *Lessor) Retire(p *part.Part, witnessRev ident.Rev) bool {
+// Retire makes the witness retire for the change of witnesses that the part tells of. It returns the highest epochs
+// that the witness has given, and whether it has retired.
+func (l *Lessor) Retire(p *part.Part, witnessRev ident.Rev) (map[ident.Server]ident.Epoch, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.witness.Retire(p.Service, SetOf(p, witnessRev))
+	ok := l.witness.Retire(p.Service, SetOf(p, witnessRev))
+	return l.witness.Gave(p.Service), ok
 }
 
 // SetOf returns the witnesses of a part in the form of core/lease.
