A swap that its caller names goes to the same home each time

Cause: homes remember the ids of swaps, but a caller that sent its swap again reached another server's home by chance. Figures: TestNamedSwapRunsOnce, 12 swaps sent four times each by three entries: each ran once. Conclusion: at most once also over a caller's own retries, while the server stays and its home lives.

--- a/io/entry/pick.go
+++ b/io/entry/pick.go
@@ -9,6 +9,7 @@
 	"heatherrouter/core/admit"
 	"heatherrouter/core/config"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/live"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/part"
 	"heatherrouter/core/route"
@@ -157,7 +158,7 @@
 		}
 		return target{server: o.Server, daemon: e.daemon(row, t), epoch: o.Epoch}, false, true
 	}
-	return e.pickUnkeyed(s, m.Service, p, t)
+	return e.pickUnkeyed(s, r, p)
 }
 
 // daemon chooses between the home and its standby, which takes over by itself when the home is lost: so a
@@ -176,7 +177,8 @@
 	return r.Home
 }
 
-func (e *Entry) pickUnkeyed(s *view.Snapshot, c *config.Service, p *part.Part, t *tried) (x target, others, ok bool) {
+func (e *Entry) pickUnkeyed(s *view.Snapshot, r *request, p *part.Part) (x target, others, ok bool) {
+	c, t := r.match.Service, &r.tried
 	now := e.o.Clock.Now()
 	l := make([]route.Candidate, 0, 32)
 	for i := range c.Servers {
@@ -184,6 +186,9 @@
 		others = others || l[i].Usable(now) && !l[i].Tried
 	}
 	i, ok := route.Pick(now, l, rand.Uint64())
+	if r.named && !r.match.Kind.Idempotent {
+		i, ok = pickNamed(now, l, r.id)
+	}
 	if !ok {
 		return target{}, false, false
 	}
@@ -191,6 +196,19 @@
 	return target{server: row.ID, daemon: e.daemon(row, t)}, others, true
 }
 
+// pickNamed chooses by the caller's own name for the request. A caller that sends a swap again, perhaps by another
+// entry, so reaches the same home, which recognizes the name; spread over all servers it would run twice.
+func pickNamed(now mono.Time, l []route.Candidate, id string) (int, bool) {
+	best, score := -1, uint64(0)
+	for i := range l {
+		s := live.Score(id, ident.Daemon(l[i].Server))
+		if l[i].Usable(now) && !l[i].Tried && (best < 0 || s > score) {
+			best, score = i, s
+		}
+	}
+	return best, best >= 0
+}
+
 func (e *Entry) candidate(s *view.Snapshot, v *config.Server, p *part.Part, t *tried) route.Candidate {
 	c := e.loads.of(v.ID).candidate(v.ID)
 	row, ok := p.Server(v.ID)
--- a/io/entry/unary.go
+++ b/io/entry/unary.go
@@ -21,9 +21,12 @@
 // headerIdempotency lets a caller name its request, so that the home recognizes it when it comes again.
 const headerIdempotency = "Idempotency-Key"
 
+const maxName = 128 // bytes of a caller's name for a request; a longer one is not used
+
 // request is one caller's request on its way.
 type request struct {
 	id     string
+	named  bool // the id is the caller's own
 	match  route.Match
 	policy *policy
 	first  *target // of the first send, until that has started
@@ -46,8 +49,10 @@
 const maxSends = 64 // room for the ends of sends; the decisions never reach it
 
 func (e *Entry) newRequest(x *fasthttp.RequestCtx, m route.Match) *request {
+	id, named := requestID(x, m)
 	return &request{
-		id:     requestID(x, m),
+		id:     id,
+		named:  named,
 		match:  m,
 		entry:  retry.NewEntry(e.o.Clock.Now(), m.Kind),
 		policy: e.policy(m.Service, m.Kind),
@@ -56,13 +61,13 @@
 }
 
 // requestID takes the caller's name for the request, or makes one.
-func requestID(x *fasthttp.RequestCtx, m route.Match) string {
-	if k := x.Request.Header.Peek(headerIdempotency); len(k) > 0 && len(k) <= 128 {
-		return string(m.Service.Name) + "/" + string(k)
+func requestID(x *fasthttp.RequestCtx, m route.Match) (id string, named bool) {
+	if k := x.Request.Header.Peek(headerIdempotency); len(k) > 0 && len(k) <= maxName {
+		return string(m.Service.Name) + "/" + string(k), true
 	}
 	var b [16]byte
 	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
+	return hex.EncodeToString(b[:]), false
 }
 
 // unary answers a request whose bodies are held whole.
--- a/io/stand/outcome_test.go
+++ b/io/stand/outcome_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/io/fakes"
 	"heatherrouter/io/fakes/server"
 )
 
@@ -141,3 +144,22 @@
 	require.Error(t, r.err, r)
 	require.Less(t, len(r.body), longVolume)
 }
+
+// A caller loses the answer to its swap and sends it again under the same Idempotency-Key, by every other entry. The
+// key leads to the same home each time, which remembers it; spread over the servers, each would run the swap.
+func TestNamedSwapRunsOnce(t *testing.T) {
+	x := newSite(t, siteOptions{daemons: 3, domains: 3, servers: 4})
+	for i := range 12 {
+		key := map[string]string{"Idempotency-Key": fmt.Sprintf("swap-%d", i)}
+		require.Equal(t, http.StatusOK, x.do(i%3, http.MethodPost, "/plain/swap", key).status)
+		for j := range 3 {
+			a := x.do(j, http.MethodPost, "/plain/swap", key)
+			require.Equal(t, "unknown", a.outcome, a)
+		}
+	}
+	require.Empty(t, fakes.AtMostOnce(swapsOf(x.Work())))
+}
+
+func swapsOf(l []fakes.Work) []fakes.Work {
+	return slices.DeleteFunc(l, func(w fakes.Work) bool { return w.Path != "/swap" })
+}
