Allow for wall clocks that are behind in the deadlines of requests

Cause: a backend server that knows deadlines only by its wall clock ends work late when that clock is behind. Change: the deadline of a request lies 50 ms before the end of the lease (Terms.Skew), and counts as in flight 50 ms after it. Half of the schedules now have servers that go by wall clocks up to 50 ms off; witnesses start apart from the homes in three of four.

--- a/core/lease/daemon_test.go
+++ b/core/lease/daemon_test.go
@@ -134,7 +134,7 @@
 		return
 	}
 	if h.holder == nil {
-		h.holder = lease.NewHolder(lease.DefaultTerms(), serverName(i), e, ident.Incarnation(d.life))
+		h.holder = lease.NewHolder(d.w.holderTerms(), serverName(i), e, ident.Incarnation(d.life))
 		h.gate.SetHolder(h.holder)
 		h.next, h.lost = 0, mono.Never
 		d.workSoon(i, h.holder)
@@ -331,6 +331,7 @@
 	o := order{
 		home: d.id, life: d.life, epoch: st.Epoch, shard: s, owned: owned, born: h.born,
 		deadline:  h.anchor.Deadline(st.Deadline, lease.DefaultTerms().Drift),
+		wall:      d.now + instant(st.Deadline.Sub(d.clock())),
 		remaining: owner.Stamp(st.Deadline.Sub(d.clock())),
 	}
 	if d.w.off[inFlight] {
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -131,6 +132,9 @@
 // Until returns the time before which the holder may send.
 func (h *Holder) Until() mono.Time { return h.until }
 
+// Skew returns how far the backend server's wall clock may be behind the holder's.
+func (h *Holder) Skew() time.Duration { return h.terms.Skew }
+
 // Holds reports whether the holder may send now. Check it right before every send.
 func (h *Holder) Holds(now mono.Time) bool { return !h.stopped && now.Before(h.until) }
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -17,11 +17,15 @@
 	Renew  time.Duration // how often a holder asks again
 	Drift  float64       // how far each clock may run fast or slow, as a share of 1
 	Margin time.Duration // added to what the witness counts, for the granularity of clocks
+	Skew   time.Duration // how far the wall clocks of daemons and backend servers may be apart
 }
 
 // DefaultTerms returns the terms in use.
 func DefaultTerms() Terms {
-	return Terms{Lease: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Drift: 0.01, Margin: 10 * time.Millisecond}
+	return Terms{
+		Lease: 1500 * time.Millisecond, Renew: 400 * time.Millisecond,
+		Drift: 0.01, Margin: 10 * time.Millisecond, Skew: 50 * time.Millisecond,
+	}
 }
 
 // Lapse returns how long a witness counts a lease, from when it answered.
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -60,7 +60,7 @@
 // found lists the schedules that once failed.
 var found = []schedule{
 	// A standby took over unknown to the table, the witnesses changed, and the next ones gave the old home its epoch.
-	{Seed: 14, Servers: 2, Shards: 3, Noise: 0.05, Faults: []fault{
+	{Seed: 272, Servers: 2, Shards: 3, Noise: 0.05, Faults: []fault{
 		{AtMS: 542, Kind: freezeServer, A: 6, B: 1, ForMS: 1400},
 		{AtMS: 13, Kind: moveShard, A: 23, B: 35, ForMS: 50},
 		{AtMS: 20, Kind: moveHome, A: 52, B: 37, ForMS: 1400},
@@ -74,11 +74,19 @@
 
 func TestSchedulesThatOnceFailed(t *testing.T) {
 	for i, x := range found {
-		w := play(x)
-		require.Empty(t, w.judge.fault, "schedule %d", i)
-		require.LessOrEqual(t, w.unserved(), servedIn, "schedule %d", i)
+		// What befalls the model is fixed; the rest of the chance differs with the code, so more than one seed is played.
+		for range 100 {
+			w := play(x)
+			require.Empty(t, w.judge.fault, "schedule %d seed %d", i, x.Seed)
+			require.LessOrEqual(t, w.unserved(), servedIn, "schedule %d seed %d", i, x.Seed)
+			x.Seed++
+		}
+	}
+	x := found[0]
+	for play(x, tellEpochs).judge.fault == "" {
+		x.Seed++
+		require.Less(t, x.Seed, found[0].Seed+searchFor, "no seed shows what the schedule is kept for")
 	}
-	require.NotEmpty(t, play(found[0], tellEpochs).judge.fault)
 }
 
 // Without a rule the model must show two owners, or the check above proves nothing about that rule.
--- a/core/lease/rules_test.go
+++ b/core/lease/rules_test.go
@@ -36,6 +36,7 @@
 	tableEpochs
 	tellEpochs
 	idleFirst
+	skewAllowed
 	nRules
 )
 
@@ -67,6 +68,7 @@
 	moveOnce:         "a shard moves on only when released",
 	compareAndSet:    "a write is a compare-and-set",
 	tableEpochs:      "a started witness refuses epochs older than the table's",
+	skewAllowed:      "a deadline allows for a wall clock that is behind",
 	idleFirst:        "a lease is given back when nothing is in flight",
 	tellEpochs:       "a change of witnesses tells of takeovers",
 }
@@ -103,38 +105,40 @@
 	seed  int
 }{
 	{[]rule{lapse}, 0},
-	{[]rule{quiet}, 17},
-	{[]rule{olderEpochs}, 34},
-	{[]rule{incarnationWaits}, 6},
-	{[]rule{stoppedByHolder}, 21},
-	{[]rule{retiredRefuses}, 49},
-	{[]rule{retiredClear}, 8},
-	{[]rule{lapseDrift}, 360},
-	{[]rule{fromSent}, 17},
-	{[]rule{bothMajorities}, 17},
-	{[]rule{retireOld}, 49},
-	{[]rule{settleWait}, 8},
-	{[]rule{ownEpochs}, 529},
-	{[]rule{withinLease}, 8},
-	{[]rule{stampTime}, 32},
-	{[]rule{stampLife}, 127},
-	{[]rule{release}, 3},
-	{[]rule{inFlight}, 2},
-	{[]rule{recorded}, 168},
-	{[]rule{floor}, 371},
-	{[]rule{moveOnce}, 7},
-	{[]rule{compareAndSet}, 33},
-	{[]rule{idleFirst}, 2},
-	{[]rule{startRetired, floor}, 1119},
-	{[]rule{oneDaemon, ownEpochs}, 44},
+	{[]rule{quiet}, 92},
+	{[]rule{olderEpochs}, 23},
+	{[]rule{incarnationWaits}, 37},
+	{[]rule{stoppedByHolder}, 13},
+	{[]rule{retiredRefuses}, 10},
+	{[]rule{retiredClear}, 331},
+	{[]rule{lapseDrift, skewAllowed}, 87},
+	{[]rule{fromSent}, 90},
+	{[]rule{bothMajorities}, 45},
+	{[]rule{retireOld}, 10},
+	{[]rule{settleWait}, 45},
+	{[]rule{ownEpochs}, 399},
+	{[]rule{withinLease}, 10},
+	{[]rule{stampTime}, 7},
+	{[]rule{stampLife}, 1},
+	{[]rule{release}, 8},
+	{[]rule{inFlight}, 1},
+	{[]rule{recorded}, 71},
+	{[]rule{floor}, 233},
+	{[]rule{moveOnce}, 388},
+	{[]rule{compareAndSet}, 131},
+	{[]rule{idleFirst}, 1},
+	{[]rule{skewAllowed}, 460},
+	{[]rule{startRetired, floor}, 428},
+	{[]rule{oneDaemon, ownEpochs}, 23},
 }
 
 // silent lists the rules whose absence by itself no schedule has shown, and what stands behind each.
 var silent = []rule{
+	lapseDrift,   // skewAllowed: a server is told an earlier time, by more than the drift
 	oneDaemon,    // ownEpochs: the table gives no epoch twice
 	startRetired, // floor: a keyed home with so old a copy sends nothing; for services without keys it stands alone
 	startRead,    // chance: a majority of restarted witnesses must hear first from daemons with old copies
 	tableEpochs,  // chance: a deposed home must come back to a majority of restarted witnesses
-	tellEpochs,   // chance: found shows it
+	tellEpochs,   // chance, rarely; the schedule in found shows it
 	recheck,      // stampTime: the server refuses the request, but then it isn't known at once that it didn't run
 }
--- a/core/lease/schedule_test.go
+++ b/core/lease/schedule_test.go
@@ -13,6 +13,8 @@
 	Seed            uint64
 	Servers, Shards int
 	Checks          int  // bit set of the servers that check grants
+	Apart           bool // the witnesses at the start are no homes
+	Wall            bool // servers keep deadlines by wall clocks, up to 50 ms off
 	Skewed          bool // clocks of odd daemons and of servers are slow, those of even daemons fast
 	Noise           float64
 	TableBad        float64
@@ -133,6 +135,8 @@
 			Noise:    rapid.SampledFrom([]float64{0, 0.01, 0.05, 0.2}).Draw(t, "noise"),
 			TableBad: rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "table"),
 			Lost:     rapid.IntRange(0, 2).Draw(t, "lost"),
+			Apart:    rapid.IntRange(0, 3).Draw(t, "apart") > 0,
+			Wall:     rapid.Bool().Draw(t, "wall"),
 			Skewed:   rapid.Bool().Draw(t, "skewed"),
 			Faults:   rapid.SliceOfN(f, 0, 14).Draw(t, "faults"),
 		}
--- a/core/lease/server_test.go
+++ b/core/lease/server_test.go
@@ -17,6 +17,7 @@
 	shard     ident.Shard
 	owned     ident.Epoch // of the shard
 	deadline  owner.Stamp // on the server's clock
+	wall      instant     // the deadline by the wall clock, for servers that know no other
 	remaining owner.Stamp // what was left when it was sent; used only with the rule of the stamp taken out
 	born      int         // life of the server that the deadline is for
 }
@@ -35,6 +36,8 @@
 	w       *world
 	id      int
 	checks  bool
+	wall    bool    // keeps deadlines by its wall clock
+	behind  instant // its wall clock
 	highest ident.Epoch
 	running []*run
 }
@@ -56,16 +59,13 @@
 
 // take runs the request or refuses it; answer is called when it has ended.
 func (s *server) take(o order, answer func()) {
-	now := s.stamp()
-	if s.w.off[stampTime] {
-		o.deadline = now + o.remaining
-	}
-	if o.born != s.life && !s.w.off[stampLife] || now >= o.deadline || s.checks && o.epoch < s.highest {
+	ends, ok := s.ends(o)
+	if !ok || s.now >= ends || s.checks && o.epoch < s.highest {
 		answer()
 		return
 	}
 	s.highest = max(s.highest, o.epoch)
-	r := &run{order: o, server: s.id, ends: s.when(mono.Time(o.deadline))}
+	r := &run{order: o, server: s.id, ends: ends}
 	s.w.judge.start(r)
 	s.running = append(s.running, r)
 	d := s.between(ms/5, 20*ms)
@@ -75,6 +75,17 @@
 	s.finish(r, min(s.now+d, r.ends), answer)
 }
 
+// ends returns when the request's deadline is, and false when the deadline is another life's.
+func (s *server) ends(o order) (instant, bool) {
+	switch {
+	case s.w.off[stampTime]:
+		return s.when(mono.Time(s.stamp() + o.remaining)), true
+	case s.wall:
+		return o.wall + s.behind, true
+	}
+	return s.when(mono.Time(o.deadline)), o.born == s.life || s.w.off[stampLife]
+}
+
 // finish ends the run at the time; a frozen server works on after the thaw, but never past the deadline.
 func (s *server) finish(r *run, at instant, answer func()) {
 	life := s.life
--- a/core/lease/world_test.go
+++ b/core/lease/world_test.go
@@ -57,12 +57,18 @@
 	for i := range x.Servers {
 		w.servers = append(w.servers, &server{proc: proc{sim: w.sim, ppm: w.drift(x.Skewed, true)}, w: w, id: i, checks: x.Checks&(1<<i) != 0})
 		w.servers[i].boot()
+		if w.servers[i].wall = x.Wall; x.Wall {
+			w.servers[i].behind = []instant{-50 * ms, 50 * ms, w.between(-50*ms, 50*ms)}[w.IntN(3)]
+		}
 		t.homes = append(t.homes, lease.Assignment{}.Assign(daemonName(i), daemonName(i+3)))
 	}
 	for i := range x.Shards {
 		t.shards[ident.Shard(i)] = owner.Row{Owner: serverName(i % x.Servers), Epoch: 1}
 	}
 	t.set = lease.Set{Rev: 1, Current: []ident.Daemon{"0", "2", "4", "6", "8"}}
+	if x.Apart {
+		t.set.Current = []ident.Daemon{"4", "5", "6", "7", "8"}
+	}
 	w.table = t
 	for _, d := range w.daemons {
 		d.boot()
@@ -92,6 +98,14 @@
 	return t
 }
 
+func (w *world) holderTerms() lease.Terms {
+	t := lease.DefaultTerms()
+	if w.off[skewAllowed] {
+		t.Skew = 0
+	}
+	return t
+}
+
 func daemonName(i int) ident.Daemon { return ident.Daemon(fmt.Sprint(i)) }
 
 func serverName(i int) ident.Server { return ident.MakeServer("svc", fmt.Sprint(i)) }
--- a/core/owner/gate.go
+++ b/core/owner/gate.go
@@ -30,6 +30,7 @@
 	shard    ident.Shard
 	epoch    ident.Epoch
 	deadline mono.Time
+	ends     mono.Time // when the server has ended it, also one whose clock is behind
 }
 
 // NewGate returns the gate of a server.
@@ -69,7 +70,7 @@
 type Start struct {
 	Token    Token
 	Epoch    ident.Epoch // of the server's lease, to send along
-	Deadline mono.Time   // the server must have ended by then; never after the lease
+	Deadline mono.Time   // to tell the server, by its own clock or the wall clock; before the end of the lease
 }
 
 // Refusal says why a request may not start; it was not run.
@@ -99,10 +100,15 @@
 	if g.waits(s, r) {
 		return Start{}, Waiting
 	}
-	// A request that outlasts the lease would run on beside the next home's.
-	d := min(deadline, g.holder.Until())
+	// A request that outlasts the lease would run on beside the next home's. A server that keeps deadlines by a wall
+	// clock which is behind ends it later than it was told, so it is told an earlier time.
+	skew := g.holder.Skew()
+	d := min(deadline, g.holder.Until().Add(-skew))
+	if !now.Before(g.holder.Until().Add(-skew)) {
+		return Start{}, NoLease
+	}
 	g.last++
-	g.flights[g.last] = flight{shard: s, epoch: e, deadline: d}
+	g.flights[g.last] = flight{shard: s, epoch: e, deadline: d, ends: d.Add(skew)}
 	return Start{Token: g.last, Epoch: g.holder.Epoch(), Deadline: d}, None
 }
 
@@ -192,7 +198,7 @@
 // reap forgets the requests whose deadlines have passed: the server has ended them by then.
 func (g *Gate) reap(now mono.Time) {
 	for t, f := range g.flights {
-		if !now.Before(f.deadline) {
+		if !now.Before(f.ends) {
 			delete(g.flights, t)
 		}
 	}
--- a/core/owner/gate_test.go
+++ b/core/owner/gate_test.go
@@ -84,7 +84,7 @@
 			st, no := h.start(x.epoch)
 			require.Equal(t, x.want, no)
 			if no == owner.None {
-				require.Equal(t, h.Until(), st.Deadline, "never after the lease")
+				require.Equal(t, h.Until().Add(-h.Skew()), st.Deadline, "before the end of the lease by any clock")
 				require.EqualValues(t, 2, st.Epoch)
 			}
 		})
@@ -219,10 +219,10 @@
 	h.SetRows(2, rows(owner.Row{Owner: "svc/b", Epoch: 2, Previous: "svc/a"}))
 	h.renew(2)
 	w := owner.Want{Shard: 0, Epoch: 2, Previous: "svc/a", Rev: 2}
-	s.now = s.now.Add(699 * ms)
+	s.now = s.now.Add(700*ms + h.Skew() - 1)
 	h.renew(2)
-	require.False(t, h.Release(s.now, w))
-	s.now = s.now.Add(ms)
+	require.False(t, h.Release(s.now, w), "the server's clock may be behind")
+	s.now = s.now.Add(1)
 	require.True(t, h.Release(s.now, w))
 }
 
@@ -298,3 +298,17 @@
 		}
 	}
 }
+
+func TestStartAtTheEndOfTheLease(t *testing.T) {
+	s := newSite()
+	h := s.home("d1", "svc/a", 2)
+	h.SetRows(1, rows(owner.Row{Owner: "svc/a", Epoch: 1}))
+	h.renew(1)
+	s.now = h.Until().Add(-h.Skew() - 1)
+	_, no := h.start(1)
+	require.Equal(t, owner.None, no)
+	s.now = s.now.Add(1)
+	_, no = h.start(1)
+	require.Equal(t, owner.NoLease, no, "no time is left to tell a server whose clock is behind")
+	require.True(t, h.Holds(s.now))
+}
