Leases: nothing is handed back with requests in flight; new lives retire too; a cut home's server moves on

Also: asks of homes without a lease no longer pull renewals along; they came every 100 ms. Conclusion: go test ./core/place and the process tests of the whole path pass.

--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -61,7 +61,7 @@
 		row.Supersede = true
 		p.draft.setServer(row, "last home is silent")
 	case !held && p.unheld(row.ID):
-		p.rehome(row, row.Home, "nobody holds the lease")
+		p.rehome(row, p.homeForUnheld(row), "nobody holds the lease")
 	default:
 		p.planStandby(row, held && holder != Holder{Daemon: row.Home, Epoch: row.Epoch})
 	}
@@ -78,6 +78,15 @@
 	return m != nil && !p.now.Before(m.unheldAt) && (len(p.in.Holders) > 0 || len(p.in.Part.Servers) == 1)
 }
 
+// homeForUnheld keeps the home for a first new epoch. When that didn't help, the home is likely cut off from the
+// witnesses, though we hear it, and the standby may reach them.
+func (p *planner) homeForUnheld(row part.Server) ident.Daemon {
+	if p.memory.servers[row.ID].unhelds > 1 && p.mayServe(p.daemons[row.Standby]) {
+		return row.Standby
+	}
+	return row.Home
+}
+
 // replaceSilent makes the standby the home, under the epoch that it may already have taken by itself, so
 // that the row and the standby's own takeover can't work against each other.
 func (p *planner) replaceSilent(row part.Server) {
--- a/io/coord/coord.go
+++ b/io/coord/coord.go
@@ -90,7 +90,6 @@
 	served   bool      // this daemon's witness knows the service from a read of the table
 	change   *lease.Change
 	changeAt ident.Rev
-	lives    map[ident.Daemon]ident.Incarnation // of the old witnesses when the change was first seen
 }
 
 // New starts the duty in the group.
--- a/io/coord/input.go
+++ b/io/coord/input.go
@@ -92,16 +92,12 @@
 	x.mu.Lock()
 	if d.change == nil || d.changeAt != rev {
 		d.change, d.changeAt = lease.NewChange(x.o.Terms, lessor.SetOf(p, rev)), rev
-		d.lives = map[ident.Daemon]ident.Incarnation{}
-		for _, y := range l {
-			d.lives[y.Daemon] = y.Incarnation
-		}
 	}
 	ask := d.change.Ask()
 	x.mu.Unlock()
 	for _, w := range ask {
 		switch {
-		case x.surelyOut(now, d, w, l):
+		case x.surelyOut(now, w, l):
 			x.retired(d, w, nil)
 		case w == x.o.Self:
 			if gave, ok := x.o.Lessor.Retire(p, rev); ok {
@@ -117,17 +113,13 @@
 	return ok
 }
 
-// surelyOut reports whether an old witness can't renew any lease of the old set: a new life of it remembers none and
-// serves only by a fresh read of the table, and one that is silent and that the host list has taken off is gone.
-func (x *Coordinator) surelyOut(now mono.Time, d *duty, w ident.Daemon, l []live.Daemon) bool {
+// surelyOut reports whether an old witness can't renew any lease of the old set: it is silent and the host list has
+// taken it off. A new life of it is asked to retire like the old one: it may have read the table before the change.
+func (x *Coordinator) surelyOut(now mono.Time, w ident.Daemon, l []live.Daemon) bool {
 	for _, y := range l {
-		if y.Daemon != w {
-			continue
-		}
-		if old, ok := d.lives[w]; ok && y.Incarnation > old {
-			return true
+		if y.Daemon == w {
+			return y.Listed == live.ListedGone && now.Sub(y.Heard) > x.o.Terms.Lapse()
 		}
-		return y.Listed == live.ListedGone && now.Sub(y.Heard) > x.o.Terms.Lapse()
 	}
 	return false
 }
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -43,7 +43,6 @@
 	rev       ident.Rev   // of the part that row is from
 	set       lease.Set
 	holder    *lease.Holder // nil before the first epoch
-	former    *lease.Holder // of this daemon's last epoch, until the witnesses have been told that it stopped
 	asked     mono.Time     // when the lease was last asked for
 	held      bool          // as of the last look, to see a lease come and go
 	granted   ident.Epoch   // that a server which checks grants has taken
@@ -137,7 +136,8 @@
 	if e == 0 || h.stopped {
 		return
 	}
-	h.former = h.holder
+	// The former epoch is not handed back: with it the witnesses could give the lease to another home at once, while
+	// requests of that epoch are in flight. They give this process a higher epoch without a wait.
 	h.admit.TakeOver(now, h.o.Proven(h.id))
 	h.holder = lease.NewHolder(h.o.Terms, h.id, e, h.o.Life)
 	h.gate.SetHolder(h.holder)
--- a/io/home/renew.go
+++ b/io/home/renew.go
@@ -40,34 +40,29 @@
 	now := s.o.Clock.Now()
 	out := map[ident.Daemon][]ask{}
 	l := s.all()
+	renewal := false
 	for _, h := range l {
-		s.due(h, now, 0, out)
-	}
-	if len(out) == 0 {
-		return
+		renewal = s.due(h, now, 0, out) || renewal
 	}
 	// Leases that came at different moments would each need messages of their own for good; going along early
-	// once brings them in step.
+	// with a renewal once brings them in step.
 	for _, h := range l {
-		s.due(h, now, s.o.Terms.Renew/2, out)
+		if renewal {
+			s.due(h, now, s.o.Terms.Renew/2, out)
+		}
 	}
 	for w, l := range out {
 		go s.ask(c, w, l)
 	}
 }
 
-// due adds the home's ask to each of its witnesses, if it is time, or will be within early.
-func (s *Homes) due(h *Home, now mono.Time, early time.Duration, out map[ident.Daemon][]ask) {
+// due adds the home's ask to each of its witnesses, if it is time, or will be within early. It reports whether that
+// renews a lease.
+func (s *Homes) due(h *Home, now mono.Time, early time.Duration, out map[ident.Daemon][]ask) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.former != nil {
-		// Requests of the former epoch may be in flight. The gate, which is the same, keeps them in view, and
-		// their deadlines lie before the end of any lease that is asked for from now on.
-		s.add(h, h.former, lease.Stopped, out)
-		h.former = nil
-	}
 	if h.holder == nil || !h.wantsAsk(now, early) {
-		return
+		return false
 	}
 	m := h.mode()
 	if m == lease.Stopped {
@@ -75,6 +70,7 @@
 	}
 	h.asked = now
 	s.add(h, h.holder, m, out)
+	return m == lease.Renew && h.holder.Holds(now)
 }
 
 // add adds one hold to the message to each of its witnesses; the server's report only where it is wanted.
