--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -372,7 +372,10 @@
 	}
 	s.draining = on
 	if !on {
+		// A drain is no fall: were the ramp made more cautious by it, each return would take twice as long.
+		caution := s.ramp.caution
 		s.restart(now)
+		s.ramp.caution = caution
 		return s.pump(now)
 	}
 	return s.refuseAll(now, nil, s.queue.remove(all), ReasonDraining)
