--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -206,6 +206,9 @@
 }
 
 func (h *Home) refused(r admit.Refuse) *wire.ExchangeAnswer {
+	if r.Reason == admit.ReasonMoved {
+		return h.moved(reasonMoved) // it was queued here; the entry follows the shard to its next owner
+	}
 	now := h.o.Clock.Now()
 	return &wire.ExchangeAnswer{
 		Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: string(r.Reason), Report: h.report(now, false),
