--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -278,6 +279,9 @@
 	}
 	h.deliver(h.admit.Done(now, j.ticket, admit.Result{End: r.End, Incarnation: r.Incarnation}))
 	a := &wire.ExchangeAnswer{Outcome: outcome(r.Outcome), Reason: r.End.String(), Report: h.report(now, false)}
+	if errors.Is(r.Err, conns.ErrGuard) {
+		a.Outcome = wire.Outcome_OUTCOME_MOVED // since it was admitted; the entry follows the shard or the lease
+	}
 	if r.Outcome == retry.NotRun && r.Err != nil {
 		h.o.Log.Debug().Err(r.Err).Str("request-id", j.x.GetRequestId()).Str("server", string(h.id)).Msg("not sent")
 	}
--- a/io/home/renew.go
+++ b/io/home/renew.go
@@ -103,7 +103,7 @@
 		return false
 	}
 	holds := h.holder.Holds(now)
-	if h.row.Home != h.o.Self && !holds && h.o.Alive(h.row.Home) {
+	if h.row.Home != h.o.Self && !holds && !h.takesOver(now) {
 		return false
 	}
 	if holds {
@@ -114,8 +114,8 @@
 
 // takesOver reports whether a standby is to ask. An answer to its asks may have been lost, so it goes on for a while even
 // when it has been given nothing.
-func (h *Home) takesOver(now mono.Time, alive func(ident.Daemon) bool) bool {
-	if !alive(h.row.Home) {
+func (h *Home) takesOver(now mono.Time) bool {
+	if !h.o.Alive(h.row.Home) {
 		h.takeUntil = now.Add(2 * h.o.Terms.Lapse())
 	}
 	return now.Before(h.takeUntil) || h.holder.Given()
