--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -206,6 +207,9 @@
 }
 
 func (h *Home) refused(r admit.Refuse) *wire.ExchangeAnswer {
+	if r.Reason == admit.ReasonMoved {
+		return h.moved(reasonMoved) // it was queued here; the entry follows the shard to its next owner
+	}
 	now := h.o.Clock.Now()
 	return &wire.ExchangeAnswer{
 		Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: string(r.Reason), Report: h.report(now, false),
@@ -275,6 +279,9 @@
 	}
 	h.deliver(h.admit.Done(now, j.ticket, admit.Result{End: r.End, Incarnation: r.Incarnation}))
 	a := &wire.ExchangeAnswer{Outcome: outcome(r.Outcome), Reason: r.End.String(), Report: h.report(now, false)}
+	if errors.Is(r.Err, conns.ErrGuard) {
+		a.Outcome = wire.Outcome_OUTCOME_MOVED // since it was admitted; the entry follows the shard or the lease
+	}
 	if r.Outcome == retry.NotRun && r.Err != nil {
 		h.o.Log.Debug().Err(r.Err).Str("request-id", j.x.GetRequestId()).Str("server", string(h.id)).Msg("not sent")
 	}
