A home that goes on under a higher epoch keeps what it knows of its server

Cause: when the standby of a server is replaced, its home goes on under a higher epoch and started admission anew.

--- a/cmd/heatherbench/policy/load.go
+++ b/cmd/heatherbench/policy/load.go
@@ -42,6 +42,7 @@
 		Addrs: b.addrs(s, nil), Callers: callers, Rate: perServer * len(s.Servers), Length: length,
 		Request: func(_ uint64, r *fasthttp.Request) { b.fill(r, s, "/read/x", "", unkeyedTimeout) },
 	}
+	p.Pick = balancer(callers, len(p.Addrs))
 	if b.random {
 		p.Pick = func(n uint64) int { return rand.New(rand.NewPCG(b.Seed, n)).IntN(len(s.Servers)) }
 	}
@@ -78,6 +79,7 @@
 			b.fill(r, s, "/read/"+k, k, keyedTimeout)
 		},
 	}
+	p.Pick = balancer(callers, len(p.Addrs))
 	if b.random {
 		// A key belongs to one server, chosen at random once.
 		p.Pick = func(n uint64) int {
@@ -87,6 +89,11 @@
 	return p
 }
 
+// balancer spreads the requests of every caller over the entries, as the platform's balancer does.
+func balancer(callers, addrs int) func(uint64) int {
+	return func(n uint64) int { return int((n + n/uint64(callers)) % uint64(addrs)) }
+}
+
 // fill makes the request; to a server itself it goes with what the router would tell it.
 func (b *bench) fill(r *fasthttp.Request, s stand.Service, path, key string, timeout time.Duration) {
 	if !b.random {
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -129,6 +129,7 @@
 	if e == h.epoch {
 		return
 	}
+	held := h.holder != nil && h.holder.Holds(now)
 	if h.holder != nil {
 		h.holder.Stop(now)
 		h.returned = false
@@ -138,7 +139,11 @@
 		return
 	}
 	h.former = h.holder
-	h.admit.TakeOver(now, h.o.Proven(h.id))
+	// A home that gets a higher epoch while it still holds its lease, as when its standby is replaced, has been the only
+	// sender until now. Started anew, a warm server would be paced like a cold one, and its callers refused.
+	if !held {
+		h.admit.TakeOver(now, h.o.Proven(h.id))
+	}
 	h.holder = lease.NewHolder(h.o.Terms, h.id, e, h.o.Life)
 	h.gate.SetHolder(h.holder)
 	h.asked, h.takeUntil = 0, 0
