What returns starts with a share that its ramp carries

Cause: a server that came back got a quarter of its share of the keys at once, while admission paced it like a cold one, at 2 to 3 requests a second: its keys were refused. Its first share is a sixteenth now, and a server that was only drained and is in the same life goes on with a whole slot. A drain adds no caution to the ramp: it is no fall.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -372,7 +372,8 @@
 	}
 	s.draining = on
 	if !on {
-		s.restart(now)
+		s.ramp.resume(now, s.life != 0)
+		s.speed.forget()
 		return s.pump(now)
 	}
 	return s.refuseAll(now, nil, s.queue.remove(all), ReasonDraining)
--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -76,6 +76,16 @@
 	r.score = 0
 }
 
+// resume ramps up a server that was drained, with no caution added: it didn't fall. One that is known to be in the same
+// life as before starts with a whole slot. The pace of a cold start would refuse nearly all of the keys that come
+// back to it by a planned change; a restart meanwhile shows by its new life, and is paced.
+func (r *ramp) resume(now mono.Time, sameLife bool) {
+	r.at, r.proven, r.since, r.score = 0, 0, now, 0
+	if sameLife {
+		r.jump(now, 1)
+	}
+}
+
 // jump goes to the step of a number of slots that is already proven.
 func (r *ramp) jump(now mono.Time, slots int) {
 	for r.open() < slots && !r.full() {
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -136,13 +136,16 @@
 	if now.Before(s.rampFrom) {
 		return 0
 	}
-	steps := 1 + int(now.Sub(s.rampFrom)/rampStep)
+	steps := int(now.Sub(s.rampFrom) / rampStep)
+	if steps == 0 {
+		return rampFirst
+	}
 	return min(float64(steps)/rampSteps, 1)
 }
 
 // ramps reports whether the server's share still grows, or has only just stopped growing.
 func (s *serverMemory) ramps(now mono.Time) bool {
-	return s.ramped && now.Before(s.rampFrom.Add((rampSteps+1)*rampStep))
+	return s.ramped && now.Before(s.rampFrom.Add((rampSteps+2)*rampStep))
 }
 
 func (s *serverMemory) sinceRated(t mono.Time) time.Duration {
--- a/core/place/tuning.go
+++ b/core/place/tuning.go
@@ -32,6 +32,7 @@
 	unsureWait   = 10 * time.Second // after a change of a server's home, until the new one's rates are believed
 	rampStep     = 5 * time.Second  // a returning server gets another quarter of its share after each
 	rampSteps    = 4
+	rampFirst    = 1.0 / 16         // its share before the first step: admission paces a cold server, and keys come with their load
 	flapWait     = 10 * time.Second // a server that failed again soon waits this long, doubled with each time
 	flapMemory   = 2 * time.Minute  // failures further apart than this are not counted together
 	flapDoubles  = 5
