--- a/io/spread/spread.go
+++ b/io/spread/spread.go
@@ -40,7 +40,10 @@
 	// a second; what is over the budget waits here instead of failing there.
 	readsPerSecond  = 2
 	writesPerSecond = 1
-	burst           = 20
+
+	// Bursts: a daemon that starts reads a few documents at once, a coordinator writes for several services.
+	readBurst  = 4
+	writeBurst = 10
 )
 
 // Table is the platform's table service.
@@ -80,8 +83,8 @@
 func New(t Table, c Caller, p func() Peers, l *log.Logger) *Store {
 	s := &Store{
 		platform: t, caller: c, peers: p, log: l,
-		reads:  rate.NewLimiter(readsPerSecond, burst),
-		writes: rate.NewLimiter(writesPerSecond, burst),
+		reads:  rate.NewLimiter(readsPerSecond, readBurst),
+		writes: rate.NewLimiter(writesPerSecond, writeBurst),
 	}
 	s.copies.Store(&map[ident.Doc]*docs.Doc{})
 	return s
