Parse service files in one place

Cause: the client and the publisher each had the same loop that parses a set of service files. Changed: admin.ParseFiles does it for both; the publisher says why files and services match by index.

--- a/cmd/heatherrouter/cli/files.go
+++ b/cmd/heatherrouter/cli/files.go
@@ -66,14 +66,6 @@
 
 // CheckFiles parses the files and checks them side by side.
 func CheckFiles(files []admin.File) ([]*config.Service, check.Findings) {
-	var l []*config.Service
-	var f check.Findings
-	for _, x := range files {
-		s, found := config.Parse(x.Path, []byte(x.Body))
-		f = append(f, found...)
-		if s != nil {
-			l = append(l, s)
-		}
-	}
+	l, f := admin.ParseFiles(files)
 	return l, append(f, config.CheckAll(l)...)
 }
--- a/io/publ/files.go
+++ b/io/publ/files.go
@@ -1,9 +1,9 @@
 package publ
 
 import (
-	"bytes"
 	"context"
 	"slices"
+	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -30,8 +30,8 @@
 	if len(q.Files) == 0 && len(q.Remove) == 0 {
 		return admin.Published{}, trace.BadParameter("the publish holds no files and removes nothing")
 	}
-	services, err := parseAll(q.Files)
-	if err != nil {
+	services, found := admin.ParseFiles(q.Files) // as many as files, in their order, unless there are findings
+	if err := found.Err(); err != nil {
 		return admin.Published{}, trace.Wrap(err)
 	}
 	d, err := p.copyAt(ctx, q.BaseRev)
@@ -100,19 +100,6 @@
 	return a, nil
 }
 
-func parseAll(files []admin.File) ([]*config.Service, error) {
-	var l []*config.Service
-	var f check.Findings
-	for _, x := range files {
-		s, found := config.Parse(x.Path, []byte(x.Body))
-		f = append(f, found...)
-		if s != nil {
-			l = append(l, s)
-		}
-	}
-	return l, f.Err()
-}
-
 // checkTogether checks the services as they will stand side by side after the publish.
 func checkTogether(d *docs.Doc, q admin.Publish, l []*config.Service) error {
 	// What is wrong with rows in force is reported by every daemon's log; it must not stop its own mending.
@@ -124,7 +111,7 @@
 			all = append(all, s)
 		}
 	}
-	slices.SortFunc(all, func(a, b *config.Service) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
+	slices.SortFunc(all, func(a, b *config.Service) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	f := config.CheckAll(append(all, l...))
 	for _, s := range l {
 		if old := now.Services[s.Name]; old != nil {
