Join the client's list commands and its drain and restore calls

Cause: five list commands repeated client, call, filter, table and JSON; DrainOptions.Drain took a bool that told drain from restore, and built a table that it then didn't print at a terminal. Changed: cli.List reads, filters and prints any list; Drain and Restore are methods of their own over one run. The help of server drain and restore reads "Backend server to drain, as SERVICE/NAME".

--- a/cmd/heatherrouter/cli/daemons.go
+++ b/cmd/heatherrouter/cli/daemons.go
@@ -2,12 +2,10 @@
 
 import "heatherrouter/io/admin"
 
-// DaemonTable returns the table of daemons.
-func DaemonTable(l []admin.Daemon) *Table {
-	t := NewTable("DAEMON", "STATE", "DOMAIN", "ADDRESS", "REVISION", "HOMES")
-	for i := range l {
-		d := &l[i]
-		t.Add(d.Name, d.State, d.Domain, d.Address, d.ConfigRev, d.Homes)
-	}
-	return t
+// DaemonHeader is the header of tables of daemons.
+var DaemonHeader = []string{"DAEMON", "STATE", "DOMAIN", "ADDRESS", "REVISION", "HOMES"}
+
+// DaemonRow returns the cells of one daemon.
+func DaemonRow(d *admin.Daemon) []any {
+	return []any{d.Name, d.State, d.Domain, d.Address, d.ConfigRev, d.Homes}
 }
--- a/cmd/heatherrouter/cli/drain.go
+++ b/cmd/heatherrouter/cli/drain.go
@@ -1,10 +1,13 @@
 package cli
 
 import (
+	"cmp"
+	"context"
 	"fmt"
 
 	"github.com/gravitational/trace"
 
+	"heatherrouter/io/admcli"
 	"heatherrouter/io/admin"
 )
 
@@ -14,7 +17,7 @@
 	JSON
 }
 
-// drained is what the commands print as JSON.
+// drained is the outcome as JSON.
 type drained struct {
 	Kind    admin.DrainKind `json:"kind"`
 	Name    string          `json:"name"`
@@ -22,21 +25,27 @@
 	Changed bool            `json:"changed"`
 }
 
-// Drain drains one thing, or restores it.
-func (o *DrainOptions) Drain(e *Env, k admin.DrainKind, name string, on bool) error {
+// Drain drains the thing of that kind and name.
+func (o *DrainOptions) Drain(e *Env, k admin.DrainKind, name string) error {
+	return o.run(e, (*admcli.Client).Drain, "drained", k, name)
+}
+
+// Restore undoes the drain of the thing of that kind and name.
+func (o *DrainOptions) Restore(e *Env, k admin.DrainKind, name string) error {
+	return o.run(e, (*admcli.Client).Restore, "restored", k, name)
+}
+
+// drainCall is one of the client's calls Drain and Restore.
+type drainCall func(*admcli.Client, context.Context, admin.Drain) (admin.Drained, error)
+
+// run makes the call and prints its outcome; done is the state that the call leads to.
+func (o *DrainOptions) run(e *Env, call drainCall, done string, k admin.DrainKind, name string) error {
 	c, err := e.Keyed()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	q := admin.Drain{Txn: e.NewTxn(), Kind: k, Name: name, By: o.By, Since: e.Clock.Now()}
-	if q.By == "" {
-		q.By = e.Operator
-	}
-	call, verb := c.Restore, "restored"
-	if on {
-		call, verb = c.Drain, "drained"
-	}
-	a, err := call(e.Context, q)
+	q := admin.Drain{Txn: e.NewTxn(), Kind: k, Name: name, By: cmp.Or(o.By, e.Operator), Since: e.Clock.Now()}
+	a, err := call(c, e.Context, q)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -44,13 +53,13 @@
 		return o.Print(e, drained{Kind: k, Name: name, Rev: uint64(a.Rev), Changed: a.Changed})
 	}
 	if !a.Changed {
-		verb = "already " + verb
+		done = "already " + done
 	}
-	t := NewTable("KIND", "NAME", "STATE", "REVISION")
-	t.Add(k, name, verb, a.Rev)
 	if e.Terminal {
-		_, err = fmt.Fprintf(e.Out, "%s %s %s with revision %d\n", k, name, verb, a.Rev)
+		_, err = fmt.Fprintf(e.Out, "%s %s %s with revision %d\n", k, name, done, a.Rev)
 		return trace.Wrap(err)
 	}
+	t := NewTable("KIND", "NAME", "STATE", "REVISION")
+	t.Add(k, name, done, a.Rev)
 	return t.Print(e)
 }
--- a/cmd/heatherrouter/cli/json.go
+++ b/cmd/heatherrouter/cli/json.go
@@ -96,14 +96,3 @@
 	}
 	return o.Bytes()
 }
-
-// PrintList writes a list as the flag says, or as the table.
-func PrintList[T any](e *Env, j *JSON, l []T, t *Table) error {
-	if !j.Wanted() {
-		return t.Print(e)
-	}
-	if l == nil {
-		l = []T{}
-	}
-	return j.Print(e, l)
-}
--- a/cmd/heatherrouter/daemon/drain/drain.go
+++ b/cmd/heatherrouter/daemon/drain/drain.go
@@ -23,5 +23,5 @@
 
 // Run drains the daemon.
 func (o *Options) Run(e *cli.Env) error {
-	return o.Drain(e, admin.DrainDaemon, o.Name, true)
+	return o.Drain(e, admin.DrainDaemon, o.Name)
 }
--- a/cmd/heatherrouter/daemon/list/list.go
+++ b/cmd/heatherrouter/daemon/list/list.go
@@ -2,9 +2,11 @@
 package list
 
 import (
-	"github.com/gravitational/trace"
+	"context"
 
 	"heatherrouter/cmd/heatherrouter/cli"
+	"heatherrouter/io/admcli"
+	"heatherrouter/io/admin"
 )
 
 // Options of the command.
@@ -24,13 +26,13 @@
 
 // Run lists the daemons.
 func (o *Options) Run(e *cli.Env) error {
-	c, err := e.Client()
-	if err != nil {
-		return trace.Wrap(err)
+	l := cli.List[admin.Daemon]{
+		Read: func(c *admcli.Client, ctx context.Context) ([]admin.Daemon, error) {
+			s, err := c.Status(ctx)
+			return s.Daemons, err
+		},
+		Header: cli.DaemonHeader,
+		Row:    cli.DaemonRow,
 	}
-	s, err := c.Status(e.Context)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	return cli.PrintList(e, &o.JSON, s.Daemons, cli.DaemonTable(s.Daemons))
+	return l.Print(e, &o.JSON)
 }
--- a/cmd/heatherrouter/daemon/restore/restore.go
+++ b/cmd/heatherrouter/daemon/restore/restore.go
@@ -23,5 +23,5 @@
 
 // Run restores the daemon.
 func (o *Options) Run(e *cli.Env) error {
-	return o.Drain(e, admin.DrainDaemon, o.Name, false)
+	return o.Restore(e, admin.DrainDaemon, o.Name)
 }
--- a/cmd/heatherrouter/domain/drain/drain.go
+++ b/cmd/heatherrouter/domain/drain/drain.go
@@ -23,5 +23,5 @@
 
 // Run drains the failure domain.
 func (o *Options) Run(e *cli.Env) error {
-	return o.Drain(e, admin.DrainDomain, o.Name, true)
+	return o.Drain(e, admin.DrainDomain, o.Name)
 }
--- a/cmd/heatherrouter/domain/list/list.go
+++ b/cmd/heatherrouter/domain/list/list.go
@@ -4,9 +4,9 @@
 import (
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"heatherrouter/cmd/heatherrouter/cli"
+	"heatherrouter/io/admcli"
+	"heatherrouter/io/admin"
 )
 
 // Options of the command.
@@ -24,22 +24,16 @@
 
 // Run lists the failure domains.
 func (o *Options) Run(e *cli.Env) error {
-	c, err := e.Client()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	l, err := c.Domains(e.Context)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	t := cli.NewTable("NAME", "STATE", "SERVERS", "DAEMONS", "DRAINED BY", "SINCE")
-	for i := range l {
-		d := &l[i]
-		since := ""
-		if d.Since != nil {
-			since = d.Since.UTC().Format(time.RFC3339)
-		}
-		t.Add(d.Name, d.State, d.Servers, d.Daemons, d.By, since)
+	l := cli.List[admin.Domain]{
+		Read:   (*admcli.Client).Domains,
+		Header: []string{"NAME", "STATE", "SERVERS", "DAEMONS", "DRAINED BY", "SINCE"},
+		Row: func(d *admin.Domain) []any {
+			since := ""
+			if d.Since != nil {
+				since = d.Since.UTC().Format(time.RFC3339)
+			}
+			return []any{d.Name, d.State, d.Servers, d.Daemons, d.By, since}
+		},
 	}
-	return cli.PrintList(e, &o.JSON, l, t)
+	return l.Print(e, &o.JSON)
 }
--- a/cmd/heatherrouter/domain/restore/restore.go
+++ b/cmd/heatherrouter/domain/restore/restore.go
@@ -23,5 +23,5 @@
 
 // Run restores the failure domain.
 func (o *Options) Run(e *cli.Env) error {
-	return o.Drain(e, admin.DrainDomain, o.Name, false)
+	return o.Restore(e, admin.DrainDomain, o.Name)
 }
--- a/cmd/heatherrouter/server/drain/drain.go
+++ b/cmd/heatherrouter/server/drain/drain.go
@@ -8,7 +8,7 @@
 
 // Options of the command.
 type Options struct {
-	Name string `arg:"" help:"Backend server, as SERVICE/NAME to drain."`
+	Name string `arg:"" help:"Backend server to drain, as SERVICE/NAME."`
 	cli.DrainOptions
 }
 
@@ -23,5 +23,5 @@
 
 // Run drains the backend server.
 func (o *Options) Run(e *cli.Env) error {
-	return o.Drain(e, admin.DrainServer, o.Name, true)
+	return o.Drain(e, admin.DrainServer, o.Name)
 }
--- a/cmd/heatherrouter/server/list/list.go
+++ b/cmd/heatherrouter/server/list/list.go
@@ -2,9 +2,8 @@
 package list
 
 import (
-	"github.com/gravitational/trace"
-
 	"heatherrouter/cmd/heatherrouter/cli"
+	"heatherrouter/io/admcli"
 	"heatherrouter/io/admin"
 )
 
@@ -25,25 +24,15 @@
 
 // Run lists the backend servers.
 func (o *Options) Run(e *cli.Env) error {
-	c, err := e.Client()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	all, err := c.Servers(e.Context)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	var l []admin.Server
-	t := cli.NewTable("NAME", "STATE", "DOMAIN", "ADDRESS", "HOME", "EPOCH", "SHARDS", "IN FLIGHT", "SLOTS", "QUEUED", "DRAINED BY")
-	for i := range all {
-		s := &all[i]
-		if !o.wants(s) {
-			continue
-		}
-		l = append(l, *s)
-		t.Add(s.Name, s.State, s.Domain, s.Address, s.Home, s.Epoch, s.Shards, s.InFlight, s.Slots, s.Queued, s.By)
+	l := cli.List[admin.Server]{
+		Read:   (*admcli.Client).Servers,
+		Wants:  o.wants,
+		Header: []string{"NAME", "STATE", "DOMAIN", "ADDRESS", "HOME", "EPOCH", "SHARDS", "IN FLIGHT", "SLOTS", "QUEUED", "DRAINED BY"},
+		Row: func(s *admin.Server) []any {
+			return []any{s.Name, s.State, s.Domain, s.Address, s.Home, s.Epoch, s.Shards, s.InFlight, s.Slots, s.Queued, s.By}
+		},
 	}
-	return cli.PrintList(e, &o.JSON, l, t)
+	return l.Print(e, &o.JSON)
 }
 
 func (o *Options) wants(s *admin.Server) bool {
--- a/cmd/heatherrouter/server/restore/restore.go
+++ b/cmd/heatherrouter/server/restore/restore.go
@@ -8,7 +8,7 @@
 
 // Options of the command.
 type Options struct {
-	Name string `arg:"" help:"Backend server, as SERVICE/NAME to restore."`
+	Name string `arg:"" help:"Backend server to restore, as SERVICE/NAME."`
 	cli.DrainOptions
 }
 
@@ -23,5 +23,5 @@
 
 // Run restores the backend server.
 func (o *Options) Run(e *cli.Env) error {
-	return o.Drain(e, admin.DrainServer, o.Name, false)
+	return o.Restore(e, admin.DrainServer, o.Name)
 }
--- a/cmd/heatherrouter/service/list/list.go
+++ b/cmd/heatherrouter/service/list/list.go
@@ -2,9 +2,9 @@
 package list
 
 import (
-	"github.com/gravitational/trace"
-
 	"heatherrouter/cmd/heatherrouter/cli"
+	"heatherrouter/io/admcli"
+	"heatherrouter/io/admin"
 )
 
 // Options of the command.
@@ -22,18 +22,12 @@
 
 // Run lists the published services.
 func (o *Options) Run(e *cli.Env) error {
-	c, err := e.Client()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	l, err := c.Services(e.Context)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	t := cli.NewTable("NAME", "REGION", "KEY", "SHARDS", "SERVERS", "KINDS", "REVISION", "FILE")
-	for i := range l {
-		s := &l[i]
-		t.Add(s.Name, s.Region, s.Key, s.Shards, s.Servers, len(s.Kinds), s.Rev, s.Path)
+	l := cli.List[admin.Service]{
+		Read:   (*admcli.Client).Services,
+		Header: []string{"NAME", "REGION", "KEY", "SHARDS", "SERVERS", "KINDS", "REVISION", "FILE"},
+		Row: func(s *admin.Service) []any {
+			return []any{s.Name, s.Region, s.Key, s.Shards, s.Servers, len(s.Kinds), s.Rev, s.Path}
+		},
 	}
-	return cli.PrintList(e, &o.JSON, l, t)
+	return l.Print(e, &o.JSON)
 }
--- a/cmd/heatherrouter/shard/list/list.go
+++ b/cmd/heatherrouter/shard/list/list.go
@@ -2,10 +2,11 @@
 package list
 
 import (
-	"github.com/gravitational/trace"
+	"context"
 
 	"heatherrouter/cmd/heatherrouter/cli"
 	"heatherrouter/core/ident"
+	"heatherrouter/io/admcli"
 	"heatherrouter/io/admin"
 )
 
@@ -28,23 +29,15 @@
 
 // Run lists the shards of a service.
 func (o *Options) Run(e *cli.Env) error {
-	c, err := e.Client()
-	if err != nil {
-		return trace.Wrap(err)
+	l := cli.List[admin.Shard]{
+		Read: func(c *admcli.Client, ctx context.Context) ([]admin.Shard, error) {
+			return c.Shards(ctx, ident.Service(o.Service))
+		},
+		Wants:  func(s *admin.Shard) bool { return o.Server == "" || string(s.Server) == o.Server },
+		Header: []string{"SHARD", "SERVER", "EPOCH", "HOME", "PREVIOUS"},
+		Row: func(s *admin.Shard) []any {
+			return []any{s.Shard, s.Server, s.Epoch, s.Home, s.Previous}
+		},
 	}
-	all, err := c.Shards(e.Context, ident.Service(o.Service))
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	var l []admin.Shard
-	t := cli.NewTable("SHARD", "SERVER", "EPOCH", "HOME", "PREVIOUS")
-	for i := range all {
-		s := &all[i]
-		if o.Server != "" && string(s.Server) != o.Server {
-			continue
-		}
-		l = append(l, *s)
-		t.Add(s.Shard, s.Server, s.Epoch, s.Home, s.Previous)
-	}
-	return cli.PrintList(e, &o.JSON, l, t)
+	return l.Print(e, &o.JSON)
 }
--- a/cmd/heatherrouter/status/status.go
+++ b/cmd/heatherrouter/status/status.go
@@ -11,8 +11,8 @@
 	"heatherrouter/io/admin"
 )
 
-// soon is how long before a certificate's end the command warns.
-const soon = 14 * 24 * time.Hour
+// expiryWarning is how long before a certificate expires the command warns.
+const expiryWarning = 14 * 24 * time.Hour
 
 // Options of the command.
 type Options struct {
@@ -45,7 +45,11 @@
 	if e.Terminal {
 		summary(e, &s)
 	}
-	return cli.DaemonTable(s.Daemons).Print(e)
+	t := cli.NewTable(cli.DaemonHeader...)
+	for i := range s.Daemons {
+		t.Add(cli.DaemonRow(&s.Daemons[i])...)
+	}
+	return t.Print(e)
 }
 
 func summary(e *cli.Env, s *admin.Status) {
@@ -60,7 +64,7 @@
 		x := &s.Certs[i]
 		left := x.Expires.Sub(e.Clock.Now())
 		note := ""
-		if left < soon {
+		if left < expiryWarning {
 			note = "  RENEW NOW"
 		}
 		fmt.Fprintf(e.Out, "certificate %s (%s) expires %s%s\n", x.Subject, x.File, x.Expires.UTC().Format(time.RFC3339), note)
