core/config: one path matcher, the one that requests go through

Cause: paths were matched twice. core/route compiled patterns for requests; core/config had a second matcher, with Service.Match and HasPath, which only tests called. The property test that holds "covers" to the matching thus checked the matcher that no request meets.

Changed: config.Pattern is the compiled pattern, used by core/route as before; the second matcher is gone. The property test checks covers against Pattern.

--- a/core/config/paths.go
+++ b/core/config/paths.go
@@ -7,49 +7,6 @@
 	"heatherrouter/core/fields"
 )
 
-const (
-	anySegment = "*"
-	anyRest    = "**"
-)
-
-// Match returns the first kind that takes the method and the path below the service's segment, or nil.
-func (s *Service) Match(method, path string) *Kind {
-	for i := range s.Kinds {
-		k := &s.Kinds[i]
-		if slices.Contains(k.Methods, method) && matchPath(k.Path, path) {
-			return k
-		}
-	}
-	return nil
-}
-
-// HasPath reports whether some kind takes the path, by whatever method; it tells a wrong method from a wrong path.
-func (s *Service) HasPath(path string) bool {
-	return slices.ContainsFunc(s.Kinds, func(k Kind) bool { return matchPath(k.Path, path) })
-}
-
-// matchPath matches a path against a pattern, segment by segment and without allocation.
-func matchPath(pattern, path string) bool {
-	pattern, path = strings.TrimPrefix(pattern, "/"), strings.TrimPrefix(path, "/")
-	for {
-		p, prest, pmore := strings.Cut(pattern, "/")
-		if p == anyRest {
-			return true
-		}
-		s, srest, smore := strings.Cut(path, "/")
-		if p != s && (p != anySegment || s == "") {
-			return false
-		}
-		if pmore != smore {
-			return pmore && prest == anyRest
-		}
-		if !pmore {
-			return true
-		}
-		pattern, path = prest, srest
-	}
-}
-
 func checkPath(t *fields.Table, path string, key KeySource) {
 	if path == "" {
 		return
--- a/core/config/paths_test.go
+++ b/core/config/paths_test.go
@@ -15,9 +15,10 @@
 		segment := rapid.SampledFrom([]string{"a", "b", "*"})
 		a, b := drawPattern(t, segment, "a"), drawPattern(t, segment, "b")
 		paths := allPaths(4)
+		pa, pb := CompilePattern(a), CompilePattern(b)
 		all := true
 		for _, p := range paths {
-			if matchPath(b, p) && !matchPath(a, p) {
+			if pb.Match([]byte(p)) && !pa.Match([]byte(p)) {
 				all = false
 			}
 		}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"math/bits"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -27,7 +26,7 @@
 
 type kind struct {
 	config  *config.Kind
-	pattern pattern
+	pattern config.Pattern
 }
 
 // Match tells how a request is to be treated. Rest and Key alias the bytes that were handed in.
@@ -46,7 +45,7 @@
 	for _, s := range services {
 		c := &service{config: s, noKind: &NoKindError{Service: s.Name}, noKey: &NoKeyError{Service: s.Name, Source: s.Key}}
 		for i := range s.Kinds {
-			c.kinds = append(c.kinds, kind{config: &s.Kinds[i], pattern: compile(s.Kinds[i].Path)})
+			c.kinds = append(c.kinds, kind{config: &s.Kinds[i], pattern: config.CompilePattern(s.Kinds[i].Path)})
 		}
 		t.services[string(s.Name)] = c
 	}
@@ -92,7 +91,7 @@
 	known := false
 	for i := range s.kinds {
 		k := &s.kinds[i]
-		if !k.pattern.match(rest) {
+		if !k.pattern.Match(rest) {
 			continue
 		}
 		for _, m := range k.config.Methods {
@@ -111,7 +110,7 @@
 func (s *service) allowed(rest []byte) []string {
 	var l []string
 	for i := range s.kinds {
-		if s.kinds[i].pattern.match(rest) {
+		if s.kinds[i].pattern.Match(rest) {
 			l = append(l, s.kinds[i].config.Methods...)
 		}
 	}
@@ -171,43 +170,3 @@
 	}
 	return nil
 }
-
-// pattern is a compiled path of a kind.
-type pattern struct {
-	segments []string // "*" stands for any one segment
-	open     bool     // ended in "**": any rest, also none
-}
-
-func compile(path string) pattern {
-	p := pattern{}
-	path = strings.Trim(path, "/")
-	if path == "" {
-		return p
-	}
-	p.segments = strings.Split(path, "/")
-	if n := len(p.segments) - 1; p.segments[n] == "**" {
-		p.segments, p.open = p.segments[:n], true
-	}
-	return p
-}
-
-func (p *pattern) match(rest []byte) bool {
-	if len(rest) == 1 {
-		rest = nil // a lone slash is the service itself
-	}
-	for _, want := range p.segments {
-		if len(rest) == 0 {
-			return false
-		}
-		rest = rest[1:]
-		n := bytes.IndexByte(rest, '/')
-		if n < 0 {
-			n = len(rest)
-		}
-		if n == 0 || want != "*" && want != string(rest[:n]) {
-			return false
-		}
-		rest = rest[n:]
-	}
-	return len(rest) == 0 || p.open
-}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -73,6 +73,42 @@
 	}
 }
 
+// Kinds are tried in the order of the service file, and a path has exactly the segments that its pattern names.
+func TestMatchPatterns(t *testing.T) {
+	b := New([]*config.Service{{Name: "svc", Kinds: []config.Kind{
+		{Name: "one", Methods: []string{"GET"}, Path: "/a/*"},
+		{Name: "rest", Methods: []string{"GET"}, Path: "/a/b/**"},
+		{Name: "root", Methods: []string{"GET"}, Path: "/"},
+		{Name: "post", Methods: []string{"POST"}, Path: "/**"},
+	}}})
+	for _, x := range []struct{ method, path, want string }{
+		{"GET", "/a/x", "one"},
+		{"GET", "/a/b", "one"},
+		{"GET", "/a/b/c", "rest"},
+		{"GET", "/a/b/c/d", "rest"},
+		{"GET", "/a/", ""},
+		{"GET", "/a", ""},
+		{"GET", "/", "root"},
+		{"GET", "", "root"},
+		{"GET", "/a/x/y", ""},
+		{"POST", "/", "post"},
+		{"POST", "/any/thing", "post"},
+		{"PUT", "/a/x", ""},
+	} {
+		t.Run(x.method+" "+x.path, func(t *testing.T) {
+			m, err := b.Match([]byte(x.method), []byte("/svc"+x.path), none, none)
+			if x.want == "" {
+				// The last pattern takes any path, so that only the method can be wrong.
+				var w *WrongMethodError
+				require.ErrorAs(t, err, &w)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, x.want, m.Kind.Name)
+		})
+	}
+}
+
 func TestMatchErrors(t *testing.T) {
 	_, err := table().Match([]byte("DELETE"), []byte("/roosterzicht/rooster/a"), none, none)
 	var w *WrongMethodError
