--- a/cmd/heatherdemo/demo/demo.go
+++ b/cmd/heatherdemo/demo/demo.go
@@ -17,6 +17,7 @@
 	"heatherrouter/core/check"
 	"heatherrouter/core/config"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/route"
 	"heatherrouter/io/fakes"
 	"heatherrouter/io/fakes/server"
 	"heatherrouter/io/stand"
@@ -208,12 +209,10 @@
 
 // once returns the work of kinds that must not run twice; the others may be sent again after an unknown outcome.
 func (d *demo) once(l []fakes.Work) []fakes.Work {
-	byName := map[ident.Service]*config.Service{}
-	for _, s := range d.services {
-		byName[s.Name] = s
-	}
+	t := route.New(d.services)
+	key := func(string) []byte { return []byte("any") }
 	return slices.DeleteFunc(slices.Clone(l), func(w fakes.Work) bool {
-		k := byName[w.Server.Service()].Match(w.Method, w.Path)
-		return k != nil && k.Idempotent
+		m, err := t.Match([]byte(w.Method), []byte("/"+string(w.Server.Service())+w.Path), key, key)
+		return err == nil && m.Kind.Idempotent
 	})
 }
