core/place: names that say what they hold

Cause: several names needed their comment to be understood (own, blind, unsure, lose, fills, lagAt), and own meant a copy on write in a package where owning is what servers do with shards.

Changed: names only: copyShards, ignoreReports, ignoreNewHome, assumeDown, refills, worthMove, shrinks, downFlipAt, slowFlipAt, unheldCount, ignoreUntil, movedWait, newHomeWait.

Conclusion: no behaviour changed; go test ./core/place passes.

--- a/core/place/balance.go
+++ b/core/place/balance.go
@@ -26,7 +26,7 @@
 	moved := false
 	for range 2 * len(p.draft.shards) {
 		from, to := p.extremes(l, level, budget > 0, stuck)
-		if !p.worth(from, to, level) {
+		if !p.worthMove(from, to, level) {
 			p.memory.endRound(p.now, p.in.Part, moved)
 			return
 		}
@@ -42,7 +42,7 @@
 		from.load -= p.rate(s)
 		to.load += p.rate(s)
 		from.shards = slices.DeleteFunc(from.shards, func(x ident.Shard) bool { return x == s })
-		if !p.fills(to) {
+		if !p.refills(to) {
 			budget--
 		}
 	}
@@ -129,15 +129,15 @@
 		if !stuck[x.id] && (from == nil || e > p.excess(from, level)/from.weight) {
 			from = x
 		}
-		if !x.pinned && (budget || p.fills(x)) && (to == nil || e < p.excess(to, level)/to.weight) {
+		if !x.pinned && (budget || p.refills(x)) && (to == nil || e < p.excess(to, level)/to.weight) {
 			to = x
 		}
 	}
 	return from, to
 }
 
-// worth reports whether moving a shard between two servers is worth it, once a round has started.
-func (p *planner) worth(from, to *target, level float64) bool {
+// worthMove reports whether moving a shard between two servers is worth it, once a round has started.
+func (p *planner) worthMove(from, to *target, level float64) bool {
 	if from == nil || to == nil || from == to {
 		return false
 	}
@@ -167,7 +167,7 @@
 	return !p.now.Before(p.memory.shards[s].held) && p.draft.shards[s] == p.in.Part.Owner(s) && mayMove(p.draft.shards[s], to.id)
 }
 
-// fills reports whether a server is being filled after a return; that is paced by its ramp, not the budget.
-func (p *planner) fills(x *target) bool {
+// refills reports whether a server is being filled after a return; that is paced by its ramp, not the budget.
+func (p *planner) refills(x *target) bool {
 	return p.memory.servers[x.id].ramps(p.now)
 }
--- a/core/place/draft.go
+++ b/core/place/draft.go
@@ -16,8 +16,8 @@
 	old       *part.Part
 	witnesses part.Witnesses
 	servers   map[ident.Server]part.Server
-	shards    []part.Ownership // those of the old part until owned is set
-	owned     bool
+	shards    []part.Ownership // those of the old part until copied is set
+	copied    bool
 	reasons   map[ident.Row]*reasons // of every row that was touched
 }
 
@@ -75,10 +75,10 @@
 	}
 }
 
-// own copies the shards of the old part before the first change; most plans change none.
-func (d *draft) own() {
-	if !d.owned {
-		d.shards, d.owned = slices.Clone(d.shards), true
+// copyShards copies the shards of the old part before the first change; most plans change none.
+func (d *draft) copyShards() {
+	if !d.copied {
+		d.shards, d.copied = slices.Clone(d.shards), true
 	}
 }
 
@@ -88,7 +88,7 @@
 	if !mayMove(o, to) || d.shards[s] != d.old.Owner(s) || !d.touch(part.ShardsRow(int(s)/part.ChunkSize), reason) {
 		return false
 	}
-	d.own()
+	d.copyShards()
 	d.shards[s] = part.Ownership{Server: to, Epoch: o.Epoch + 1, Previous: o.Server}
 	return true
 }
@@ -101,7 +101,7 @@
 // clearPrevious writes down that a shard was released, unless the same plan moves it back.
 func (d *draft) clearPrevious(s ident.Shard, reason string) {
 	if d.shards[s] == d.old.Owner(s) && d.touch(part.ShardsRow(int(s)/part.ChunkSize), reason) {
-		d.own()
+		d.copyShards()
 		d.shards[s].Previous = ""
 	}
 }
@@ -111,7 +111,7 @@
 	if !d.touch(part.ShardsRow(len(d.shards)/part.ChunkSize), reason) {
 		return false
 	}
-	d.own()
+	d.copyShards()
 	d.shards = append(d.shards, owners...)
 	return true
 }
--- a/core/place/homes.go
+++ b/core/place/homes.go
@@ -81,7 +81,7 @@
 // homeForUnheld keeps the home for a first new epoch. When that didn't help, the home is likely cut off from the
 // witnesses, though we hear it, and the standby may reach them.
 func (p *planner) homeForUnheld(row part.Server) ident.Daemon {
-	if p.memory.servers[row.ID].unhelds > 1 && p.mayServe(p.daemons[row.Standby]) {
+	if p.memory.servers[row.ID].unheldCount > 1 && p.mayServe(p.daemons[row.Standby]) {
 		return row.Standby
 	}
 	return row.Home
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -100,7 +100,7 @@
 		}
 		m.shards[i].held = now.Add(holdWait)
 		from, to := m.servers[old.Server], m.servers[o.Server]
-		m.blind(now, from, to)
+		m.ignoreReports(now, from, to)
 		if from != nil && to != nil && from.carries() && !to.ramps(now) {
 			m.churn.spend()
 		}
@@ -112,27 +112,27 @@
 	for id, s := range p.Servers {
 		if old, ok := m.last.Servers[id]; !ok || old.Home != s.Home {
 			m.spreadAt = now.Add(homeWait)
-			m.unsure(now, m.servers[id])
+			m.ignoreNewHome(now, m.servers[id])
 		}
 	}
 }
 
-// blind leaves out reports that count requests of shards that have moved, or of a time when the server was
+// ignoreReports leaves out reports that count requests of shards that have moved, or of a time when the server was
 // slow or down. Taken in, they would charge the old owner's remaining shards with what has left, or take
 // the shards of a straggler for idle ones, and the next round would move the wrong shards.
-func (m *Memory) blind(now mono.Time, l ...*serverMemory) {
+func (m *Memory) ignoreReports(now mono.Time, l ...*serverMemory) {
 	for _, s := range l {
 		if s != nil {
-			s.blindUntil = max(s.blindUntil, now.Add(blindWait))
+			s.ignoreUntil = max(s.ignoreUntil, now.Add(movedWait))
 		}
 	}
 }
 
-// unsure leaves out what a new home reports of a server before it has measured for a while. Taken in, a rate that has
+// ignoreNewHome leaves out what a new home reports of a server before it has measured for a while. Taken in, a rate that has
 // just begun to rise from nothing would make the server look idle, and shards would move to it by every change of homes.
-func (m *Memory) unsure(now mono.Time, s *serverMemory) {
+func (m *Memory) ignoreNewHome(now mono.Time, s *serverMemory) {
 	if s != nil {
-		s.blindUntil = now.Add(unsureWait)
+		s.ignoreUntil = now.Add(newHomeWait)
 	}
 }
 
@@ -151,9 +151,9 @@
 			continue
 		}
 		if r.Down || r.Slow {
-			m.blind(now, s)
+			m.ignoreReports(now, s)
 		}
-		if now.Before(s.blindUntil) || !s.carries() {
+		if now.Before(s.ignoreUntil) || !s.carries() {
 			continue
 		}
 		weight := 1 - math.Exp(-float64(s.sinceRated(r.Received))/float64(rateWindow))
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -13,10 +13,10 @@
 // serverMemory is what the planner remembers of one backend server. Its times are deadlines; mono.Never
 // stands for one that is not set.
 type serverMemory struct {
-	down   bool      // confirmed
-	slow   bool      // confirmed
-	flipAt mono.Time // when down flips unless reports say otherwise
-	lagAt  mono.Time // when slow flips unless reports say otherwise
+	down       bool      // confirmed
+	slow       bool      // confirmed
+	downFlipAt mono.Time // when down flips unless reports say otherwise
+	slowFlipAt mono.Time // when slow flips unless reports say otherwise
 
 	state     part.State // of the row, as last seen
 	known     bool       // the row has been seen
@@ -26,16 +26,16 @@
 	failures  int
 	forgiveAt mono.Time // when failures are forgotten
 
-	epoch    ident.Epoch // of the row, as last seen
-	unheldAt mono.Time   // when the lease counts as held by nobody
-	unhelds  int         // times in a row that it was, and a new epoch did not help
+	epoch       ident.Epoch // of the row, as last seen
+	unheldAt    mono.Time   // when the lease counts as held by nobody
+	unheldCount int         // times in a row that it was, and a new epoch did not help
 
-	rated      mono.Time // time of the last report that counted for rates
-	blindUntil mono.Time
+	rated       mono.Time // time of the last report that counted for rates
+	ignoreUntil mono.Time // reports are left out of the rates before this
 }
 
 func newServerMemory() *serverMemory {
-	return &serverMemory{flipAt: mono.Never, lagAt: mono.Never, removeAt: mono.Never}
+	return &serverMemory{downFlipAt: mono.Never, slowFlipAt: mono.Never, removeAt: mono.Never}
 }
 
 // carries reports whether the server may own shards.
@@ -60,19 +60,19 @@
 func (s *serverMemory) observeHolder(now mono.Time, row part.Server, held bool) {
 	switch {
 	case held:
-		s.epoch, s.unheldAt, s.unhelds = row.Epoch, now.Add(unheldWait), 0
+		s.epoch, s.unheldAt, s.unheldCount = row.Epoch, now.Add(unheldWait), 0
 	case row.Epoch != s.epoch:
 		// A home that can't get its lease under the new epoch either has some other trouble; new epochs without
 		// end would not mend it, and would eat the table's writes.
-		s.epoch, s.unheldAt = row.Epoch, now.Add(unheldWait<<min(s.unhelds, unheldDoubles))
-		s.unhelds++
+		s.epoch, s.unheldAt = row.Epoch, now.Add(unheldWait<<min(s.unheldCount, unheldDoubles))
+		s.unheldCount++
 	}
 }
 
 // observeReport flips down and slow once reports have said the same for long enough.
 func (s *serverMemory) observeReport(now mono.Time, r Report) {
-	flipped := flip(now, r.Received, &s.down, &s.flipAt, r.Down, downWait, upWait)
-	lagged := flip(now, r.Received, &s.slow, &s.lagAt, r.Slow, slowWait, fastWait)
+	flipped := flip(now, r.Received, &s.down, &s.downFlipAt, r.Down, downWait, upWait)
+	lagged := flip(now, r.Received, &s.slow, &s.slowFlipAt, r.Slow, slowWait, fastWait)
 	switch {
 	case (flipped && s.down) || (lagged && s.slow):
 		s.noteFailure(now)
@@ -104,9 +104,9 @@
 	return true
 }
 
-// lose takes the server for down without a report; only reports bring it back.
-func (s *serverMemory) lose() {
-	s.down, s.flipAt = true, mono.Never
+// assumeDown takes the server for down without a report; only reports bring it back.
+func (s *serverMemory) assumeDown() {
+	s.down, s.downFlipAt = true, mono.Never
 }
 
 // noteFailure makes a server that fails again and again wait longer each time. Without it, one that falls
@@ -158,7 +158,7 @@
 // planStates writes down which servers may be given work.
 func (p *planner) planStates() {
 	for id := range p.lostServers() {
-		p.memory.servers[id].lose()
+		p.memory.servers[id].assumeDown()
 	}
 	for _, id := range p.in.Part.ServerIDs() {
 		row := p.draft.servers[id]
--- a/core/place/tuning.go
+++ b/core/place/tuning.go
@@ -29,8 +29,8 @@
 	holdWait     = 60 * time.Second // a moved shard stays for this long, unless its owner fails
 	lookWait     = time.Second      // between two looks at the balance that find nothing to do
 	balanceWait  = 5 * time.Second  // between two rounds of balancing, so that rates show the last one
-	blindWait    = 3 * time.Second  // after a move, until the two servers' reports cover the new shards only
-	unsureWait   = 10 * time.Second // after a change of a server's home, until the new one's rates are believed
+	movedWait    = 3 * time.Second  // after a move, until the two servers' reports cover the new shards only
+	newHomeWait  = 10 * time.Second // after a change of a server's home, until the new one's rates are believed
 	rampStep     = 5 * time.Second  // a returning server gets another quarter of its share after each
 	rampSteps    = 4
 	rampFirst    = 1.0 / 16         // its share before the first step: admission paces a cold server, and keys come with their load
--- a/core/place/witness.go
+++ b/core/place/witness.go
@@ -37,7 +37,7 @@
 		return
 	}
 	next := p.pickWitnesses(keep)
-	if len(next) == 0 || sameDaemons(next, w.Current) || p.worse(next, w.Current) {
+	if len(next) == 0 || sameDaemons(next, w.Current) || p.shrinks(next, w.Current) {
 		return
 	}
 	p.draft.setWitnesses(part.Witnesses{Current: w.Current, Next: next}, reason)
@@ -159,9 +159,9 @@
 	return l
 }
 
-// worse reports whether a next set would have fewer live members than the current one: a change that only
+// shrinks reports whether a next set would have fewer live members than the current one: a change that only
 // shrinks the set is not worth its wait.
-func (p *planner) worse(next, current []ident.Daemon) bool {
+func (p *planner) shrinks(next, current []ident.Daemon) bool {
 	return p.countAlive(next) < p.countAlive(current)
 }
 
