core/lease: tell why a started witness is quiet

Cause: the quiet time of a witness is a safeguard whose reason stood only in a test's name.

Changed: the comment of NewWitness tells the failure, and that a lease time is enough.

Conclusion: no code changed; go test ./core/lease passes.

--- a/core/lease/witness.go
+++ b/core/lease/witness.go
@@ -33,6 +33,9 @@
 }
 
 // NewWitness returns a witness of a process that started at the time.
+//
+// Its process may have given leases before a restart, and has forgotten them. Without a quiet time of a whole lease it
+// would give the next epoch while the home of the last one still sends.
 func NewWitness(self ident.Daemon, t Terms, started mono.Time) *Witness {
 	return &Witness{self: self, terms: t, quiet: started.Add(t.Lapse()), parts: map[ident.Service]*part{}}
 }
