core/admit, core/retry, core/route: one place for each rule, plainer names

Cause: admit dropped freed slots and ended exchanges in two places each, and found a queue entry's place twice; retry spelt out three times which kinds may wait; mayRun stood beside mayHaveRun, lives and own had to be explained, life was an incarnation.

Changed: dropFreed, dropEnded, queue.ahead and Entry.mayWait hold these once. Renamed: mayStillRun, observeIncarnation, takeDecision, dispatch, answerCredit, slowPickEvery, pickOfTwo, and Usual to MedianServiceTime, which io/home calls.

Conclusion: no behaviour changed; go test ./core/admit ./core/retry ./core/route passes, io/home has no tests of its own and builds.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -31,24 +31,24 @@
 
 // Server is the admission to one backend server at its home.
 type Server struct {
-	options  Options
-	next     Ticket
-	inFlight []entry
-	givenUp  []entry     // exchanges given up that the server may still work on
-	held     []mono.Time // slots of exchanges given up, with when each counts as free again
-	queue    queue
-	memory   memory
-	ramp     ramp
-	speed    speed
-	health   health
-	rate     rate
-	draining bool
-	errors   int // failed answers in a row
-	life     ident.Incarnation
-	lifeAt   mono.Time // when life was learnt
-	peers    []time.Duration
-	peersAt  mono.Time
-	ages     []time.Duration // scratch
+	options       Options
+	next          Ticket
+	inFlight      []entry
+	givenUp       []entry     // exchanges given up that the server may still work on
+	held          []mono.Time // slots of exchanges given up, with when each counts as free again
+	queue         queue
+	memory        memory
+	ramp          ramp
+	speed         speed
+	health        health
+	rate          rate
+	draining      bool
+	errors        int // failed answers in a row
+	incarnation   ident.Incarnation
+	incarnationAt mono.Time // when the incarnation was learnt
+	peers         []time.Duration
+	peersAt       mono.Time
+	ages          []time.Duration // scratch
 }
 
 // New starts the admission to a server that has just been taken over: it may be cold, so the ramp starts.
@@ -75,7 +75,7 @@
 // the server may have passed since, so the ramp starts again, or goes on from what the last home had proved.
 func (s *Server) TakeOver(now mono.Time, p Proven) {
 	s.options.Proven = p
-	s.life, s.lifeAt = 0, now
+	s.incarnation, s.incarnationAt = 0, now
 	s.ramp = newRamp(now, s.options.Slots)
 	s.speed.forget()
 	s.health = newHealth(now) // with a probe at once
@@ -122,7 +122,7 @@
 func (s *Server) enqueue(now mono.Time, e entry) (Decision, []Decision) {
 	// Work that can't start in time is refused now: its caller may still go elsewhere, and its place in the
 	// queue serves work that can.
-	if !e.NeverDropped && s.speed.n > 0 && e.Deadline.Before(now.Add(s.wait(s.queue.ahead(e)))) {
+	if !e.NeverDropped && s.speed.n > 0 && e.Deadline.Before(now.Add(s.wait(s.queue.ahead(&e)))) {
 		return s.refuse(now, &e, ReasonTooLate), nil
 	}
 	evicted, isEvicted, ok := s.queue.push(e)
@@ -133,12 +133,12 @@
 	if isEvicted {
 		l = append(l, s.refuse(now, &evicted, ReasonEvicted))
 	}
-	l = append(l, s.pump(now)...)
-	return s.own(e.ticket, l)
+	l = append(l, s.dispatch(now)...)
+	return s.takeDecision(e.ticket, l)
 }
 
-// own takes the decision about the ticket out of the list; without one, the work is queued.
-func (s *Server) own(t Ticket, l []Decision) (Decision, []Decision) {
+// takeDecision takes the decision about the ticket out of the list; without one, the work is queued.
+func (s *Server) takeDecision(t Ticket, l []Decision) (Decision, []Decision) {
 	for i, d := range l {
 		if TicketOf(d) == t {
 			return d, slices.Delete(l, i, i+1)
@@ -165,11 +165,21 @@
 // free reports whether a start is allowed now. It is the one check against feeding a server more than its
 // open slots.
 func (s *Server) free(now mono.Time) bool {
-	s.held = slices.DeleteFunc(s.held, func(t mono.Time) bool { return !now.Before(t) })
+	s.dropFreed(now)
 	return !s.draining && !s.health.down && !now.Before(s.ramp.notFrom) &&
 		len(s.inFlight)+len(s.held) < s.ramp.open()
 }
 
+// dropFreed forgets the held slots that count as free again.
+func (s *Server) dropFreed(now mono.Time) {
+	s.held = slices.DeleteFunc(s.held, func(t mono.Time) bool { return !now.Before(t) })
+}
+
+// dropEnded forgets the exchanges given up whose deadline has passed: the server was told it, and has ended them.
+func (s *Server) dropEnded(now mono.Time) {
+	s.givenUp = slices.DeleteFunc(s.givenUp, func(e entry) bool { return !now.Before(e.Deadline) })
+}
+
 func (s *Server) start(now mono.Time, e entry) Decision {
 	e.started = now
 	s.inFlight = append(s.inFlight, e)
@@ -177,8 +187,8 @@
 	return Start{Ticket: e.ticket}
 }
 
-// pump starts queued work while there is room, and refuses what has expired.
-func (s *Server) pump(now mono.Time) []Decision {
+// dispatch starts queued work while there is room, and refuses what has expired.
+func (s *Server) dispatch(now mono.Time) []Decision {
 	var l []Decision
 	if s.health.down {
 		return s.refuseAll(now, l, s.queue.remove(all), ReasonDown)
@@ -204,14 +214,15 @@
 	if s.remembers(&e) {
 		s.memory.end(now, e.ID, mayHaveRun(r.End))
 	}
-	if mayRun(r.End) && now.Before(e.Deadline) {
-		s.givenUp = slices.DeleteFunc(s.givenUp, func(e entry) bool { return !now.Before(e.Deadline) })
+	if mayStillRun(r.End) && now.Before(e.Deadline) {
+		s.dropEnded(now)
 		s.givenUp = append(s.givenUp, e)
 	}
 	s.observe(now, &e, r)
-	return s.pump(now)
+	return s.dispatch(now)
 }
 
+// mayHaveRun reports whether the server may have run the request, or may yet.
 func mayHaveRun(e End) bool {
 	switch e {
 	case EndRefused, EndNoDial, EndNoConn:
@@ -220,8 +231,8 @@
 	return true
 }
 
-// mayRun reports whether the server may still work on the request.
-func mayRun(e End) bool {
+// mayStillRun reports whether the server may still work on the request.
+func mayStillRun(e End) bool {
 	switch e {
 	case EndReset, EndTimeout, EndSilent, EndCancelled:
 		return true
@@ -258,7 +269,7 @@
 		s.hold(now)
 		s.sampleLost(e, d)
 	}
-	s.lives(now, e.started, r.Incarnation)
+	s.observeIncarnation(now, e.started, r.Incarnation)
 }
 
 // failed takes in an answer of a server that is alive but broken. One may be the request's own fault, and
@@ -312,25 +323,25 @@
 	s.held = append(s.held, now.Add(min(max(s.service(), minGrace), maxGrace)))
 }
 
-// lives takes in the incarnation that an answer or a probe told. An exchange that was started before the
-// present life was learnt may end late and tell an older one.
-func (s *Server) lives(now, asked mono.Time, i ident.Incarnation) {
-	if i == 0 || i == s.life || asked.Before(s.lifeAt) {
+// observeIncarnation takes in the incarnation that an answer or a probe told. An exchange that was started before the
+// present incarnation was learnt may end late and tell an older one.
+func (s *Server) observeIncarnation(now, asked mono.Time, i ident.Incarnation) {
+	if i == 0 || i == s.incarnation || asked.Before(s.incarnationAt) {
 		return
 	}
 	switch {
-	case s.life != 0:
+	case s.incarnation != 0:
 		s.restart(now)
 	case i == s.options.Proven.Incarnation:
 		s.ramp.jump(now, s.options.Proven.Slots)
 	}
-	s.life, s.lifeAt = i, now
+	s.incarnation, s.incarnationAt = i, now
 }
 
 // Tick takes in that time has passed; call it at NextTick.
 func (s *Server) Tick(now mono.Time) []Decision {
 	s.judge(now)
-	return s.pump(now)
+	return s.dispatch(now)
 }
 
 func all(*entry) bool { return true }
@@ -372,9 +383,9 @@
 	}
 	s.draining = on
 	if !on {
-		s.ramp.resume(now, s.life != 0)
+		s.ramp.resume(now, s.incarnation != 0)
 		s.speed.forget()
-		return s.pump(now)
+		return s.dispatch(now)
 	}
 	return s.refuseAll(now, nil, s.queue.remove(all), ReasonDraining)
 }
@@ -390,7 +401,7 @@
 // given up counts until its deadline, which the server was told: were the shard's next owner to start
 // before, the key would have two.
 func (s *Server) InFlight(now mono.Time, sh ident.Shard) int {
-	s.givenUp = slices.DeleteFunc(s.givenUp, func(e entry) bool { return !now.Before(e.Deadline) })
+	s.dropEnded(now)
 	n := 0
 	for _, l := range [][]entry{s.inFlight, s.givenUp} {
 		for i := range l {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -30,11 +30,7 @@
 		evicted, isEvicted = q.l[i], true
 		q.l = slices.Delete(q.l, i, i+1)
 	}
-	i := len(q.l)
-	for i > 0 && q.l[i-1].Priority < e.Priority {
-		i--
-	}
-	q.l = slices.Insert(q.l, i, e)
+	q.l = slices.Insert(q.l, q.ahead(&e), e)
 	return evicted, isEvicted, true
 }
 
@@ -47,8 +43,8 @@
 	return -1
 }
 
-// ahead counts the entries that would start before work of the priority.
-func (q *queue) ahead(e entry) int {
+// ahead counts the entries that would start before a new one, which is also its place in the queue.
+func (q *queue) ahead(e *entry) int {
 	i := len(q.l)
 	for i > 0 && q.l[i-1].Priority < e.Priority {
 		i--
--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -22,11 +22,11 @@
 	slotAnswers = 32
 	slotTime    = time.Second
 
-	// Refusals and resets add 1 to a score that each answer lowers by forgive. Up to one in nine is noise;
+	// Refusals and resets add 1 to a score that each answer lowers by answerCredit. Up to one in nine is noise;
 	// more goes back a step, and a burst is taken for a cold restart.
-	forgive   = 0.125
-	backScore = 2
-	burst     = 3
+	answerCredit = 0.125
+	backScore    = 2
+	burst        = 3
 
 	// How long a server stays cold is not known; each fall during the ramp, or soon after it, doubles what a step asks for, up
 	// to maxCaution times, so that the same fall doesn't come again and again.
@@ -77,11 +77,11 @@
 }
 
 // resume ramps up a server that was drained, with no caution added: it didn't fall. One that is known to be in the same
-// life as before starts with a whole slot. The pace of a cold start would refuse nearly all of the keys that come
-// back to it by a planned change; a restart meanwhile shows by its new life, and is paced.
-func (r *ramp) resume(now mono.Time, sameLife bool) {
+// incarnation as before starts with a whole slot. The pace of a cold start would refuse nearly all of the keys that come
+// back to it by a planned change; a restart meanwhile shows by its new incarnation, and is paced.
+func (r *ramp) resume(now mono.Time, sameIncarnation bool) {
 	r.at, r.proven, r.since, r.score = 0, 0, now, 0
-	if sameLife {
+	if sameIncarnation {
 		r.jump(now, 1)
 	}
 }
@@ -110,7 +110,7 @@
 // answered counts a proven answer. An answer to work that was started at an earlier step proves nothing
 // about this one.
 func (r *ramp) answered(now, started mono.Time) {
-	r.score = max(r.score-forgive, 0)
+	r.score = max(r.score-answerCredit, 0)
 	if started.Before(r.since) {
 		return
 	}
--- a/core/admit/report.go
+++ b/core/admit/report.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"slices"
 	"time"
 
 	"heatherrouter/core/mono"
@@ -35,7 +34,7 @@
 	if s.health.probed(now, h.Alive) {
 		s.restart(now)
 	}
-	s.lives(now, asked, h.Incarnation)
+	s.observeIncarnation(now, asked, h.Incarnation)
 	return s.Tick(now)
 }
 
@@ -74,7 +73,7 @@
 
 // Report returns what the home sees of the server.
 func (s *Server) Report(now mono.Time) Report {
-	s.held = slices.DeleteFunc(s.held, func(t mono.Time) bool { return !now.Before(t) })
+	s.dropFreed(now)
 	return Report{
 		Down:            s.health.down,
 		Slow:            s.slow(),
@@ -84,11 +83,11 @@
 		OpenSlots:       s.ramp.open(),
 		ServedPerSecond: s.rate.perSecond(now),
 		Latency:         s.latency(now),
-		Incarnation:     s.life,
+		Incarnation:     s.incarnation,
 	}
 }
 
-// Usual returns the usual service time as our own exchanges show it, or 0 before the first answer.
-func (s *Server) Usual() time.Duration {
+// MedianServiceTime returns the moving median of our own exchanges, or 0 before the first answer.
+func (s *Server) MedianServiceTime() time.Duration {
 	return s.speed.median(nil)
 }
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -155,7 +155,7 @@
 }
 
 func (p Policy) came(now mono.Time, e *Entry, v Came, random uint64) Action {
-	if p.Held != nil && (e.kind.MayWait || e.kind.NeverDropped) {
+	if p.Held != nil && e.mayWait() {
 		if !p.Held.take() {
 			return e.end(Final{Outcome: NotRun, RetryAfter: now.Add(maxBackoff), Reason: ReasonHeldFull})
 		}
@@ -221,7 +221,7 @@
 // later waits when the time left is enough and the budget pays for the send that follows; the token is
 // taken now, so that many entries can't wait for one token.
 func (p Policy) later(now mono.Time, e *Entry, at mono.Time, r Reason, random uint64) Action {
-	if e.kind.MayWait || e.kind.NeverDropped || !p.Budget.Take(now) {
+	if e.mayWait() || !p.Budget.Take(now) {
 		return p.hold(now, e, at, r, random)
 	}
 	t := e.backoff(now, random)
@@ -235,7 +235,7 @@
 
 // hold waits with backoff if the kind allows it, or gives the final answer at once.
 func (p Policy) hold(now mono.Time, e *Entry, at mono.Time, r Reason, random uint64) Action {
-	if !e.kind.MayWait && !e.kind.NeverDropped {
+	if !e.mayWait() {
 		return e.refuse(now, at, r)
 	}
 	e.wakeAt = min(max(e.backoff(now, random), at), e.deadline)
@@ -289,6 +289,11 @@
 	return Send{Hedge: hedge, WakeAt: min(e.hedgeAt, e.deadline)}
 }
 
+// mayWait reports whether the request may wait for room; one that is never dropped has to.
+func (e *Entry) mayWait() bool {
+	return e.kind.MayWait || e.kind.NeverDropped
+}
+
 func (e *Entry) idle() Action {
 	if e.inFlight > 0 {
 		return Wait{Until: min(e.hedgeAt, e.deadline)}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -17,9 +17,9 @@
 	// by its home at once, as not run.
 	downFor = 500 * time.Millisecond
 
-	// trickle is how many picks there are for each one that ignores the slow flag. A straggler without any
+	// slowPickEvery is how many picks there are for each one that ignores the slow flag. A straggler without any
 	// work could never show that it has recovered; one pick in 64 stays under the 99th percentile.
-	trickle = 64
+	slowPickEvery = 64
 )
 
 // Candidate is a backend server that may take a request, with what its home reports of it.
@@ -40,11 +40,11 @@
 func Pick(now mono.Time, l []Candidate, random uint64) (int, bool) {
 	for worst := 0; worst <= rankTried; worst++ {
 		limit := worst
-		if limit == rankFast && random%trickle == 0 {
+		if limit == rankFast && random%slowPickEvery == 0 {
 			limit = rankSlow
 		}
 		if n := count(now, l, limit); n > 0 {
-			return pickOf(now, l, limit, n, random/trickle), true
+			return pickOfTwo(now, l, limit, n, random/slowPickEvery), true
 		}
 	}
 	return 0, false
@@ -85,7 +85,8 @@
 	return n
 }
 
-func pickOf(now mono.Time, l []Candidate, limit, n int, random uint64) int {
+// pickOfTwo draws two of the n candidates up to the rank, and returns the less loaded one.
+func pickOfTwo(now mono.Time, l []Candidate, limit, n int, random uint64) int {
 	a := int(random % uint64(n)) //nolint:gosec // below n
 	i := nth(now, l, limit, a)
 	if n == 1 {
@@ -103,6 +104,7 @@
 	return i
 }
 
+// nth returns the index of candidate n among those up to the rank.
 func nth(now mono.Time, l []Candidate, limit, n int) int {
 	for i := range l {
 		if l[i].rank(now) > limit {
--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -253,7 +253,7 @@
 	if !j.kind.Idempotent {
 		return 0
 	}
-	return max(suspectAfter, suspectFactor*h.admit.Usual())
+	return max(suspectAfter, suspectFactor*h.admit.MedianServiceTime())
 }
 
 // maySend checks the lease right before the first byte: the process may have been paused since it took the job,
