Requests that wait for their shard take no slot meanwhile

Cause: each try of a request whose shard was not yet released took a start of the server's ramp and gave it back. The gate is asked first now.

--- a/core/owner/gate.go
+++ b/core/owner/gate.go
@@ -77,18 +77,26 @@
 	Waiting
 )
 
-// Start admits a request on a shard at an epoch, to end by the deadline.
-func (g *Gate) Start(now mono.Time, s ident.Shard, e ident.Epoch, deadline mono.Time) (Start, Refusal) {
-	g.reap(now)
+// Check tells what Start would refuse a request for, without starting it.
+func (g *Gate) Check(now mono.Time, s ident.Shard, e ident.Epoch) Refusal {
 	if !g.leads(now) {
-		return Start{}, NoLease
+		return NoLease
 	}
 	r, ok := g.rows[s]
-	if !ok || r.Owner != g.server || r.Epoch != e {
-		return Start{}, Moved
+	switch {
+	case !ok || r.Owner != g.server || r.Epoch != e:
+		return Moved
+	case g.waits(s, r):
+		return Waiting
 	}
-	if g.waits(s, r) {
-		return Start{}, Waiting
+	return None
+}
+
+// Start admits a request on a shard at an epoch, to end by the deadline.
+func (g *Gate) Start(now mono.Time, s ident.Shard, e ident.Epoch, deadline mono.Time) (Start, Refusal) {
+	g.reap(now)
+	if no := g.Check(now, s, e); no != None {
+		return Start{}, no
 	}
 	// A request that outlasts the lease would run on beside the next home's.
 	d := min(deadline, g.holder.Until())
--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -157,6 +157,15 @@
 		h.offerGrant(now)
 		return h.moved(reasonNoGrant), true
 	}
+	if !j.keyed {
+		return nil, false
+	}
+	// Asked before a slot is: a request that waits for its shard and tries again every few milliseconds would else use up
+	// the starts that a ramp allows, and keep everybody else from a server that has just come back.
+	no := h.gate.Check(h.o.Clock.Now(), ident.Shard(j.x.GetShard()), ident.Epoch(j.x.GetShardEpoch()))
+	if no != owner.None {
+		return h.gated(j, no)
+	}
 	return nil, false
 }
 
@@ -180,6 +189,11 @@
 		return nil, false
 	}
 	h.undo(now, j)
+	return h.gated(j, no)
+}
+
+// gated answers what the gate refuses; again says that the reason will pass by itself soon.
+func (h *Home) gated(j *job, no owner.Refusal) (a *wire.ExchangeAnswer, again bool) {
 	switch no {
 	case owner.Waiting:
 		return h.moved(reasonWaiting), true
