One path matcher: Service.Match had no caller left

Cause: the demo matches by the router's own table now. TestMatch's twelve cases stand in route.TestMatchPatterns, through the matcher that requests meet; none is lost. Conclusion: go test ./core/config ./core/route passes.

--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -106,42 +106,6 @@
 	}
 }
 
-func TestMatch(t *testing.T) {
-	s := &config.Service{Kinds: []config.Kind{
-		{Name: "one", Methods: []string{"GET"}, Path: "/a/*"},
-		{Name: "rest", Methods: []string{"GET"}, Path: "/a/b/**"},
-		{Name: "root", Methods: []string{"GET"}, Path: "/"},
-		{Name: "post", Methods: []string{"POST"}, Path: "/**"},
-	}}
-	tests := []struct {
-		method, path, want string
-	}{
-		{"GET", "/a/x", "one"},
-		{"GET", "/a/b", "one"},
-		{"GET", "/a/b/c", "rest"},
-		{"GET", "/a/b/c/d", "rest"},
-		{"GET", "/a/", ""},
-		{"GET", "/a", ""},
-		{"GET", "/", "root"},
-		{"GET", "", "root"},
-		{"GET", "/a/x/y", ""},
-		{"POST", "/", "post"},
-		{"POST", "/any/thing", "post"},
-		{"PUT", "/a/x", ""},
-	}
-	for _, tt := range tests {
-		t.Run(tt.method+" "+tt.path, func(t *testing.T) {
-			k := s.Match(tt.method, tt.path)
-			if tt.want == "" {
-				require.Nil(t, k)
-				return
-			}
-			require.NotNil(t, k)
-			require.Equal(t, tt.want, k.Name)
-		})
-	}
-}
-
 func TestCheckAll(t *testing.T) {
 	parse := func(path, body string) *config.Service {
 		s, f := config.Parse(path, []byte(body))
--- a/core/config/pattern.go
+++ b/core/config/pattern.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"slices"
 	"strings"
 )
 
@@ -51,16 +50,3 @@
 	}
 	return len(path) == 0 || p.open
 }
-
-// Match returns the first kind that takes the method and the path below the service's segment, or nil. It compiles the
-// patterns each time; requests go through route.Table, which keeps them.
-func (s *Service) Match(method, path string) *Kind {
-	for i := range s.Kinds {
-		k := &s.Kinds[i]
-		p := CompilePattern(k.Path)
-		if slices.Contains(k.Methods, method) && p.Match([]byte(path)) {
-			return k
-		}
-	}
-	return nil
-}
