Open the stand-ins' service and control page in one place

Cause: the table and the object store stand-ins each opened two endpoints, and had the same four methods; tests of io/table chose between two kinds of errors twice; parseSigma stood beside the control page. Changed: faulty has listen, URL, Addr, ControlURL and Close; newEndpoint takes an empty address for any port; requireOutcome and newRelay in io/table's tests, stop in those of heatherfakes; parseSigma is with its caller.

--- a/cmd/heatherfakes/control.go
+++ b/cmd/heatherfakes/control.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -33,11 +32,3 @@
 
 // Close ends the page.
 func (p *controlPage) Close() { _ = p.http.Close() }
-
-func parseSigma(s string) (float64, error) {
-	f, err := strconv.ParseFloat(s, 64)
-	if err != nil {
-		return 0, trace.BadParameter("log-normal service time needs MEDIAN,SIGMA")
-	}
-	return f, nil
-}
--- a/cmd/heatherfakes/main_test.go
+++ b/cmd/heatherfakes/main_test.go
@@ -44,6 +44,13 @@
 	return c, r
 }
 
+// stop asks the command to end, and requires that it does so without an error.
+func stop(t *testing.T, c *exec.Cmd) {
+	t.Helper()
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, c.Wait())
+}
+
 func TestAllEndsOnSignal(t *testing.T) {
 	c, r := launch(t, "all", "--server", "rooster/a", "--server", "rooster/b", "--grants-of", "rooster", "--for", "30s")
 	require.Len(t, r.Servers, 2)
@@ -59,8 +66,7 @@
 	require.Equal(t, "no-grant", a.Header.Get(server.ReasonHeader))
 
 	began := time.Now()
-	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
-	require.NoError(t, c.Wait())
+	stop(t, c)
 	require.Less(t, time.Since(began), 5*time.Second)
 }
 
@@ -102,8 +108,7 @@
 	status, err = get()
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
-	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
-	require.NoError(t, c.Wait())
+	stop(t, c)
 }
 
 func TestRelay(t *testing.T) {
@@ -125,8 +130,7 @@
 	b, err := io.ReadAll(x)
 	require.NoError(t, err)
 	require.Equal(t, "hello", string(b))
-	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
-	require.NoError(t, c.Wait())
+	stop(t, c)
 }
 
 func TestBadArguments(t *testing.T) {
--- a/cmd/heatherfakes/server.go
+++ b/cmd/heatherfakes/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -74,6 +75,14 @@
 	return nil, trace.BadParameter("service time %q is none of fixed, exponential, log-normal", s)
 }
 
+func parseSigma(s string) (float64, error) {
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return 0, trace.BadParameter("log-normal service time needs MEDIAN,SIGMA")
+	}
+	return f, nil
+}
+
 type relayArgs struct {
 	Network string `default:"tcp" enum:"tcp,udp" help:"What is relayed: tcp or udp."`
 	Addr    string `default:"127.0.0.1:0" help:"Address that the relay listens on."`
--- a/io/fakes/fakes.go
+++ b/io/fakes/fakes.go
@@ -4,6 +4,7 @@
 package fakes
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -45,7 +46,9 @@
 	headTimeout = 30 * time.Second
 )
 
+// newEndpoint listens on the address, on AnyPort when it is empty.
 func newEndpoint(addr string, h http.Handler) (*endpoint, error) {
+	addr = cmp.Or(addr, AnyPort)
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
--- a/io/fakes/faults.go
+++ b/io/fakes/faults.go
@@ -48,11 +48,41 @@
 	faults Faults
 	counts Counts
 	change chan struct{} // closed when the faults change, so that hung requests look again
-	data   *endpoint
+	data   *endpoint     // the service
+	admin  *endpoint     // the control page
 
 	reads, writes *rate.Limiter // nil for no limit
 }
 
+// listen opens the service, and the control page with /control added to its other pages.
+func (f *faulty) listen(addr string, service http.HandlerFunc, controlAddr string, pages *http.ServeMux) error {
+	f.change = make(chan struct{})
+	var err error
+	if f.data, err = newEndpoint(addr, service); err != nil {
+		return err
+	}
+	pages.HandleFunc("/control", f.control)
+	if f.admin, err = newEndpoint(controlAddr, pages); err != nil {
+		f.data.close()
+	}
+	return err
+}
+
+// URL returns the endpoint of the service.
+func (f *faulty) URL() string { return f.data.URL() }
+
+// Addr returns the address of the service, for a relay before it.
+func (f *faulty) Addr() string { return f.data.addr }
+
+// ControlURL returns the base URL of the control page.
+func (f *faulty) ControlURL() string { return f.admin.URL() }
+
+// Close ends the stand-in and forgets everything.
+func (f *faulty) Close() {
+	f.data.close()
+	f.admin.close()
+}
+
 // limiter allows a tenth of a second's requests at once.
 func limiter(perSecond int) *rate.Limiter {
 	if perSecond <= 0 {
--- a/io/fakes/hosts.go
+++ b/io/fakes/hosts.go
@@ -38,7 +38,7 @@
 	m.HandleFunc("POST /hosts", h.post)
 	m.HandleFunc("POST /control", h.control)
 	var err error
-	h.data, err = newEndpoint(orAny(o.Addr), m)
+	h.data, err = newEndpoint(o.Addr, m)
 	return h, err
 }
 
--- a/io/fakes/objects.go
+++ b/io/fakes/objects.go
@@ -19,7 +19,6 @@
 // Any bucket exists. Control page: GET and POST /control (Faults).
 type Objects struct {
 	faulty
-	admin *endpoint
 
 	store   sync.Mutex
 	objects map[string][]byte // by /bucket/key
@@ -28,35 +27,12 @@
 // NewObjects starts an object store stand-in.
 func NewObjects(o ObjectsOptions) (*Objects, error) {
 	b := &Objects{objects: map[string][]byte{}}
-	b.change = make(chan struct{})
-	var err error
-	if b.data, err = newEndpoint(orAny(o.Addr), http.HandlerFunc(b.serve)); err != nil {
-		return nil, err
-	}
-	m := http.NewServeMux()
-	m.HandleFunc("/control", b.control)
-	if b.admin, err = newEndpoint(orAny(o.ControlAddr), m); err != nil {
-		b.data.close()
+	if err := b.listen(o.Addr, b.serve, o.ControlAddr, http.NewServeMux()); err != nil {
 		return nil, err
 	}
 	return b, nil
 }
 
-// URL returns the endpoint of the service.
-func (o *Objects) URL() string { return o.data.URL() }
-
-// Addr returns the address of the service, for a relay before it.
-func (o *Objects) Addr() string { return o.data.addr }
-
-// ControlURL returns the base URL of the control page.
-func (o *Objects) ControlURL() string { return o.admin.URL() }
-
-// Close ends the stand-in and forgets every object.
-func (o *Objects) Close() {
-	o.data.close()
-	o.admin.close()
-}
-
 // Names returns the paths of all objects, sorted.
 func (o *Objects) Names() []string {
 	o.store.Lock()
--- a/io/fakes/table.go
+++ b/io/fakes/table.go
@@ -25,8 +25,7 @@
 // Control page: GET and POST /control (Faults), GET /rows (every item).
 type Table struct {
 	faulty
-	page  int
-	admin *endpoint
+	page int
 
 	rows sync.Mutex
 	docs map[docKey]map[string]attrs // by document, then by row
@@ -40,43 +39,14 @@
 	if t.page <= 0 {
 		t.page = defaultPageRows
 	}
-	t.change = make(chan struct{})
-	var err error
-	if t.data, err = newEndpoint(orAny(o.Addr), http.HandlerFunc(t.serve)); err != nil {
-		return nil, err
-	}
-	m := http.NewServeMux()
-	m.HandleFunc("/control", t.control)
-	m.HandleFunc("GET /rows", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, t.Dump()) })
-	if t.admin, err = newEndpoint(orAny(o.ControlAddr), m); err != nil {
-		t.data.close()
+	pages := http.NewServeMux()
+	pages.HandleFunc("GET /rows", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, t.Dump()) })
+	if err := t.listen(o.Addr, t.serve, o.ControlAddr, pages); err != nil {
 		return nil, err
 	}
 	return t, nil
 }
 
-func orAny(addr string) string {
-	if addr == "" {
-		return AnyPort
-	}
-	return addr
-}
-
-// URL returns the endpoint of the service.
-func (t *Table) URL() string { return t.data.URL() }
-
-// Addr returns the address of the service, for a relay before it.
-func (t *Table) Addr() string { return t.data.addr }
-
-// ControlURL returns the base URL of the control page.
-func (t *Table) ControlURL() string { return t.admin.URL() }
-
-// Close ends the stand-in and forgets every item.
-func (t *Table) Close() {
-	t.data.close()
-	t.admin.close()
-}
-
 // Dump returns every item in the order of its keys.
 func (t *Table) Dump() []map[string]any {
 	t.rows.Lock()
--- a/io/fakes/work_test.go
+++ b/io/fakes/work_test.go
@@ -17,8 +17,13 @@
 	}
 }
 
-func with(w fakes.Work, f func(*fakes.Work)) fakes.Work {
-	f(&w)
+func withOutcome(w fakes.Work, o fakes.Outcome) fakes.Work {
+	w.Outcome = o
+	return w
+}
+
+func withoutKey(w fakes.Work) fakes.Work {
+	w.Key = ""
 	return w
 }
 
@@ -35,21 +40,21 @@
 			work("1", "s/a", 1, 0, 100), work("2", "s/a", 1, 1, 2), work("3", "s/b", 1, 50, 60),
 		}, 1},
 		{"overlap with work that runs", []fakes.Work{
-			with(work("1", "s/a", 1, 0, 0), func(w *fakes.Work) { w.Outcome = fakes.RunningOutcome }),
+			withOutcome(work("1", "s/a", 1, 0, 0), fakes.RunningOutcome),
 			work("2", "s/b", 1, 50, 60),
 		}, 1},
 		{"refused work counts for nothing", []fakes.Work{
 			work("1", "s/a", 1, 0, 10),
-			with(work("2", "s/b", 1, 5, 6), func(w *fakes.Work) { w.Outcome = fakes.NotRunOutcome }),
+			withOutcome(work("2", "s/b", 1, 5, 6), fakes.NotRunOutcome),
 		}, 0},
 		{"cancelled work counts", []fakes.Work{
 			work("1", "s/a", 1, 0, 10),
-			with(work("2", "s/b", 1, 5, 6), func(w *fakes.Work) { w.Outcome = fakes.CancelledOutcome }),
+			withOutcome(work("2", "s/b", 1, 5, 6), fakes.CancelledOutcome),
 		}, 1},
 		{"another service's key", []fakes.Work{work("1", "s/a", 1, 0, 10), work("2", "t/b", 1, 5, 20)}, 0},
 		{"no key", []fakes.Work{
-			with(work("1", "s/a", 0, 0, 10), func(w *fakes.Work) { w.Key = "" }),
-			with(work("2", "s/b", 0, 5, 20), func(w *fakes.Work) { w.Key = "" }),
+			withoutKey(work("1", "s/a", 0, 0, 10)),
+			withoutKey(work("2", "s/b", 0, 5, 20)),
 		}, 0},
 		{"older epoch after a newer", []fakes.Work{work("1", "s/a", 2, 0, 10), work("2", "s/a", 1, 20, 30)}, 1},
 		{"older epoch ends under a newer", []fakes.Work{work("1", "s/a", 1, 0, 10), work("2", "s/a", 2, 5, 30)}, 0},
@@ -75,11 +80,11 @@
 		{"twice on one server", []fakes.Work{work("1", "s/a", 1, 0, 10), work("1", "s/a", 1, 20, 30)}, 1},
 		{"twice on two servers", []fakes.Work{work("1", "s/a", 1, 0, 10), work("1", "s/b", 1, 20, 30)}, 1},
 		{"refused, then run", []fakes.Work{
-			with(work("1", "s/a", 1, 0, 1), func(w *fakes.Work) { w.Outcome = fakes.NotRunOutcome }),
+			withOutcome(work("1", "s/a", 1, 0, 1), fakes.NotRunOutcome),
 			work("1", "s/b", 1, 20, 30),
 		}, 0},
 		{"failed, then run", []fakes.Work{
-			with(work("1", "s/a", 1, 0, 1), func(w *fakes.Work) { w.Outcome = fakes.FailedOutcome }),
+			withOutcome(work("1", "s/a", 1, 0, 1), fakes.FailedOutcome),
 			work("1", "s/b", 1, 20, 30),
 		}, 1},
 		{"same id of another service", []fakes.Work{work("1", "s/a", 1, 0, 10), work("1", "t/a", 1, 0, 10)}, 0},
--- a/io/table/faults_test.go
+++ b/io/table/faults_test.go
@@ -20,6 +20,26 @@
 	"heatherrouter/io/table"
 )
 
+// newRelay returns a relay before the stand-in that can be cut.
+func newRelay(t *testing.T, f *fakes.Table) *cut.TCP {
+	r, err := cut.NewTCP(fakes.AnyPort, f.Addr())
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	return r
+}
+
+// requireOutcome requires an UnknownError, or else an UnavailableError.
+func requireOutcome(t *testing.T, err error, unknown bool) {
+	t.Helper()
+	if unknown {
+		var u *table.UnknownError
+		require.ErrorAs(t, err, &u)
+		return
+	}
+	var u *table.UnavailableError
+	require.ErrorAs(t, err, &u)
+}
+
 // The caller sees its commit succeed, once.
 // The write takes effect, its reply never comes, the connection is closed or goes silent. The head read back names
 // the transaction as the writer of the revision, so that nothing is guessed and nothing is written twice.
@@ -153,17 +173,12 @@
 			set(t, f, fakes.Faults{Outage: tt.outage})
 
 			var unavailable *table.UnavailableError
-			var unknown *table.UnknownError
 			_, err = s.Head(t.Context(), doc)
 			require.ErrorAs(t, err, &unavailable)
 			_, err = s.Load(t.Context(), doc)
 			require.ErrorAs(t, err, &unavailable)
 			_, err = s.Commit(t.Context(), doc, 1, "t2", change("x", "2"))
-			if tt.unknown {
-				require.ErrorAs(t, err, &unknown)
-			} else {
-				require.ErrorAs(t, err, &unavailable)
-			}
+			requireOutcome(t, err, tt.unknown)
 
 			set(t, f, fakes.Faults{})
 			r, err := s.Commit(t.Context(), doc, 1, "t2", change("x", "2"))
@@ -206,9 +221,7 @@
 // while new ones work. Several were open, and each would cost a timeout if the others stayed in the pool.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	f := newFake(t)
-	r, err := cut.NewTCP(fakes.AnyPort, f.Addr())
-	require.NoError(t, err)
-	t.Cleanup(r.Close)
+	r := newRelay(t, f)
 	const timeout = 200 * time.Millisecond
 	s := newStore(t, "http://"+r.Addr(), timeout)
 	set(t, f, fakes.Faults{LatencyMS: 50})
@@ -227,7 +240,7 @@
 	r.Silence()
 
 	began := time.Now()
-	_, err = s.Head(t.Context(), doc)
+	_, err := s.Head(t.Context(), doc)
 	var u *table.UnavailableError
 	require.ErrorAs(t, err, &u)
 	require.Less(t, time.Since(began), 2*timeout)
@@ -247,12 +260,10 @@
 // The transaction arrives and is written; nothing comes back until the cut ends.
 func TestCutOfTheAnswers(t *testing.T) {
 	f := newFake(t)
-	r, err := cut.NewTCP(fakes.AnyPort, f.Addr())
-	require.NoError(t, err)
-	t.Cleanup(r.Close)
+	r := newRelay(t, f)
 	s := newStore(t, "http://"+r.Addr(), 100*time.Millisecond)
 
-	_, err = s.Head(t.Context(), doc)
+	_, err := s.Head(t.Context(), doc)
 	require.NoError(t, err)
 	r.Cut(cut.Back)
 	_, err = s.Commit(t.Context(), doc, 0, "t1", change("x", "1"))
@@ -345,13 +356,7 @@
 			}))
 			t.Cleanup(h.Close)
 			_, err := newStore(t, h.URL, time.Second).Commit(t.Context(), doc, 0, "t1", change("x", "1"))
-			var unknown *table.UnknownError
-			var unavailable *table.UnavailableError
-			if tt.unknown {
-				require.ErrorAs(t, err, &unknown)
-			} else {
-				require.ErrorAs(t, err, &unavailable)
-			}
+			requireOutcome(t, err, tt.unknown)
 		})
 	}
 }
