Split, join and rename what a newcomer stumbles over in the client, publisher and benchmark

Cause: two commands had the operator's flag and its default; the demo had a third loop that parses service files; the publisher looked at the base revision twice and checked removals within another check; names such as nobody, open, foreign, drainRuns, fell and feeding say little, and overfed is a metaphor. Changed: cli.OperatorFlag; admin.ParseFiles in the demo; checkRemovals; unavailable, unsettled, unrecognized, maxDrains and maxRounds, with what they bound (36 s is the sum of the waits in the code, not measured); concurrency and bench.services in the benchmark. The admin page decodes a body without copying it first. The benchmark's line about warming says failed where it said overfed. The benchmark and the demo were built, not run.

--- a/cmd/heatherbench/policy/logs.go
+++ b/cmd/heatherbench/policy/logs.go
@@ -98,8 +98,8 @@
 	return l[min(int(q*float64(len(l))), len(l)-1)]
 }
 
-// feeding tells how a server was fed: the most requests inside at once, and how many made it fall over.
-func feeding(l []fakes.Work) (most, fell int) {
+// concurrency returns the most requests that a server worked on at once, and how many failed by overload.
+func concurrency(l []fakes.Work) (most, overloaded int) {
 	type edge struct {
 		at int64
 		by int
@@ -110,7 +110,7 @@
 		case fakes.NotRunOutcome:
 			continue
 		case fakes.FailedOutcome:
-			fell++
+			overloaded++
 		}
 		x = append(x, edge{l[i].Start, 1})
 		if l[i].End > 0 {
@@ -123,5 +123,5 @@
 		n += e.by
 		most = max(most, n)
 	}
-	return most, fell
+	return most, overloaded
 }
--- a/cmd/heatherbench/policy/loss.go
+++ b/cmd/heatherbench/policy/loss.go
@@ -92,12 +92,11 @@
 		return err
 	}
 	w.Wait()
-	most, fell := 0, 0
 	up := time.Now()
 	err = b.underLoad(event{name: "server returns cold", target: "", victims: names(v), happen: nothing})
 	b.settled = false // the server is still being filled
-	most, fell = feeding(workedBy(v, up))
-	b.put("server returns cold", "most at once, failed in its log", "<= 3, 0", fmt.Sprintf("%d, %d", most, fell))
+	most, overloaded := concurrency(workedBy(v, up))
+	b.put("server returns cold", "most at once, failed in its log", "<= 3, 0", fmt.Sprintf("%d, %d", most, overloaded))
 	return err
 }
 
@@ -211,7 +210,7 @@
 		return err
 	}
 	late := 0
-	for _, s := range append([]stand.Service{b.keyed}, b.unkeyed...) {
+	for _, s := range b.services() {
 		for _, v := range inDomain(s, domains-1) {
 			late += len(workedBy(v, at.Add(noNewWork)))
 		}
@@ -254,7 +253,7 @@
 	var w sync.WaitGroup
 	defer w.Wait()
 	err := b.underLoad(event{name: "domain lost", target: "<= 3s", without: gone, victims: out, happen: func() error {
-		for _, s := range append([]stand.Service{b.keyed}, b.unkeyed...) {
+		for _, s := range b.services() {
 			for _, v := range inDomain(s, domains-1) {
 				w.Go(func() { v.Restart(b.Length, false) })
 			}
--- a/cmd/heatherbench/policy/site.go
+++ b/cmd/heatherbench/policy/site.go
@@ -54,10 +54,15 @@
 	return b.warm()
 }
 
+// services returns the keyed service and the unkeyed ones.
+func (b *bench) services() []stand.Service {
+	return append([]stand.Service{b.keyed}, b.unkeyed...)
+}
+
 // publish publishes all services as they are now.
 func (b *bench) publish() error {
 	var l []admin.File
-	for _, s := range append([]stand.Service{b.keyed}, b.unkeyed...) {
+	for _, s := range b.services() {
 		f, err := b.stand.File(s, slots)
 		if err != nil {
 			return err
@@ -97,18 +102,18 @@
 		}
 		return nil
 	})
-	fell, refused := 0, 0
-	for _, s := range append([]stand.Service{b.keyed}, b.unkeyed...) {
+	overloaded, refused := 0, 0
+	for _, s := range b.services() {
 		for _, w := range worked(s, start) {
 			switch w.Outcome {
 			case fakes.FailedOutcome:
-				fell++
+				overloaded++
 			case fakes.NotRunOutcome:
 				refused++
 			}
 		}
 	}
-	fmt.Fprintf(b.out, "  %s: warm after %v; %d overfed, %d refused by servers\n", b.name, ms(time.Since(start)), fell, refused)
+	fmt.Fprintf(b.out, "  %s: warm after %v; %d failed, %d refused by servers\n", b.name, ms(time.Since(start)), overloaded, refused)
 	return err
 }
 
@@ -116,7 +121,7 @@
 // push cold servers over for as long as it lasts.
 func (b *bench) warmEach() {
 	var l []load.Plan
-	for _, s := range append([]stand.Service{b.keyed}, b.unkeyed...) {
+	for _, s := range b.services() {
 		for _, v := range s.Servers {
 			l = append(l, load.Plan{
 				Addrs: []string{v.Addr()}, Callers: 1, Length: 3 * warmLength,
--- a/cmd/heatherdemo/demo/demo.go
+++ b/cmd/heatherdemo/demo/demo.go
@@ -17,6 +17,7 @@
 	"heatherrouter/core/check"
 	"heatherrouter/core/config"
 	"heatherrouter/core/ident"
+	"heatherrouter/io/admin"
 	"heatherrouter/io/fakes"
 	"heatherrouter/io/fakes/server"
 	"heatherrouter/io/stand"
@@ -107,22 +108,19 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	var all check.Findings
+	var l []admin.File
 	for _, f := range files {
 		b, err := os.ReadFile(f)
 		if err != nil {
 			return trace.ConvertSystemError(err)
 		}
-		s, found := config.Parse(f, b)
-		all = append(all, found...)
-		if s != nil {
-			d.services = append(d.services, s)
-		}
+		l = append(l, admin.File{Path: f, Body: string(b)})
 	}
-	if len(d.services) == 0 {
+	var found check.Findings
+	if d.services, found = admin.ParseFiles(l); len(d.services) == 0 {
 		return trace.NotFound("no service files below %s", d.Examples)
 	}
-	return all.Err()
+	return found.Err()
 }
 
 // domainsOf returns the failure domains in the order in which the files name them.
--- a/cmd/heatherrouter/cli/drain.go
+++ b/cmd/heatherrouter/cli/drain.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 
@@ -13,7 +12,7 @@
 
 // DrainOptions are those of the commands that drain or restore something.
 type DrainOptions struct {
-	By string `placeholder:"NAME" help:"Who does it, for other operators to read; the login name unless given."`
+	OperatorFlag
 	JSON
 }
 
@@ -44,7 +43,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	q := admin.Drain{Txn: e.NewTxn(), Kind: k, Name: name, By: cmp.Or(o.By, e.Operator), Since: e.Clock.Now()}
+	q := admin.Drain{Txn: e.NewTxn(), Kind: k, Name: name, By: o.Operator(e), Since: e.Clock.Now()}
 	a, err := call(c, e.Context, q)
 	if err != nil {
 		return trace.Wrap(err)
--- a/cmd/heatherrouter/config/publish/publish.go
+++ b/cmd/heatherrouter/config/publish/publish.go
@@ -25,7 +25,7 @@
 	Remove      []string      `placeholder:"SERVICE" help:"Service to take out of force; may be repeated."`
 	Wait        bool          `help:"Return once the revision is in force at every daemon."`
 	WaitTimeout time.Duration `default:"30s" help:"How long --wait waits."`
-	By          string        `placeholder:"NAME" help:"Who does it, for other operators to read; the login name unless given."`
+	cli.OperatorFlag
 	cli.JSON
 }
 
@@ -73,10 +73,7 @@
 
 // request checks the files before any daemon is called.
 func (o *Options) request(e *cli.Env) (admin.Publish, error) {
-	q := admin.Publish{Txn: e.NewTxn(), By: o.By}
-	if q.By == "" {
-		q.By = e.Operator
-	}
+	q := admin.Publish{Txn: e.NewTxn(), By: o.Operator(e)}
 	for _, n := range o.Remove {
 		q.Remove = append(q.Remove, ident.Service(n))
 	}
--- a/io/admcli/admcli.go
+++ b/io/admcli/admcli.go
@@ -157,7 +157,7 @@
 		}
 		last = err
 	}
-	return v, trace.Wrap(c.nobody(last))
+	return v, trace.Wrap(c.unavailable(last))
 }
 
 func (c *Client) getAt(ctx context.Context, a netip.AddrPort, uri string) ([]byte, error) {
@@ -176,8 +176,8 @@
 	return trace.IsNotFound(err) || trace.IsBadParameter(err)
 }
 
-// nobody is the error after all daemons were tried.
-func (c *Client) nobody(last error) error {
+// unavailable is the error after all daemons were tried.
+func (c *Client) unavailable(last error) error {
 	if last == nil {
 		return trace.BadParameter("there is no admin address to call")
 	}
--- a/io/admcli/change.go
+++ b/io/admcli/change.go
@@ -15,10 +15,14 @@
 )
 
 const (
-	drainRuns  = 5
-	settleRuns = 12
-	firstWait  = 100 * time.Millisecond
-	longWait   = 5 * time.Second
+	// maxDrains is how many revisions a drain is tried on while other operators change the configuration.
+	maxDrains = 5
+
+	// maxRounds is how often a change of unknown outcome is sent to every daemon. With the waits after the
+	// rounds, which double from firstWait to longWait, that is 36 s at least.
+	maxRounds = 12
+	firstWait = 100 * time.Millisecond
+	longWait  = 5 * time.Second
 )
 
 // Publish puts service files into force.
@@ -58,7 +62,7 @@
 			return q
 		})
 		e, conflict := errors.AsType[*admin.ConflictError](err)
-		if !conflict || i == drainRuns {
+		if !conflict || i == maxDrains {
 			return a, trace.Wrap(err)
 		}
 		newest = max(newest, e.Current)
@@ -81,14 +85,14 @@
 	var none A
 	s := settlement{txn: txn}
 	wait := firstWait
-	for range settleRuns {
+	for range maxRounds {
 		for _, a := range c.opts.Addrs {
 			v, err := changeAt[A](ctx, c, a, uri, call(s.unknown != nil))
 			if s.settles(err) {
 				return v, trace.Wrap(err)
 			}
 			if ctx.Err() != nil {
-				return none, trace.Wrap(s.open(c))
+				return none, trace.Wrap(s.unsettled(c))
 			}
 		}
 		if s.unknown == nil || c.opts.Sleep(ctx, wait) != nil {
@@ -96,7 +100,7 @@
 		}
 		wait = min(2*wait, longWait)
 	}
-	return none, trace.Wrap(s.open(c))
+	return none, trace.Wrap(s.unsettled(c))
 }
 
 // settles notes the outcome of an attempt and reports whether the whole is certain by it.
@@ -120,10 +124,10 @@
 	return !outage && s.unknown == nil
 }
 
-// open returns the error of a change that no attempt has settled.
-func (s *settlement) open(c *Client) error {
+// unsettled returns the error of a change that no attempt has settled.
+func (s *settlement) unsettled(c *Client) error {
 	if s.unknown == nil {
-		return c.nobody(s.refused)
+		return c.unavailable(s.refused)
 	}
 	return &admin.UnknownError{Txn: s.txn, Cause: s.unknown.Cause}
 }
--- a/io/admcli/failure.go
+++ b/io/admcli/failure.go
@@ -25,7 +25,7 @@
 func failure(a netip.AddrPort, r *fasthttp.Response) error {
 	var f admin.Failure
 	if err := json.Unmarshal(r.Body(), &f); err != nil || f.Reason == "" {
-		return foreign(a, r)
+		return unrecognized(a, r)
 	}
 	switch f.Reason {
 	case admin.ReasonConflict:
@@ -57,9 +57,9 @@
 	return err
 }
 
-// foreign is the error of an answer in no form of ours, from something between the client and the daemon or
+// unrecognized is the error of an answer that is no Failure of an admin page, from something between the client and the daemon or
 // from the HTTP library. Below 500 it was refused; from there on nobody knows.
-func foreign(a netip.AddrPort, r *fasthttp.Response) error {
+func unrecognized(a netip.AddrPort, r *fasthttp.Response) error {
 	m := fmt.Sprintf("%s answered with status %d", a, r.StatusCode())
 	if r.StatusCode() < fasthttp.StatusInternalServerError {
 		return trace.BadParameter("%s", m)
--- a/io/admin/page.go
+++ b/io/admin/page.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -177,7 +178,7 @@
 			return
 		}
 		var q Q
-		d := json.NewDecoder(strings.NewReader(string(c.PostBody())))
+		d := json.NewDecoder(bytes.NewReader(c.PostBody()))
 		d.DisallowUnknownFields()
 		if err := d.Decode(&q); err != nil {
 			badRequest(c, "the body is no such call: "+err.Error())
--- a/io/fakes/server/load.go
+++ b/io/fakes/server/load.go
@@ -38,7 +38,7 @@
 		return 0, true
 	}
 	if n > s.bears() {
-		// Overfed: it fails for a while and is as cold as after a start.
+		// Overloaded: it fails for a while and is as cold as after a start.
 		s.done = 0
 		if s.opts.ColdWork > 0 {
 			s.downUntil = now.Add(fallenFor)
--- a/io/fakes/server/server_test.go
+++ b/io/fakes/server/server_test.go
@@ -168,7 +168,7 @@
 	require.Zero(t, s.InFlight())
 }
 
-// Callers see failures when a cold server is overfed, and none when it is fed one at a time until it is warm.
+// Callers see failures when a cold server is overloaded, and none when it gets one request at a time until it is warm.
 func TestColdStart(t *testing.T) {
 	s := start(t, server.Options{ColdWork: 10, ServiceTime: server.Fixed(time.Millisecond)})
 	c := newClient(t, time.Second)
@@ -404,7 +404,7 @@
 	require.Equal(t, fakes.FailedOutcome, s.Log()[0].Outcome)
 }
 
-// An overfed server fails in both ways that callers meet: a 500 and a reset.
+// An overloaded server fails in both ways that callers meet: a 500 and a reset.
 func TestFallsOverInBothWays(t *testing.T) {
 	s := start(t, server.Options{ColdWork: 1000, Slots: 1, ServiceTime: server.Fixed(200 * time.Millisecond)})
 	c := newClient(t, 5*time.Second)
--- a/io/publ/files.go
+++ b/io/publ/files.go
@@ -38,11 +38,11 @@
 	if err != nil {
 		return admin.Published{}, trace.Wrap(err)
 	}
-	if d.Rev > q.BaseRev && !q.Again {
-		return admin.Published{}, trace.Wrap(&admin.ConflictError{Base: q.BaseRev, Current: d.Rev})
-	}
 	if d.Rev > q.BaseRev {
-		return p.settle(ctx, d, q, services)
+		if q.Again {
+			return p.settle(ctx, d, q, services)
+		}
+		return admin.Published{}, trace.Wrap(&admin.ConflictError{Base: q.BaseRev, Current: d.Rev})
 	}
 	if err := checkTogether(d, q, services); err != nil {
 		return admin.Published{}, trace.Wrap(err)
@@ -102,7 +102,7 @@
 
 // checkTogether checks the services as they will stand side by side after the publish.
 func checkTogether(d *docs.Doc, q admin.Publish, l []*config.Service) error {
-	// What is wrong with rows in force is reported by every daemon's log; it must not stop its own mending.
+	// Findings about rows in force are in every daemon's log; here they would refuse the publish that corrects them.
 	now, _ := rowcfg.Read(d)
 	var all []*config.Service
 	for n, s := range now.Services {
@@ -118,18 +118,23 @@
 			f = append(f, config.CheckChange(old, s)...)
 		}
 	}
-	for i, n := range q.Remove {
+	checkRemovals(d, q.Remove, l, &f)
+	return f.Err()
+}
+
+// checkRemovals adds findings about the services to remove; l are those to publish.
+func checkRemovals(d *docs.Doc, remove []ident.Service, l []*config.Service, f *check.Findings) {
+	for i, n := range remove {
 		if slices.ContainsFunc(l, func(x *config.Service) bool { return x.Name == n }) {
 			f.Addf(check.Place{}, "the service %s is both published and removed", n)
 		}
 		if len(d.Body(config.ServiceRow(n))) == 0 {
 			f.Addf(check.Place{}, "there is no service %q to remove", n)
 		}
-		if slices.Contains(q.Remove[:i], n) {
+		if slices.Contains(remove[:i], n) {
 			f.Addf(check.Place{}, "the service %q is removed twice", n)
 		}
 	}
-	return f.Err()
 }
 
 // makePlan finds what the publish changes in the document. The path of a file is for people to read: the
