Stand-in servers: names that say what they count

Cause: serial counted requests in flight, bears and fallOver were a capacity and a factor of overload, and a body checked its deadline by itself where a job's expired does the same. Changed: inFlight, capacity, overloadFactor, overloads; expired; in io/table's random test outcome, commitUntilSettled and requireAsTold.

--- a/io/fakes/server/load.go
+++ b/io/fakes/server/load.go
@@ -22,12 +22,12 @@
 	return float64(s.done) / float64(s.opts.ColdWork)
 }
 
-// bears returns how many requests at once the server bears; it needs s.mu.
-// A cold one bears a single request at first and no more than its slots while it warms.
-func (s *Server) bears() int {
+// capacity returns how many requests at once the server takes before it fails; it needs s.mu.
+// A cold one takes a single request at first and no more than its slots while it warms.
+func (s *Server) capacity() int {
 	w := s.warmth()
 	if w >= 1 {
-		return fallOver * s.opts.Slots
+		return overloadFactor * s.opts.Slots
 	}
 	return 1 + int(w*float64(s.opts.Slots))
 }
@@ -37,7 +37,7 @@
 	if now.Before(s.downUntil) {
 		return 0, true
 	}
-	if n > s.bears() {
+	if n > s.capacity() {
 		// Overloaded: it fails for a while and is as cold as after a start.
 		s.done = 0
 		if s.opts.ColdWork > 0 {
--- a/io/fakes/server/server.go
+++ b/io/fakes/server/server.go
@@ -57,8 +57,8 @@
 	defaultSlots = 3
 	defaultConns = 130
 
-	// fallOver is how many times its slots a warm server bears before it fails.
-	fallOver = 8
+	// overloadFactor is how many times its slots a warm server takes at once before it fails.
+	overloadFactor = 8
 )
 
 // Server is one backend server stand-in.
@@ -69,7 +69,7 @@
 	work  workLog
 	gate  gate
 
-	serial atomic.Int64 // requests inside; the atomics keep the way of a request that does nothing short
+	inFlight atomic.Int64 // requests admitted and not ended; the atomics keep the way of a request that does nothing short
 
 	mu          sync.Mutex
 	faults      Faults
@@ -78,7 +78,7 @@
 	done        int           // requests completed since the cold start
 	life        chan struct{} // closed when the incarnation ends
 	downUntil   time.Time
-	falls       int
+	overloads   int
 	highest     ident.Epoch
 	grantEnds   time.Time // zero for a grant that doesn't lapse
 	random      *rand.Rand
@@ -151,7 +151,7 @@
 func (s *Server) Log() []fakes.Work { return s.work.all() }
 
 // InFlight returns how many requests the server works on.
-func (s *Server) InFlight() int { return int(s.serial.Load()) }
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
 // Close ends the server and every connection.
 func (s *Server) Close() {
--- a/io/fakes/server/volume.go
+++ b/io/fakes/server/volume.go
@@ -122,7 +122,7 @@
 	if !b.wait(n) {
 		return 0, errCut
 	}
-	if d := b.job.deadline; !d.IsZero() && !time.Now().Before(d) {
+	if b.job.expired() {
 		b.late = true
 		return 0, errLate
 	}
--- a/io/fakes/server/work.go
+++ b/io/fakes/server/work.go
@@ -38,11 +38,11 @@
 		s.page(c)
 		return
 	}
-	n := int(s.serial.Add(1))
+	n := int(s.inFlight.Add(1))
 	j := s.admit(c, n)
 	c.Response.Header.Set(IncarnationHeader, j.tag)
 	if j.refused != "" {
-		s.serial.Add(-1)
+		s.inFlight.Add(-1)
 		s.work.end(j.entry, fakes.NotRunOutcome, j.refused, j.deadline)
 		refuse(c, j.refused)
 		return
@@ -118,8 +118,8 @@
 		s.highest, s.grantEnds = epoch, time.Time{}
 	}
 	if j.takes, j.fails = s.carry(now, n); j.fails {
-		s.falls++
-		j.resets = s.falls%2 == 0
+		s.overloads++
+		j.resets = s.overloads%2 == 0
 	}
 	if size, ok := volumeSize(c); ok {
 		j.volume = &size
@@ -238,7 +238,7 @@
 
 // finish ends a job that was not refused.
 func (s *Server) finish(j job, o fakes.Outcome) {
-	s.serial.Add(-1)
+	s.inFlight.Add(-1)
 	s.work.end(j.entry, o, "", j.deadline)
 	if o == fakes.AnsweredOutcome && s.opts.ColdWork > 0 {
 		s.mu.Lock()
--- a/io/table/outcomes_test.go
+++ b/io/table/outcomes_test.go
@@ -31,8 +31,8 @@
 	return s
 }
 
-// told is what the caller of one transaction was told last.
-type told struct {
+// outcome is what the caller of one transaction got last.
+type outcome struct {
 	rev ident.Rev // when written
 	err error
 }
@@ -50,7 +50,7 @@
 	faults.Go(func() { misbehave(f, rand.New(rand.NewPCG(seed, 99)), stop) })
 
 	var mu sync.Mutex
-	all := map[ident.Txn]told{}
+	all := map[ident.Txn]outcome{}
 	var wg sync.WaitGroup
 	for i := range committers {
 		s := newStore(t, f.URL(), 40*time.Millisecond)
@@ -58,7 +58,7 @@
 			r := rand.New(rand.NewPCG(seed, uint64(i)))
 			for n := range each {
 				txn := ident.Txn(fmt.Sprintf("c%d-%d", i, n))
-				x := commitUntilTold(t, s, txn, r)
+				x := commitUntilSettled(t, s, txn, r)
 				mu.Lock()
 				all[txn] = x
 				mu.Unlock()
@@ -70,7 +70,7 @@
 	faults.Wait()
 	require.NoError(t, f.SetFaults(fakes.Faults{}))
 	time.Sleep(longestDelay + 50*time.Millisecond)
-	compare(t, f, all)
+	requireAsTold(t, f, all)
 }
 
 const longestDelay = 200 * time.Millisecond
@@ -92,8 +92,8 @@
 	}
 }
 
-// commitUntilTold commits at the newest revision it can learn and asks again for as long as the outcome is unknown.
-func commitUntilTold(t *testing.T, s *table.Store, txn ident.Txn, r *rand.Rand) told {
+// commitUntilSettled commits at the newest revision it can learn and asks again for as long as the outcome is unknown.
+func commitUntilSettled(t *testing.T, s *table.Store, txn ident.Txn, r *rand.Rand) outcome {
 	var from ident.Rev
 	for {
 		var err error
@@ -106,13 +106,14 @@
 		rev, err := s.Commit(t.Context(), doc, from, txn, change("own/"+string(txn), string(txn)))
 		var u *table.UnknownError
 		if !errors.As(err, &u) {
-			return told{rev, err}
+			return outcome{rev, err}
 		}
 		time.Sleep(time.Duration(1+r.IntN(10)) * time.Millisecond)
 	}
 }
 
-func compare(t *testing.T, f *fakes.Table, all map[ident.Txn]told) {
+// requireAsTold compares the outcomes with the table.
+func requireAsTold(t *testing.T, f *fakes.Table, all map[ident.Txn]outcome) {
 	d, err := newStore(t, f.URL(), 5*time.Second).Load(t.Context(), doc)
 	require.NoError(t, err)
 	count := map[string]int{}
