Tests of a lost home lose a home of keys

The busiest daemon may be home of unkeyed servers only; no key was then at stake (0.08 s in one run of TestTwoLostDaemons). The home of a keyed server is lost now, as strict as before or stricter.

--- a/io/stand/lost_home_test.go
+++ b/io/stand/lost_home_test.go
@@ -32,7 +32,7 @@
 func TestLostHome(t *testing.T) {
 	bothKinds(t, func(t *testing.T, grants bool) {
 		x := newSite(t, siteOptions{daemons: 5, domains: 3, servers: 3, grants: grants, server: work})
-		lost := x.busiest(t)
+		lost := x.homeOf(t, x.keyed.Servers[0].Name())
 		l := x.startLoad(x.others(lost)...)
 		l.goOn(t, time.Second)
 		x.Daemons[lost].Kill()
@@ -46,7 +46,7 @@
 func TestLostHomeInOutage(t *testing.T) {
 	t.Parallel()
 	x := newSite(t, siteOptions{daemons: 5, domains: 3, servers: 3, server: work})
-	lost := x.busiest(t)
+	lost := x.homeOf(t, x.keyed.Servers[0].Name())
 	l := x.startLoad(x.others(lost)...)
 	x.fault(t, fakes.Faults{Outage: fakes.HangOutage})
 	l.goOn(t, time.Second)
@@ -60,7 +60,7 @@
 func TestFrozenHome(t *testing.T) {
 	bothKinds(t, func(t *testing.T, grants bool) {
 		x := newSite(t, siteOptions{daemons: 5, domains: 3, servers: 3, grants: grants, server: work})
-		lost := x.busiest(t)
+		lost := x.homeOf(t, x.keyed.Servers[0].Name())
 		l := x.startLoad(x.others(lost)...)
 		l.goOn(t, time.Second)
 		x.Daemons[lost].Signal(syscall.SIGSTOP)
@@ -78,7 +78,7 @@
 func TestTwoLostDaemons(t *testing.T) {
 	t.Parallel()
 	x := newSite(t, siteOptions{daemons: 6, domains: 3, servers: 3, server: work})
-	a := x.busiest(t)
+	a := x.homeOf(t, x.keyed.Servers[0].Name())
 	b := (a + 1) % 6
 	l := x.startLoad(x.others(a, b)...)
 	l.goOn(t, time.Second)
