--- a/cmd/heatherdemo/demo/demo.go
+++ b/cmd/heatherdemo/demo/demo.go
@@ -17,6 +17,8 @@
 	"heatherrouter/core/check"
 	"heatherrouter/core/config"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/route"
+	"heatherrouter/io/admin"
 	"heatherrouter/io/fakes"
 	"heatherrouter/io/fakes/server"
 	"heatherrouter/io/stand"
@@ -107,22 +109,19 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	var all check.Findings
+	var l []admin.File
 	for _, f := range files {
 		b, err := os.ReadFile(f)
 		if err != nil {
 			return trace.ConvertSystemError(err)
 		}
-		s, found := config.Parse(f, b)
-		all = append(all, found...)
-		if s != nil {
-			d.services = append(d.services, s)
-		}
+		l = append(l, admin.File{Path: f, Body: string(b)})
 	}
-	if len(d.services) == 0 {
+	var found check.Findings
+	if d.services, found = admin.ParseFiles(l); len(d.services) == 0 {
 		return trace.NotFound("no service files below %s", d.Examples)
 	}
-	return all.Err()
+	return found.Err()
 }
 
 // domainsOf returns the failure domains in the order in which the files name them.
@@ -208,12 +207,10 @@
 
 // once returns the work of kinds that must not run twice; the others may be sent again after an unknown outcome.
 func (d *demo) once(l []fakes.Work) []fakes.Work {
-	byName := map[ident.Service]*config.Service{}
-	for _, s := range d.services {
-		byName[s.Name] = s
-	}
+	t := route.New(d.services)
+	key := func(string) []byte { return []byte("any") }
 	return slices.DeleteFunc(slices.Clone(l), func(w fakes.Work) bool {
-		k := byName[w.Server.Service()].Match(w.Method, w.Path)
-		return k != nil && k.Idempotent
+		m, err := t.Match([]byte(w.Method), []byte("/"+string(w.Server.Service())+w.Path), key, key)
+		return err == nil && m.Kind.Idempotent
 	})
 }
--- a/cmd/heatherfakes/main_test.go
+++ b/cmd/heatherfakes/main_test.go
@@ -44,6 +44,13 @@
 	return c, r
 }
 
+// stop asks the command to end, and requires that it does so without an error.
+func stop(t *testing.T, c *exec.Cmd) {
+	t.Helper()
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, c.Wait())
+}
+
 func TestAllEndsOnSignal(t *testing.T) {
 	c, r := launch(t, "all", "--server", "rooster/a", "--server", "rooster/b", "--grants-of", "rooster", "--for", "30s")
 	require.Len(t, r.Servers, 2)
@@ -59,8 +66,7 @@
 	require.Equal(t, "no-grant", a.Header.Get(server.ReasonHeader))
 
 	began := time.Now()
-	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
-	require.NoError(t, c.Wait())
+	stop(t, c)
 	require.Less(t, time.Since(began), 5*time.Second)
 }
 
@@ -78,12 +84,14 @@
 		defer a.Body.Close()
 		return a.StatusCode
 	}
+	// Each call dials anew: on a connection kept from before, a closed port shows as its end and not as a refusal.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	get := func() (int, error) {
 		q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.Table.URL,
 			strings.NewReader(`{"TableName":"t","Key":{"doc":{"S":"d"},"row":{"S":"head"}}}`))
 		require.NoError(t, err)
 		q.Header.Set("X-Amz-Target", "DynamoDB_20120810.GetItem")
-		a, err := http.DefaultClient.Do(q)
+		a, err := client.Do(q)
 		if err != nil {
 			return 0, err
 		}
@@ -102,8 +110,7 @@
 	status, err = get()
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
-	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
-	require.NoError(t, c.Wait())
+	stop(t, c)
 }
 
 func TestRelay(t *testing.T) {
@@ -125,8 +132,7 @@
 	b, err := io.ReadAll(x)
 	require.NoError(t, err)
 	require.Equal(t, "hello", string(b))
-	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
-	require.NoError(t, c.Wait())
+	stop(t, c)
 }
 
 func TestBadArguments(t *testing.T) {
--- a/core/place/memory.go
+++ b/core/place/memory.go
@@ -21,6 +21,7 @@
 	last        *part.Part
 	servers     map[ident.Server]*serverMemory
 	shards      []shardMemory
+	owned       map[ident.Server][]ident.Shard // by the last part
 	churn       bucket
 	balanceAt   mono.Time // when the next round of balancing may start
 	balancing   bool      // a round has started and not yet reached its goal
@@ -99,7 +100,7 @@
 		}
 		m.shards[i].held = now.Add(holdWait)
 		from, to := m.servers[old.Server], m.servers[o.Server]
-		m.blind(now, from, to)
+		m.ignoreReports(now, from, to)
 		if from != nil && to != nil && from.carries() && !to.ramps(now) {
 			m.churn.spend()
 		}
@@ -111,36 +112,38 @@
 	for id, s := range p.Servers {
 		if old, ok := m.last.Servers[id]; !ok || old.Home != s.Home {
 			m.spreadAt = now.Add(homeWait)
-			m.unsure(now, m.servers[id])
+			m.ignoreNewHome(now, m.servers[id])
 		}
 	}
 }
 
-// blind leaves out reports that count requests of shards that have moved, or of a time when the server was
+// ignoreReports leaves out reports that count requests of shards that have moved, or of a time when the server was
 // slow or down. Taken in, they would charge the old owner's remaining shards with what has left, or take
 // the shards of a straggler for idle ones, and the next round would move the wrong shards.
-func (m *Memory) blind(now mono.Time, l ...*serverMemory) {
+func (m *Memory) ignoreReports(now mono.Time, l ...*serverMemory) {
 	for _, s := range l {
 		if s != nil {
-			s.blindUntil = max(s.blindUntil, now.Add(blindWait))
+			s.ignoreUntil = max(s.ignoreUntil, now.Add(movedWait))
 		}
 	}
 }
 
-// unsure leaves out what a new home reports of a server before it has measured for a while. Taken in, a rate that has
+// ignoreNewHome leaves out what a new home reports of a server before it has measured for a while. Taken in, a rate that has
 // just begun to rise from nothing would make the server look idle, and shards would move to it by every change of homes.
-func (m *Memory) unsure(now mono.Time, s *serverMemory) {
+func (m *Memory) ignoreNewHome(now mono.Time, s *serverMemory) {
 	if s != nil {
-		s.blindUntil = now.Add(unsureWait)
+		s.ignoreUntil = now.Add(newHomeWait)
 	}
 }
 
 // observeRates spreads what each home measured over the shards of its server: the busiest by their own
 // rate, the others evenly.
 func (m *Memory) observeRates(now mono.Time, in *Input) {
-	owned := map[ident.Server][]ident.Shard{}
-	for i, o := range in.Part.Shards {
-		owned[o.Server] = append(owned[o.Server], ident.Shard(i))
+	if m.last != in.Part {
+		m.owned = map[ident.Server][]ident.Shard{}
+		for i, o := range in.Part.Shards {
+			m.owned[o.Server] = append(m.owned[o.Server], ident.Shard(i))
+		}
 	}
 	for id, r := range in.Reports {
 		s := m.servers[id]
@@ -148,14 +151,14 @@
 			continue
 		}
 		if r.Down || r.Slow {
-			m.blind(now, s)
+			m.ignoreReports(now, s)
 		}
-		if now.Before(s.blindUntil) || !s.carries() {
+		if now.Before(s.ignoreUntil) || !s.carries() {
 			continue
 		}
 		weight := 1 - math.Exp(-float64(s.sinceRated(r.Received))/float64(rateWindow))
 		s.rated = r.Received
-		m.spreadRate(owned[id], r, weight)
+		m.spreadRate(m.owned[id], r, weight)
 	}
 }
 
@@ -186,11 +189,12 @@
 // endRound ends a round of balancing whose goal is reached: when its last moves are committed, or at once
 // when there are none. Ended at once with moves still to commit, it would not propose them a second time
 // if their transaction failed.
-func (m *Memory) endRound(p *part.Part, moved bool) {
+func (m *Memory) endRound(now mono.Time, p *part.Part, moved bool) {
 	if moved {
 		m.lastRound = p.Rev
 		return
 	}
+	m.balanceAt = now.Add(lookWait)
 	m.balancing, m.lastRound = false, 0
 }
 
--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -156,6 +157,15 @@
 		h.offerGrant(now)
 		return h.moved(reasonNoGrant), true
 	}
+	if !j.keyed {
+		return nil, false
+	}
+	// Asked before a slot is: a request that waits for its shard and tries again every few milliseconds would else use up
+	// the starts that a ramp allows, and keep everybody else from a server that has just come back.
+	no := h.gate.Check(h.o.Clock.Now(), ident.Shard(j.x.GetShard()), ident.Epoch(j.x.GetShardEpoch()))
+	if no != owner.None {
+		return h.gated(j, no)
+	}
 	return nil, false
 }
 
@@ -179,6 +189,11 @@
 		return nil, false
 	}
 	h.undo(now, j)
+	return h.gated(j, no)
+}
+
+// gated answers what the gate refuses; again says that the reason will pass by itself soon.
+func (h *Home) gated(j *job, no owner.Refusal) (a *wire.ExchangeAnswer, again bool) {
 	switch no {
 	case owner.Waiting:
 		return h.moved(reasonWaiting), true
@@ -206,6 +221,9 @@
 }
 
 func (h *Home) refused(r admit.Refuse) *wire.ExchangeAnswer {
+	if r.Reason == admit.ReasonMoved {
+		return h.moved(reasonMoved) // it was queued here; the entry follows the shard to its next owner
+	}
 	now := h.o.Clock.Now()
 	return &wire.ExchangeAnswer{
 		Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: string(r.Reason), Report: h.report(now, false),
@@ -249,7 +267,7 @@
 	if !j.kind.Idempotent {
 		return 0
 	}
-	return max(suspectAfter, suspectFactor*h.admit.Usual())
+	return max(suspectAfter, suspectFactor*h.admit.MedianServiceTime())
 }
 
 // maySend checks the lease right before the first byte: the process may have been paused since it took the job,
@@ -275,6 +293,9 @@
 	}
 	h.deliver(h.admit.Done(now, j.ticket, admit.Result{End: r.End, Incarnation: r.Incarnation}))
 	a := &wire.ExchangeAnswer{Outcome: outcome(r.Outcome), Reason: r.End.String(), Report: h.report(now, false)}
+	if errors.Is(r.Err, conns.ErrGuard) {
+		a.Outcome = wire.Outcome_OUTCOME_MOVED // since it was admitted; the entry follows the shard or the lease
+	}
 	if r.Outcome == retry.NotRun && r.Err != nil {
 		h.o.Log.Debug().Err(r.Err).Str("request-id", j.x.GetRequestId()).Str("server", string(h.id)).Msg("not sent")
 	}
--- a/io/publ/files.go
+++ b/io/publ/files.go
@@ -1,9 +1,9 @@
 package publ
 
 import (
-	"bytes"
 	"context"
 	"slices"
+	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -30,19 +30,19 @@
 	if len(q.Files) == 0 && len(q.Remove) == 0 {
 		return admin.Published{}, trace.BadParameter("the publish holds no files and removes nothing")
 	}
-	services, err := parseAll(q.Files)
-	if err != nil {
+	services, found := admin.ParseFiles(q.Files) // as many as files, in their order, unless there are findings
+	if err := found.Err(); err != nil {
 		return admin.Published{}, trace.Wrap(err)
 	}
 	d, err := p.copyAt(ctx, q.BaseRev)
 	if err != nil {
 		return admin.Published{}, trace.Wrap(err)
 	}
-	if d.Rev > q.BaseRev && !q.Again {
-		return admin.Published{}, trace.Wrap(&admin.ConflictError{Base: q.BaseRev, Current: d.Rev})
-	}
 	if d.Rev > q.BaseRev {
-		return p.settle(ctx, d, q, services)
+		if q.Again {
+			return p.settle(ctx, d, q, services)
+		}
+		return admin.Published{}, trace.Wrap(&admin.ConflictError{Base: q.BaseRev, Current: d.Rev})
 	}
 	if err := checkTogether(d, q, services); err != nil {
 		return admin.Published{}, trace.Wrap(err)
@@ -100,22 +100,9 @@
 	return a, nil
 }
 
-func parseAll(files []admin.File) ([]*config.Service, error) {
-	var l []*config.Service
-	var f check.Findings
-	for _, x := range files {
-		s, found := config.Parse(x.Path, []byte(x.Body))
-		f = append(f, found...)
-		if s != nil {
-			l = append(l, s)
-		}
-	}
-	return l, f.Err()
-}
-
 // checkTogether checks the services as they will stand side by side after the publish.
 func checkTogether(d *docs.Doc, q admin.Publish, l []*config.Service) error {
-	// What is wrong with rows in force is reported by every daemon's log; it must not stop its own mending.
+	// Findings about rows in force are in every daemon's log; here they would refuse the publish that corrects them.
 	now, _ := rowcfg.Read(d)
 	var all []*config.Service
 	for n, s := range now.Services {
@@ -124,25 +111,30 @@
 			all = append(all, s)
 		}
 	}
-	slices.SortFunc(all, func(a, b *config.Service) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
+	slices.SortFunc(all, func(a, b *config.Service) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	f := config.CheckAll(append(all, l...))
 	for _, s := range l {
 		if old := now.Services[s.Name]; old != nil {
 			f = append(f, config.CheckChange(old, s)...)
 		}
 	}
-	for i, n := range q.Remove {
+	checkRemovals(d, q.Remove, l, &f)
+	return f.Err()
+}
+
+// checkRemovals adds findings about the services to remove; l are those to publish.
+func checkRemovals(d *docs.Doc, remove []ident.Service, l []*config.Service, f *check.Findings) {
+	for i, n := range remove {
 		if slices.ContainsFunc(l, func(x *config.Service) bool { return x.Name == n }) {
 			f.Addf(check.Place{}, "the service %s is both published and removed", n)
 		}
 		if len(d.Body(config.ServiceRow(n))) == 0 {
 			f.Addf(check.Place{}, "there is no service %q to remove", n)
 		}
-		if slices.Contains(q.Remove[:i], n) {
+		if slices.Contains(remove[:i], n) {
 			f.Addf(check.Place{}, "the service %q is removed twice", n)
 		}
 	}
-	return f.Err()
 }
 
 // makePlan finds what the publish changes in the document. The path of a file is for people to read: the
--- a/io/stand/leave_test.go
+++ b/io/stand/leave_test.go
@@ -19,6 +19,7 @@
 	noNewWork  = 3 * time.Second  // from the accepted drain until no new work starts
 	workBack   = 15 * time.Second // from the accepted restore until work is back
 	longVolume = 6 << 20          // at the servers' rate some six seconds
+	apart      = 100 * time.Millisecond
 )
 
 // A failure domain is drained under load and later restored. Callers notice nothing: its servers end what they
@@ -59,7 +60,7 @@
 	_, err = x.Admin(2).Restore(t.Context(), d)
 	require.NoError(t, err)
 	for _, v := range drained {
-		settled(t, workBack, func() error { return startedAfter(v, until) })
+		settled(t, workBack, func() error { return x.worksAgain(t, v, until) })
 	}
 	l.goOn(t, time.Second)
 	l.checkNoFailure(t, time.Second)
@@ -73,7 +74,8 @@
 	}
 }
 
-// startVolumes starts long downloads, enough of them to be at every server, if any of the servers gives them.
+// startVolumes starts as many long downloads as there are servers, if any of those to be drained gives them. They
+// start one after another, so that each goes where there is room: three at once could take all slots of one server.
 func (x *site) startVolumes(l []*server.Server) chan reply {
 	n := 0
 	for _, v := range l {
@@ -82,12 +84,31 @@
 		}
 	}
 	c := make(chan reply, n)
-	for i := range n {
-		go func() { c <- x.get(i%len(x.Daemons), fmt.Sprintf("/plain/volume/%d", longVolume)) }()
+	for range n {
+		go func() { c <- x.get(0, fmt.Sprintf("/plain/volume/%d", longVolume)) }()
+		time.Sleep(apart)
 	}
 	return c
 }
 
+// worksAgain reports whether a server has work again: shards, whether or not the load asks for their keys, or requests.
+func (x *site) worksAgain(t *testing.T, v *server.Server, at time.Time) error {
+	t.Helper()
+	if v.Name().Service() == x.unkeyed.Name {
+		return startedAfter(v, at)
+	}
+	l, err := x.Admin(0).Servers(t.Context())
+	if err != nil {
+		return err
+	}
+	for _, s := range l {
+		if s.Name == v.Name() && s.Shards > 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("no shards at %s", v.Name())
+}
+
 func startedAfter(v *server.Server, at time.Time) error {
 	for _, w := range v.Log() {
 		if w.Start > at.UnixNano() {
