--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -46,6 +46,8 @@
 	errors        int // failed answers in a row
 	incarnation   ident.Incarnation
 	incarnationAt mono.Time // when the incarnation was learnt
+	suspect       bool      // it may have restarted since; one slot until it has answered
+	suspectAt     mono.Time
 	peers         []time.Duration
 	peersAt       mono.Time
 	ages          []time.Duration // scratch
@@ -167,7 +169,37 @@
 func (s *Server) free(now mono.Time) bool {
 	s.dropFreed(now)
 	return !s.draining && !s.health.down && !now.Before(s.ramp.notFrom) &&
-		len(s.inFlight)+len(s.held) < s.ramp.open()
+		len(s.inFlight)+len(s.held) < s.limit()
+}
+
+// limit returns how many exchanges may be under way.
+func (s *Server) limit() int {
+	if s.suspect {
+		return 1
+	}
+	return s.ramp.open()
+}
+
+// Suspect says that a connection was lost, so that the server may have restarted and be cold.
+//
+// A single lost connection is too little to start the ramp again, but what waits in the queue would go to a cold server
+// all at once, which falls over before any answer tells its new incarnation. One exchange at a time until one
+// that was started after the loss has been answered is what every server carries, and lasts for one answer.
+func (s *Server) Suspect(now mono.Time) {
+	s.suspect, s.suspectAt = true, now
+}
+
+// MaySend reports whether started work may go out now; ask right before its first byte. Work that was started just
+// before the suspicion came up waits for its turn too: of several, only the one started first goes out.
+func (s *Server) MaySend(t Ticket) bool {
+	return !s.suspect || len(s.inFlight) > 0 && s.inFlight[0].ticket == t
+}
+
+// trust ends the suspicion by an answer to what was asked at the time.
+func (s *Server) trust(asked mono.Time) {
+	if !asked.Before(s.suspectAt) {
+		s.suspect = false
+	}
 }
 
 // dropFreed forgets the held slots that count as free again.
@@ -243,6 +275,12 @@
 func (s *Server) observe(now mono.Time, e *entry, r Result) {
 	d := now.Sub(e.started)
 	switch r.End {
+	case EndAnswered, EndFailed, EndOverloaded, EndRefused:
+		s.trust(e.started)
+	case EndNoDial, EndReset:
+		s.Suspect(now)
+	}
+	switch r.End {
 	case EndAnswered:
 		s.errors = 0
 		s.rate.add(now)
@@ -355,7 +393,7 @@
 	if s.health.down || s.draining {
 		return t
 	}
-	if len(s.inFlight) < s.ramp.open() {
+	if len(s.inFlight) < s.limit() {
 		t = min(t, max(s.ramp.notFrom, s.freeAt()))
 	}
 	return t
@@ -363,7 +401,7 @@
 
 // freeAt returns when the next held slot is free; only then can a tick help when held slots are in the way.
 func (s *Server) freeAt() mono.Time {
-	if len(s.inFlight)+len(s.held) < s.ramp.open() {
+	if len(s.inFlight)+len(s.held) < s.limit() {
 		return s.ramp.notFrom
 	}
 	return slices.Min(s.held)
--- a/core/admit/cold_test.go
+++ b/core/admit/cold_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 )
 
@@ -143,3 +144,24 @@
 		require.Greater(t, n, 4000)
 	}
 }
+
+// The server restarts while requests wait at its home. The home sees one lost connection, which is too little to start the
+// ramp again; were it to send to all open slots at once, the cold server would fall over before its first answer
+// tells the new incarnation. One request goes out, and its answer decides: the ramp starts anew, or all slots are back.
+func TestLostConnectionHoldsToOneRequest(t *testing.T) {
+	for life, more := range map[ident.Incarnation]int{1: 3, 2: 1} {
+		s, now := warm(3, 10*time.Millisecond)
+		s.observeIncarnation(now, now, 1)
+		var l []Ticket
+		for i := range 8 {
+			l = append(l, TicketOf(arrive(t, s, now, work(i))))
+		}
+		now = now.Add(time.Millisecond)
+		require.Empty(t, s.Done(now, l[0], Result{End: EndReset}), "two are still under way")
+		require.Empty(t, s.Done(now, l[1], Result{End: EndAnswered, Incarnation: 1}), "its answer is from before")
+		next := s.Done(now, l[2], Result{End: EndAnswered, Incarnation: 1})
+		require.Len(t, next, 1)
+		now = now.Add(time.Millisecond)
+		require.Len(t, s.Done(now, startOf(t, next[0]), Result{End: EndAnswered, Incarnation: life}), more, "life %d", life)
+	}
+}
--- a/core/admit/report.go
+++ b/core/admit/report.go
@@ -35,6 +35,9 @@
 		s.restart(now)
 	}
 	s.observeIncarnation(now, asked, h.Incarnation)
+	if h.Alive && h.Incarnation != 0 {
+		s.trust(asked)
+	}
 	return s.Tick(now)
 }
 
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -31,6 +31,10 @@
 	StallTimeout time.Duration // for a body that makes no progress
 	HealthPath   string
 	MaxBody      int // bytes of an answer that is not streamed
+
+	// Lost is called when the server has closed a connection that was idle, as it does when it restarts. It is called
+	// before the next request goes out on another connection.
+	Lost func()
 }
 
 const (
@@ -192,7 +196,7 @@
 		if c.alive() {
 			return c, Result{}
 		}
-		p.discard(c)
+		p.lost(c)
 	}
 	c, err := p.dial(ctx, deadline)
 	if err == nil {
@@ -243,6 +247,14 @@
 	p.release()
 }
 
+// lost discards an idle connection that the server has closed.
+func (p *Pool) lost(c *conn) {
+	p.discard(c)
+	if p.options.Lost != nil {
+		p.options.Lost()
+	}
+}
+
 func (p *Pool) release() {
 	p.mu.Lock()
 	p.open--
--- a/io/conns/probe.go
+++ b/io/conns/probe.go
@@ -89,7 +89,7 @@
 
 func (p *Pool) check(c *conn) {
 	if !c.alive() {
-		p.discard(c)
+		p.lost(c)
 		return
 	}
 	if _, err := p.health(c, time.Now().Add(p.options.ProbeTimeout)); err != nil || !c.reusable() {
--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -59,13 +59,24 @@
 	if h == nil {
 		return s.notHome(x)
 	}
-	j, a := h.begin(c, x)
-	if a != nil {
-		return a
+	for tries := 1; ; tries++ {
+		j, a := h.begin(c, x)
+		if a != nil {
+			return a
+		}
+		a, heldBack := h.run(c, j)
+		if !heldBack || tries == maxTries {
+			return a
+		}
+		// It was admitted and then held back before its first byte. It queues again here: its entry would only learn
+		// that it has to wait.
+		x.RemainingUs = uint64(max(0, j.deadline.Sub(h.o.Clock.Now()).Microseconds()))
 	}
-	return h.run(c, j)
 }
 
+// maxTries bounds how often one exchange is admitted; being held back more often has some other cause than its turn.
+const maxTries = 3
+
 // notHome answers that the request was not run, and who is home by this daemon's copy.
 func (s *Homes) notHome(x *wire.Exchange) *wire.ExchangeAnswer {
 	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_MOVED, Reason: reasonNoHome}
@@ -102,6 +113,7 @@
 		return a, again
 	}
 	now := h.o.Clock.Now()
+	h.noteLost(now)
 	d, others := h.admit.Arrive(now, admit.Work{
 		ID: ident.Request(j.x.GetRequestId()), Shard: ident.Shard(j.x.GetShard()), Priority: j.kind.Priority,
 		Deadline: j.deadline, Idempotent: j.kind.Idempotent, NeverDropped: j.kind.NeverDropped, Streamed: j.kind.Streamed,
@@ -236,21 +248,21 @@
 	return &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: reasonDuplicate}
 }
 
-// run sends the exchange to the backend server.
-func (h *Home) run(c context.Context, j *job) *wire.ExchangeAnswer {
+// run sends the exchange to the backend server; it reports whether it was held back instead.
+func (h *Home) run(c context.Context, j *job) (a *wire.ExchangeAnswer, heldBack bool) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	h.fill(req, j)
 	req.SetBodyRaw(j.x.GetBody())
 	r := j.pool.Do(c, h.call(j), req, resp)
-	a := h.end(j, r)
+	a = h.end(j, r)
 	if r.Outcome == retry.Answered {
 		a.Status = uint32(resp.StatusCode())
 		a.Headers = encodeHeaders(resp)
 		a.Body = append([]byte(nil), resp.Body()...)
 	}
-	return a
+	return a, errors.Is(r.Err, conns.ErrGuard)
 }
 
 func (h *Home) call(j *job) conns.Call {
@@ -276,6 +288,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.o.Clock.Now()
+	h.noteLost(now)
+	if !h.admit.MaySend(j.ticket) {
+		return false
+	}
 	if j.keyed {
 		return h.gate.Send(now, j.token)
 	}
@@ -288,6 +304,7 @@
 	defer h.mu.Unlock()
 	now := h.o.Clock.Now()
 	h.open--
+	h.noteLost(now)
 	if j.keyed && r.Outcome != retry.Unknown {
 		h.gate.Answered(j.token) // one without an answer stays in flight until its deadline
 	}
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"heatherrouter/core/admit"
@@ -35,6 +36,8 @@
 	id   ident.Server
 	pool *conns.Pool
 
+	connLost atomic.Bool // an idle connection was closed by the server
+
 	mu        sync.Mutex
 	service   *config.Service
 	server    config.Server
@@ -63,9 +66,8 @@
 
 func newHome(o *Options, c *config.Service, v config.Server) *Home {
 	now := o.Clock.Now()
-	return &Home{
+	h := &Home{
 		o: o, id: v.ID, service: c, server: v,
-		pool:     conns.New(conns.Options{Addr: v.Addr, MaxConns: min(v.Conns, v.Slots*2+spareConns)}),
 		admit:    admit.New(now, admit.Options{Slots: v.Slots}),
 		gate:     owner.NewGate(v.ID),
 		waits:    map[admit.Ticket]chan admit.Decision{},
@@ -73,6 +75,22 @@
 		released: map[ident.Shard]ident.Epoch{},
 		closeAt:  mono.Never,
 	}
+	h.pool = h.newPool(v)
+	return h
+}
+
+func (h *Home) newPool(v config.Server) *conns.Pool {
+	return conns.New(conns.Options{
+		Addr: v.Addr, MaxConns: min(v.Conns, v.Slots*2+spareConns),
+		Lost: func() { h.connLost.Store(true) }, // without the lock: the pool is closed under it, and waits for its probes
+	})
+}
+
+// noteLost tells admission of connections that the server closed while they were idle.
+func (h *Home) noteLost(now mono.Time) {
+	if h.connLost.Swap(false) {
+		h.admit.Suspect(now)
+	}
 }
 
 // update takes in the server's row and settings from a snapshot.
@@ -82,7 +100,7 @@
 	now := h.o.Clock.Now()
 	if v.Addr != h.server.Addr {
 		_ = h.pool.Close() // never fails
-		h.pool = conns.New(conns.Options{Addr: v.Addr, MaxConns: min(v.Conns, v.Slots*2+spareConns)})
+		h.pool = h.newPool(v)
 	}
 	h.service, h.server, h.row, h.rev = c, v, row, p.Rev
 	if d := n.Docs[c.Name]; d != nil {
@@ -211,6 +229,7 @@
 func (h *Home) tick(now mono.Time) (came bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.noteLost(now)
 	if !now.Before(h.admit.NextTick()) {
 		h.deliver(h.admit.Tick(now))
 	}
