A waiting request follows its key; a verdict of down is told at once

A request that was refused by the home of a dead server waited for the time that this home named (about 0.9 s, its next probe), though its key had moved 0.1 s later. Besides, the verdict of down waited up to 0.4 s for the next renewal. Change: an entry looks every 25 ms whether a waiting request's key has another owner; a home that changes its verdict renews at once.

--- a/io/entry/pick.go
+++ b/io/entry/pick.go
@@ -113,11 +113,13 @@
 type tried struct {
 	servers []ident.Server
 	daemons []ident.Daemon
+	last    target
 }
 
 func (t *tried) add(x target) {
 	t.servers = append(t.servers, x.server)
 	t.daemons = append(t.daemons, x.daemon)
+	t.last = x
 }
 
 func (t *tried) server(s ident.Server) bool {
--- a/io/entry/unary.go
+++ b/io/entry/unary.go
@@ -185,14 +185,34 @@
 		e.waiting.Add(1)
 		defer e.waiting.Add(-1)
 	}
-	t := time.NewTimer(until.Sub(e.o.Clock.Now()))
-	defer t.Stop()
-	select {
-	case x := <-r.ended:
-		return &x
-	case <-t.C:
-		return nil
+	for {
+		now := e.o.Clock.Now()
+		if !now.Before(until) || e.ownerChanged(r) {
+			return nil
+		}
+		t := time.NewTimer(min(until.Sub(now), lookAgain))
+		select {
+		case x := <-r.ended:
+			t.Stop()
+			return &x
+		case <-t.C:
+		}
+	}
+}
+
+// lookAgain is how often a waiting request looks whether its key has another owner.
+const lookAgain = 25 * time.Millisecond
+
+// ownerChanged reports whether a waiting keyed request has another owner than the one that refused it. The home of a
+// server that is down says when to come back to it, and that may be long after the key has moved on.
+func (e *Entry) ownerChanged(r *request) bool {
+	if !r.match.Service.Keyed() || r.inFlight() > 0 {
+		return false
 	}
+	t, _, ok := e.pick(r)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return ok && r.tried.last.server != "" && (t.server != r.tried.last.server || t.epoch != r.tried.last.epoch)
 }
 
 func (r *request) inFlight() int {
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -277,6 +277,7 @@
 	now := h.o.Clock.Now()
 	h.deliver(h.admit.Probed(now, asked, x))
 	if is := h.admit.Report(now).Down; is != was {
+		h.asked = 0 // tells the coordinator with a renewal at once, since the keys wait for it
 		h.o.Log.Warn().Str("server", string(h.id)).Bool("down", is).AnErr("probe", err).Msg("backend server")
 	}
 }
