status no longer claims that the object store is reachable

Cause: reading as a newcomer: ObjectsOK was a constant true; no daemon ever asks the object store. An operator would have trusted it in an outage. Ruled out: a real check; nothing uses the store yet, so its outage harms nobody.

--- a/cmd/heatherrouter/status/status.go
+++ b/cmd/heatherrouter/status/status.go
@@ -58,8 +58,8 @@
 		ready = "not ready: " + s.Reason
 	}
 	fmt.Fprintf(e.Out, "%s in %s, region %s, version %s: %s\n", s.Daemon, s.Domain, s.Region, s.Version, ready)
-	fmt.Fprintf(e.Out, "configuration revision %d; table %s; object store %s\n",
-		s.ConfigRev, reached(s.TableOK), reached(s.ObjectsOK))
+	fmt.Fprintf(e.Out, "configuration revision %d; table %s\n",
+		s.ConfigRev, reached(s.TableOK))
 	for i := range s.Certs {
 		x := &s.Certs[i]
 		left := x.Expires.Sub(e.Clock.Now())
--- a/io/admin/fake/backend.go
+++ b/io/admin/fake/backend.go
@@ -73,7 +73,7 @@
 	ok, reason := b.Ready()
 	return admin.Status{
 		Daemon: Daemon, Domain: "d1", Region: "north", Version: "test", Ready: ok, Reason: reason,
-		ConfigRev: b.ConfigRev(), TableOK: true, ObjectsOK: true,
+		ConfigRev: b.ConfigRev(), TableOK: true,
 		Daemons: []admin.Daemon{
 			{Name: Daemon, Domain: "d1", Address: "127.0.0.1:9001", State: admin.StateActive, ConfigRev: b.ConfigRev()},
 		},
--- a/io/admin/types.go
+++ b/io/admin/types.go
@@ -18,7 +18,6 @@
 	Reason    string        `json:"reason,omitempty"` // why not ready, kebab case
 	ConfigRev ident.Rev     `json:"config-rev"`
 	TableOK   bool          `json:"table-ok"`
-	ObjectsOK bool          `json:"objects-ok"`
 	Daemons   []Daemon      `json:"daemons"`
 	Certs     []Certificate `json:"certificates"`
 }
--- a/io/daemon/backend.go
+++ b/io/daemon/backend.go
@@ -166,7 +166,7 @@
 	ok, why := d.Ready()
 	out := admin.Status{
 		Daemon: s.Name, Domain: s.Domain, Region: s.Region, Version: d.version, Started: d.started, Ready: ok,
-		Reason: why, ConfigRev: d.ConfigRev(), TableOK: d.store.TableOK(), ObjectsOK: true,
+		Reason: why, ConfigRev: d.ConfigRev(), TableOK: d.store.TableOK(),
 		Certs: []admin.Certificate{{File: s.Keys.Certificate, Subject: string(s.Name), Expires: d.keys.Expires()}},
 	}
 	homes, revs := d.homesByDaemon(), d.configRevs()
