--- a/cmd/heatherrouter/cli/exit.go
+++ b/cmd/heatherrouter/cli/exit.go
@@ -62,7 +62,8 @@
 	if c, ok := errors.AsType[*admin.ConflictError](err); ok {
 		return ExitConflict, fmt.Sprintf(
 				"conflict: revision %d is in force, your change builds on revision %d; nothing was changed", c.Current, c.Base),
-			"Somebody else has published. See what with `heatherrouter service list`, bring your files up to date and publish again."
+			"Somebody else has published or drained. See what with `heatherrouter service list` and `heatherrouter domain list`, " +
+				"bring your files up to date and publish again."
 	}
 	if u, ok := errors.AsType[*admin.UnavailableError](err); ok {
 		return ExitUnavailable, "unavailable: " + u.Cause,
--- a/cmd/heatherrouter/cli/json.go
+++ b/cmd/heatherrouter/cli/json.go
@@ -15,7 +15,7 @@
 
 // JSON is the flag of commands that print JSON instead of a table.
 type JSON struct {
-	JSON []string `name:"json" placeholder:"FIELDS" help:"Print JSON with these fields, separated by commas; \"*\" for all."`
+	JSON []string `name:"json" placeholder:"FIELDS" help:"Print JSON with these fields, separated by commas; \"*\" for all, an unknown one to see their names."`
 }
 
 // Wanted reports whether the flag was given.
--- a/cmd/heatherrouter/root/root.go
+++ b/cmd/heatherrouter/root/root.go
@@ -16,6 +16,9 @@
 	"heatherrouter/cmd/heatherrouter/completion"
 	configcheck "heatherrouter/cmd/heatherrouter/config/check"
 	configpublish "heatherrouter/cmd/heatherrouter/config/publish"
+	daemondrain "heatherrouter/cmd/heatherrouter/daemon/drain"
+	daemonlist "heatherrouter/cmd/heatherrouter/daemon/list"
+	daemonrestore "heatherrouter/cmd/heatherrouter/daemon/restore"
 	domaindrain "heatherrouter/cmd/heatherrouter/domain/drain"
 	domainlist "heatherrouter/cmd/heatherrouter/domain/list"
 	domainrestore "heatherrouter/cmd/heatherrouter/domain/restore"
@@ -75,6 +78,12 @@
 		Restore domainrestore.Options `cmd:"" help:"Give a failure domain new work again."`
 	} `cmd:"" help:"Failure domains."`
 
+	Daemon struct {
+		List    daemonlist.Options    `cmd:"" help:"List the daemons."`
+		Drain   daemondrain.Options   `cmd:"" help:"Take new duties from a daemon."`
+		Restore daemonrestore.Options `cmd:"" help:"Give a daemon new duties again."`
+	} `cmd:"" help:"Daemons."`
+
 	Status status.Options `cmd:"" help:"Show the daemons."`
 
 	State struct {
--- a/cmd/heatherrouter/status/status.go
+++ b/cmd/heatherrouter/status/status.go
@@ -45,12 +45,7 @@
 	if e.Terminal {
 		summary(e, &s)
 	}
-	t := cli.NewTable("DAEMON", "STATE", "DOMAIN", "ADDRESS", "REVISION", "HOMES")
-	for i := range s.Daemons {
-		d := &s.Daemons[i]
-		t.Add(d.Name, d.State, d.Domain, d.Address, d.ConfigRev, d.Homes)
-	}
-	return t.Print(e)
+	return cli.DaemonTable(s.Daemons).Print(e)
 }
 
 func summary(e *cli.Env, s *admin.Status) {
