--- a/cmd/heatherrouter/cli/drain.go
+++ b/cmd/heatherrouter/cli/drain.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	q := admin.Drain{Txn: e.NewTxn(), Kind: k, Name: name, By: o.By}
+	q := admin.Drain{Txn: e.NewTxn(), Kind: k, Name: name, By: o.By, Since: e.Clock.Now()}
 	if q.By == "" {
 		q.By = e.Operator
 	}
--- a/io/admcli/admcli_test.go
+++ b/io/admcli/admcli_test.go
@@ -229,3 +229,39 @@
 	require.True(t, ok, "%v", err)
 	require.Less(t, time.Since(start), time.Second)
 }
+
+// Another operator publishes between the client's read of the revision and the drain's commit. The operator
+// named a domain, not a revision: the drain goes through on the newer one, and the publish stands.
+func TestDrainGoesOnAfterConflict(t *testing.T) {
+	h, d := newPage()
+	n := network{}
+	n.serve(t, addrs[0], h)
+	c := newClient(n, key)
+	_, err := c.Publish(t.Context(), publish(0, "txn-000001", file))
+	require.NoError(t, err)
+	d.BeforeCommit(func() {
+		_, err := c.Publish(t.Context(), publish(1, "txn-000002", file+"#"))
+		require.NoError(t, err)
+	})
+	got, err := c.Drain(t.Context(), admin.Drain{Txn: "txn-000003", Kind: admin.DrainDomain, Name: "d1", By: "anna"})
+	require.NoError(t, err)
+	require.Equal(t, admin.Drained{Rev: 3, Changed: true}, got)
+	sv, err := c.Service(t.Context(), "a")
+	require.NoError(t, err)
+	require.Equal(t, file+"#", sv.File)
+}
+
+// The drain's reply is lost, and so the client asks again while the daemon's copy already shows the drain.
+func TestDrainLostReply(t *testing.T) {
+	h, d := newPage()
+	n := network{}
+	n.serve(t, addrs[0], h)
+	c := newClient(n, key)
+	_, err := c.Publish(t.Context(), publish(0, "txn-000001", file))
+	require.NoError(t, err)
+	d.Fail(fake.FaultLostReply)
+	got, err := c.Drain(t.Context(), admin.Drain{Txn: "txn-000002", Kind: admin.DrainServer, Name: "a/s", By: "anna"})
+	require.NoError(t, err)
+	require.Equal(t, admin.Drained{Rev: 2, Changed: true}, got)
+	require.Equal(t, 2, d.Commits())
+}
--- a/io/admcli/change.go
+++ b/io/admcli/change.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	drainRuns  = 5
 	settleRuns = 12
 	firstWait  = 100 * time.Millisecond
 	longWait   = 5 * time.Second
@@ -22,17 +23,46 @@
 
 // Publish puts service files into force.
 func (c *Client) Publish(ctx context.Context, q admin.Publish) (admin.Published, error) {
-	return change[admin.Published](ctx, c, "/v1/config/publish", q.Txn, q)
+	return change[admin.Published](ctx, c, "/v1/config/publish", q.Txn, func(again bool) any {
+		q.Again = again
+		return q
+	})
 }
 
 // Drain drains a failure domain, a backend server or a daemon.
 func (c *Client) Drain(ctx context.Context, q admin.Drain) (admin.Drained, error) {
-	return change[admin.Drained](ctx, c, "/v1/drain", q.Txn, q)
+	return c.drain(ctx, "/v1/drain", q)
 }
 
 // Restore undoes a drain.
 func (c *Client) Restore(ctx context.Context, q admin.Drain) (admin.Drained, error) {
-	return change[admin.Drained](ctx, c, "/v1/restore", q.Txn, q)
+	return c.drain(ctx, "/v1/restore", q)
+}
+
+// drain sends a drain on the newest revision. A change by somebody else in between is no conflict for the
+// operator, who named a target and not a revision: the drain goes on to the next revision. That is safe with
+// the same transaction id, since a conflict is certain: the older attempt will never take effect.
+func (c *Client) drain(ctx context.Context, uri string, q admin.Drain) (admin.Drained, error) {
+	if q.Since.IsZero() {
+		q.Since = time.Now()
+	}
+	var newest ident.Rev
+	for i := 1; ; i++ {
+		rev, err := c.ConfigRev(ctx)
+		if err != nil {
+			return admin.Drained{}, trace.Wrap(err)
+		}
+		q.BaseRev = max(rev, newest)
+		a, err := change[admin.Drained](ctx, c, uri, q.Txn, func(again bool) any {
+			q.Again = again
+			return q
+		})
+		e, conflict := errors.AsType[*admin.ConflictError](err)
+		if !conflict || i == drainRuns {
+			return a, trace.Wrap(err)
+		}
+		newest = max(newest, e.Current)
+	}
 }
 
 // settlement is what is known of one change over all its attempts.
@@ -45,18 +75,15 @@
 // change sends a change until its outcome is certain.
 //
 // Where a reply is lost, the change may be in force although the operator saw an error. The same transaction
-// id sent again, also to another daemon, gives the outcome of the first: the table takes an id once.
-func change[A any](ctx context.Context, c *Client, uri string, txn ident.Txn, q any) (A, error) {
+// id sent again, also to another daemon, gives the outcome of the first: it can only land on the same revision,
+// and the table knows who wrote the next one.
+func change[A any](ctx context.Context, c *Client, uri string, txn ident.Txn, call func(again bool) any) (A, error) {
 	var none A
-	body, err := json.Marshal(q)
-	if err != nil {
-		return none, trace.Wrap(err)
-	}
 	s := settlement{txn: txn}
 	wait := firstWait
 	for range settleRuns {
 		for _, a := range c.opts.Addrs {
-			v, err := changeAt[A](ctx, c, a, uri, body)
+			v, err := changeAt[A](ctx, c, a, uri, call(s.unknown != nil))
 			if s.settles(err) {
 				return v, trace.Wrap(err)
 			}
@@ -102,8 +129,12 @@
 }
 
 // changeAt sends the change to one daemon. An error that says nothing else means an unknown outcome.
-func changeAt[A any](ctx context.Context, c *Client, a netip.AddrPort, uri string, body []byte) (A, error) {
+func changeAt[A any](ctx context.Context, c *Client, a netip.AddrPort, uri string, call any) (A, error) {
 	var v A
+	body, err := json.Marshal(call)
+	if err != nil {
+		return v, trace.Wrap(err)
+	}
 	q := makeRequest(fasthttp.MethodPost, a, uri)
 	q.Header.Set("Authorization", "Bearer "+c.opts.Key)
 	q.Header.SetContentType("application/json")
--- a/io/admin/types.go
+++ b/io/admin/types.go
@@ -132,6 +132,7 @@
 	Files   []File          `json:"files"`
 	Remove  []ident.Service `json:"remove,omitempty"`
 	By      string          `json:"by"`
+	Again   bool            `json:"again,omitempty"` // an earlier attempt with the same id may have taken effect
 }
 
 // Published answers a Publish.
@@ -154,10 +155,13 @@
 
 // Drain asks to drain or to restore a failure domain, a backend server or a daemon.
 type Drain struct {
-	Txn  ident.Txn `json:"txn"`
-	Kind DrainKind `json:"kind"`
-	Name string    `json:"name"`
-	By   string    `json:"by"`
+	Txn     ident.Txn `json:"txn"`
+	BaseRev ident.Rev `json:"base-rev"` // what the client has seen; a newer one is a conflict
+	Kind    DrainKind `json:"kind"`
+	Name    string    `json:"name"`
+	By      string    `json:"by"`
+	Since   time.Time `json:"since,omitzero"`  // set by the client, so that a repeated call is the same; else now
+	Again   bool      `json:"again,omitempty"` // an earlier attempt with the same id may have taken effect
 }
 
 // Drained answers a Drain.
--- a/io/publ/drains.go
+++ b/io/publ/drains.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/gravitational/trace"
 
@@ -23,8 +22,12 @@
 	return p.drain(ctx, q, false)
 }
 
-// drain commits the wanted state of one target. A change by somebody else in between is no conflict, since
-// the operator named the target and not a revision: the commit is made again on the newer copy.
+// drain commits the wanted state of one target on the revision that the client has seen. It does so also when
+// the copy already shows that state: the copy may be seconds old, and the operator would be told "drained" of a
+// server that somebody has just restored.
+//
+// It doesn't go on to a newer revision by itself: a repeated call would then be another transaction, and drain
+// again what somebody has restored since its first attempt.
 func (p *Publisher) drain(ctx context.Context, q admin.Drain, on bool) (admin.Drained, error) {
 	if err := checkOrigin(q.Txn, q.By); err != nil {
 		return admin.Drained{}, trace.Wrap(err)
@@ -33,46 +36,46 @@
 	if err != nil {
 		return admin.Drained{}, trace.Wrap(err)
 	}
-	var rev ident.Rev
-	for i := 1; ; i++ {
-		d, err := p.copyAt(ctx, rev)
-		if err != nil {
-			return admin.Drained{}, trace.Wrap(err)
-		}
-		a, err := p.drainOnce(ctx, d, q, t, on)
-		c, conflict := errors.AsType[*admin.ConflictError](err)
-		if !conflict || i == drainRuns {
-			return a, trace.Wrap(err)
-		}
-		rev = max(c.Current, d.Rev+1)
+	d, err := p.copyAt(ctx, q.BaseRev)
+	if err != nil {
+		return admin.Drained{}, trace.Wrap(err)
+	}
+	newer := d.Rev > q.BaseRev
+	if newer && !q.Again {
+		return admin.Drained{}, trace.Wrap(&admin.ConflictError{Base: q.BaseRev, Current: d.Rev})
 	}
-}
-
-// drainOnce commits also when the copy already shows the wanted state: the copy may be seconds old, and the
-// operator would be told "drained" of a server that somebody has just restored.
-func (p *Publisher) drainOnce(ctx context.Context, d *docs.Doc, q admin.Drain, t config.Target, on bool) (admin.Drained, error) {
 	was := d.Body(t.Row())
-	if len(was) == 0 && !p.known(d, t) {
+	if !newer && len(was) == 0 && !p.known(d, t) {
 		return admin.Drained{}, trace.Wrap(&admin.NotFoundError{What: string(q.Kind), Name: q.Name})
 	}
-	x := docs.Change{Row: t.Row()}
-	switch {
-	case on && len(was) > 0:
-		x.Body = was
-	case on:
-		b, err := rowcfg.EncodeDrain(config.Drain{By: q.By, Since: p.now()})
-		if err != nil {
-			return admin.Drained{}, trace.Wrap(err)
-		}
-		x.Body = b
+	x, err := p.drainChange(q, t, was, on)
+	if err != nil {
+		return admin.Drained{}, trace.Wrap(err)
 	}
-	rev, err := p.commit(ctx, d.Rev, q.Txn, []docs.Change{x})
+	rev, err := p.commit(ctx, q.BaseRev, q.Txn, []docs.Change{x})
 	if err != nil {
 		return admin.Drained{}, trace.Wrap(err)
 	}
-	// A copy that shows the row at the very revision of the commit shows a first attempt whose reply was lost.
-	settled := d.Rows[t.Row()].Rev == rev
-	return admin.Drained{Rev: rev, Changed: settled || (len(was) > 0) != on}, nil
+	return admin.Drained{Rev: rev, Changed: newer || (len(was) > 0) != on}, nil
+}
+
+// drainChange returns the row to write; a drain in force keeps its first operator and time.
+func (p *Publisher) drainChange(q admin.Drain, t config.Target, was []byte, on bool) (docs.Change, error) {
+	x := docs.Change{Row: t.Row()}
+	if !on {
+		return x, nil
+	}
+	x.Body = was
+	if len(was) > 0 {
+		return x, nil
+	}
+	since := q.Since
+	if since.IsZero() {
+		since = p.now()
+	}
+	b, err := rowcfg.EncodeDrain(config.Drain{By: q.By, Since: since})
+	x.Body = b
+	return x, trace.Wrap(err)
 }
 
 func target(q admin.Drain) (config.Target, error) {
--- a/io/publ/files.go
+++ b/io/publ/files.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return admin.Published{}, trace.Wrap(err)
 	}
+	if d.Rev > q.BaseRev && !q.Again {
+		return admin.Published{}, trace.Wrap(&admin.ConflictError{Base: q.BaseRev, Current: d.Rev})
+	}
 	if d.Rev > q.BaseRev {
 		return p.settle(ctx, d, q, services)
 	}
@@ -71,11 +74,12 @@
 	return nil
 }
 
-// settle answers a publish whose base is no longer the newest revision.
+// settle answers a repeated publish whose base is no longer the newest revision.
 //
-// Either another operator was faster, or this is the same publish again because its reply was lost: then the
-// newer revision is its own, and calling that a conflict would send the operator off to solve none. Only the
-// table knows the transaction id, so it decides; its condition on the base keeps it from writing anything.
+// Either another operator was faster, or the first attempt took effect and its reply was lost: then the newer
+// revision is its own, and calling that a conflict would send the operator off to solve none. Only the table
+// knows the transaction id, so it decides; its condition on the base keeps it from writing anything. A first
+// attempt never comes here: the table forgets old ids, and what was never sent would end as unknown.
 func (p *Publisher) settle(ctx context.Context, d *docs.Doc, q admin.Publish, l []*config.Service) (admin.Published, error) {
 	x, err := makePlan(docs.New(ident.ConfigDoc), q, l)
 	if err != nil {
--- a/io/publ/publ.go
+++ b/io/publ/publ.go
@@ -28,7 +28,6 @@
 	catchUp = 5 * time.Second
 
 	pollEvery = 20 * time.Millisecond
-	drainRuns = 5
 	minTxn    = 8
 	maxBy     = 128
 )
@@ -39,8 +38,8 @@
 	Get(ident.Doc) *docs.Doc
 
 	// Commit makes the changes in one table transaction if the document is at revision from, and returns
-	// the new revision. Where the transaction id has been committed before, it changes nothing and returns
-	// the revision of then, whatever from is; this is how a lost reply is settled.
+	// the new revision. Where the same transaction has been committed on the same revision before, it changes
+	// nothing and returns the revision of then; this is how a lost reply is settled.
 	//
 	// Its errors are admin.ConflictError, admin.UnavailableError when certainly nothing was changed, and
 	// admin.UnknownError when the transaction may have taken effect. Any other error counts as the last.
