--- a/cmd/heatherfakes/server.go
+++ b/cmd/heatherfakes/server.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return []closer{g}, trace.Wrap(err, "server %s", name)
 		}
-		r.Servers = append(r.Servers, placeLine{name, s.Addr()})
+		r.Servers = append(r.Servers, serverPlace{name, s.Addr()})
 	}
 	return []closer{g}, nil
 }
--- a/cmd/heatherrouter/cli/exit.go
+++ b/cmd/heatherrouter/cli/exit.go
@@ -26,7 +26,7 @@
 	ExitUnknown     Exit = 6 // the change may have been made
 )
 
-// UsageError is a command line that can't be meant so.
+// UsageError says what is wrong with the command line.
 type UsageError struct {
 	Message string
 }
--- a/cmd/heatherrouter/root/root.go
+++ b/cmd/heatherrouter/root/root.go
@@ -99,7 +99,8 @@
 	return net.DialTimeout("tcp", addr, 2*time.Second)
 }
 
-// exited is how kong's own exits, after --help, end a run.
+// exited is what kong's exit function panics with after --help: kong goes on with the command if that function
+// returns, and os.Exit would end a test binary.
 type exited cli.Exit
 
 // Run runs one command line and returns its exit code. The environment's clients are made from the settings.
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -102,7 +102,7 @@
 		Credentials:  credentials.NewStaticCredentialsProvider(o.AccessKey, o.SecretKey, ""),
 		HTTPClient:   &http.Client{Transport: t},
 		UsePathStyle: true,
-		Retryer:      aws.NopRetryer{}, // tries are the caller's to count
+		Retryer:      aws.NopRetryer{}, // the caller decides about retries
 		// The key itself proves the content; the library's trailing checksums aren't understood everywhere.
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
@@ -115,7 +115,7 @@
 	s.conns.CloseIdleConnections()
 }
 
-// Put stores the body under its key. Putting the same again is harmless.
+// Put stores the body under its key. It is idempotent.
 func (s *Store) Put(ctx context.Context, key Key, body []byte) error {
 	if !key.matches(body) {
 		return trace.Wrap(&CorruptError{Key: key})
--- a/io/publ/publ.go
+++ b/io/publ/publ.go
@@ -28,8 +28,12 @@
 	catchUp = 5 * time.Second
 
 	pollEvery = 20 * time.Millisecond
-	minTxn    = 8
-	maxBy     = 128
+
+	// minTxn is the least length of a transaction id: short ones could be given twice, and the second change
+	// would then be answered with the outcome of the first, without taking effect.
+	minTxn = 8
+
+	maxBy = 128
 )
 
 // Docs is where documents are read and committed.
--- a/io/setup/keys.go
+++ b/io/setup/keys.go
@@ -27,12 +27,12 @@
 		t.Addf("ca-files", "is missing, must list at least one file")
 	}
 	for i := range k.CAs {
-		k.CAs[i] = under(dir, k.CAs[i])
+		k.CAs[i] = resolve(dir, k.CAs[i])
 		checkCA(t, k.CAs[i])
 	}
-	k.Certificate = under(dir, k.Certificate)
-	k.Key = under(dir, k.Key)
-	k.OperatorKey = under(dir, k.OperatorKey)
+	k.Certificate = resolve(dir, k.Certificate)
+	k.Key = resolve(dir, k.Key)
+	k.OperatorKey = resolve(dir, k.OperatorKey)
 	checkPair(t, k)
 	if k.OperatorKey != "" {
 		if _, err := k.ReadOperatorKey(); err != nil {
@@ -42,7 +42,8 @@
 	return k
 }
 
-func under(dir, path string) string {
+// resolve returns the path as seen from the settings file's folder.
+func resolve(dir, path string) string {
 	if path == "" || filepath.IsAbs(path) {
 		return path
 	}
