--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
 
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
@@ -80,9 +81,10 @@
 	read     [store.Tables]bool      // something was read
 	snapshot *site.Snapshot
 	holds    *hold.Holds
-	held     *wire.KeyHolds // the same as peers get it
-	heard    mono.Time      // of the present coordinator, as one that reaches the store
-	reached  mono.Time      // of the rest of the site: of the coordinator, able or not, or of a daemon of another domain
+	held     versions[hold.Stamp] // the same, encoded for peers
+	whole    [store.Tables]bool   // peers are asked for the whole table
+	heard    mono.Time            // of the present coordinator, as one that reaches the store
+	reached  mono.Time            // of the rest of the site: of the coordinator, able or not, or of a daemon of another domain
 
 	announced store.Rev // of this life's row; 0 before it is written
 
@@ -280,16 +282,22 @@
 
 // Publish makes known who holds which keys.
 func (f *Feed) Publish(h *hold.Holds) {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(encodeHolds(h))
+	if err != nil {
+		f.o.Log.Error().Err(err).Msg("holders of keys not encoded")
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.publish(h, encodeHolds(h))
+	f.publish(h, b)
 }
 
-func (f *Feed) publish(h *hold.Holds, w *wire.KeyHolds) {
+func (f *Feed) publish(h *hold.Holds, encoded []byte) {
 	if f.holds != nil && !f.holds.Stamp.Before(h.Stamp) {
 		return
 	}
-	f.holds, f.held = h, w
+	f.holds = h
+	f.held.add(h.Stamp, encoded)
 	f.wake()
 }
 
@@ -306,7 +314,7 @@
 	x := &f.tables[t]
 	var news []store.Row
 	if whole {
-		news = x.replace(p)
+		news, f.whole[t] = x.replace(p), false
 	} else {
 		news = x.apply(p)
 	}
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -82,7 +82,11 @@
 	wait := turn.SyncWait(len(f.snapshot.Daemons))
 	x := &wire.Sync{WaitUs: uint64(wait.Microseconds()), Term: uint64(f.snapshot.Coordinator.Term)}
 	for t := range f.tables {
-		x.Revs = append(x.Revs, uint64(f.tables[t].rev))
+		rev := f.tables[t].rev
+		if f.whole[t] {
+			rev = 0
+		}
+		x.Revs = append(x.Revs, uint64(rev))
 	}
 	if f.holds != nil {
 		x.Holds = encodeStamp(f.holds.Stamp)
@@ -112,8 +116,8 @@
 	now := f.o.Clock.Now()
 	asOf := now.Add(-duration(r.GetStoreAgeUs()))
 	for _, t := range r.GetTables() {
-		if t.GetTable() < store.Tables {
-			f.applied(store.Table(t.GetTable()), pageOf(t), t.GetWhole(), 0)
+		if t.GetTable() < store.Tables && !f.takeTable(store.Table(t.GetTable()), t) {
+			return false
 		}
 	}
 	f.mu.Lock()
@@ -133,11 +137,39 @@
 		f.stamp, f.stamped, f.promised = r.GetStamp(), t, duration(r.GetPromiseUs())
 	}
 	if h := r.GetHolds(); h != nil {
-		f.publish(decodeHolds(h), h)
+		f.takeHolds(h)
 	}
 	return now.Sub(asOf) < f.staleAfter()
 }
 
+// takeTable takes in what a peer told of a table. What can't be unpacked here is left out as a whole, and the next peer is
+// asked for the whole table: taken in by halves, the copy would claim to be newer than it is.
+func (f *Feed) takeTable(t store.Table, x *wire.SyncTable) bool {
+	f.mu.Lock()
+	p, err := f.tables[t].page(x)
+	if err != nil {
+		f.whole[t] = true
+	}
+	f.mu.Unlock()
+	if err != nil {
+		f.o.Log.Warn().Err(err).Str("table", t.String()).Msg("rows of a peer not unpacked, the whole table is asked for")
+		return false
+	}
+	f.applied(t, p, x.GetWhole(), 0)
+	return true
+}
+
+// takeHolds takes in the holds that a peer told; the caller holds the lock. Those that can't be unpacked have been
+// followed by others already, which are packed against what is here now.
+func (f *Feed) takeHolds(x *wire.PackedHolds) {
+	h, encoded, err := f.unpackHolds(x)
+	if err != nil {
+		f.o.Log.Warn().Err(err).Msg("holders of keys as told by a peer not unpacked")
+		return
+	}
+	f.publish(h, encoded)
+}
+
 // Sync answers a peer.
 func (f *Feed) Sync(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
 	f.supported(from, x)
@@ -198,8 +230,11 @@
 		r.Stamp = uint64(f.o.Clock.Boot()) //nolint:gosec // a time since the host's start
 		r.PromiseUs = micros(turn.PromiseTime(len(f.snapshot.Daemons)))
 	}
-	if f.holds != nil && decodeStamp(x.GetHolds()).Before(f.holds.Stamp) {
-		r.Holds = f.held
+	if peer := decodeStamp(x.GetHolds()); f.holds != nil && peer.Before(f.holds.Stamp) {
+		var err error
+		if r.Holds, err = f.packHolds(peer); err != nil {
+			f.o.Log.Error().Err(err).Msg("holders of keys not packed")
+		}
 	}
 	return r, f.changed
 }
--- a/io/feed/table.go
+++ b/io/feed/table.go
@@ -19,10 +19,11 @@
 	floor store.Rev // marks of drops up to here are forgotten
 	rows  map[string]store.Row
 	marks map[string]store.Rev
+	large map[string]*versions[store.Rev] // of the rows that are packed for peers
 }
 
 func newTable() table {
-	return table{rows: map[string]store.Row{}, marks: map[string]store.Rev{}}
+	return table{rows: map[string]store.Row{}, marks: map[string]store.Rev{}, large: map[string]*versions[store.Rev]{}}
 }
 
 // apply takes in what has changed up to the page's revision, and returns the rows that are news here.
@@ -63,11 +64,20 @@
 func (t *table) set(r store.Row) {
 	if r.Gone {
 		delete(t.rows, r.Key)
+		delete(t.large, r.Key)
 		t.marks[r.Key] = r.Rev
 		return
 	}
 	delete(t.marks, r.Key)
 	t.rows[r.Key] = r
+	if len(r.Value) < packFrom {
+		delete(t.large, r.Key)
+		return
+	}
+	if t.large[r.Key] == nil {
+		t.large[r.Key] = &versions[store.Rev]{}
+	}
+	t.large[r.Key].add(r.Rev, r.Value)
 }
 
 func (t *table) prune() {
@@ -87,7 +97,7 @@
 	x := &wire.SyncTable{Table: uint32(n), Rev: uint64(t.rev), Whole: rev < t.floor || rev == 0}
 	for _, r := range t.rows {
 		if x.Whole || r.Rev > rev {
-			x.Rows = append(x.Rows, &wire.SyncRow{Key: r.Key, Value: r.Value, Rev: uint64(r.Rev)})
+			x.Rows = append(x.Rows, t.packRow(r, rev))
 		}
 	}
 	if !x.Whole {
@@ -103,13 +113,20 @@
 	return x
 }
 
-// pageOf decodes a table as a peer sent it.
-func pageOf(x *wire.SyncTable) store.Page {
+// page decodes a table as a peer sent it. Rows that are known in that version or a newer one, from another peer or the
+// store, are listed without their values: in a whole table what isn't listed is gone.
+func (t *table) page(x *wire.SyncTable) (store.Page, error) {
 	p := store.Page{Rev: store.Rev(x.GetRev())}
 	for _, r := range x.GetRows() {
-		p.Rows = append(p.Rows, store.Row{
-			Key: r.GetKey(), Value: r.GetValue(), Rev: store.Rev(r.GetRev()), Gone: r.GetGone(),
-		})
+		y := store.Row{Key: r.GetKey(), Rev: store.Rev(r.GetRev()), Gone: r.GetGone()}
+		known := max(t.rows[y.Key].Rev, t.marks[y.Key]) >= y.Rev
+		if !y.Gone && !known {
+			var err error
+			if y.Value, err = t.unpackRow(r); err != nil {
+				return p, err
+			}
+		}
+		p.Rows = append(p.Rows, y)
 	}
-	return p
+	return p, nil
 }
