New connections are looked at before the first byte; a server over its connections isn't taken for one that started again

Cause: a server with as many connections as it takes resets the next one. What was written by then had an unknown outcome (502), and the daemon left the server alone for 0.5 s and sent it one request in 0.4 s for 1.5 s more, as one that may be cold: its keys went unserved. Tests first: TestResetBeforeTheFirstByte, TestOverItsConnections, TestSettleOnce.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -152,6 +152,10 @@
 		return c.failure(true, err)
 	}
 	c.cancelWith(ctx)
+	if err := c.settle(call); err != nil {
+		c.stopCancel()
+		return c.failure(ctx.Err() != nil, err)
+	}
 	var ours bool
 	var err error
 	if !req.IsBodyStream() && len(req.Body()) > earlyBody {
@@ -178,6 +182,21 @@
 	return answer(resp, p.options.Names)
 }
 
+// settle waits for a reset of a new connection.
+func (c *conn) settle(call Call) error {
+	if c.used || call.Settle == 0 {
+		return nil
+	}
+	if err := c.net.SetReadDeadline(time.Now().Add(call.Settle)); err != nil {
+		return err
+	}
+	if _, err := c.br.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err // nil where the server speaks first: reading the answer finds out what that is
+	}
+	// A long body is sent while the answer is read, so the time of this look must be over for both.
+	return c.net.SetReadDeadline(call.Deadline)
+}
+
 // earlyBody is the size in bytes from which a body is sent while the answer is read. A server may answer before it has
 // read a long body, and reads on, or not, later; below this size the buffers on the way take the whole body.
 const earlyBody = 4 << 10
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -79,6 +79,11 @@
 	// idempotent requests only: for others it could only bring forward the unknown outcome.
 	SuspectAt time.Time
 
+	// Settle is for how long a new connection is looked at before the first byte goes out; zero for not at all. A server that
+	// has as many connections as it takes resets the next one once it is open, and what was written by then has an unknown
+	// outcome.
+	Settle time.Duration
+
 	// Reuse forbids a new connection: the call may reach only the life of the server that accepted the last one.
 	Reuse bool
 
@@ -93,6 +98,10 @@
 	End         admit.End
 	Incarnation ident.Incarnation // of the backend server, 0 where it doesn't tell one
 	Err         error             // why there is no whole answer
+
+	// Over says that the server reset a new connection and left others open: it has as many as it takes, and has not
+	// started again.
+	Over bool
 }
 
 // Errors of exchanges.
@@ -185,6 +194,7 @@
 			return c, r
 		}
 		p.discard(c)
+		r.Over = !used && r.End == admit.EndReset && p.stays()
 		// A connection that the server closed while it was idle fails at the write. As long as not one byte
 		// was taken, the request can't have run, and another connection may take it. A streamed body may
 		// have been read from, and can't be sent again.
@@ -245,6 +255,17 @@
 	return nil, nil
 }
 
+// stays reports whether a connection is left that the server hasn't closed, as far as can be seen: an idle one, or one that
+// still waits for its answer.
+func (p *Pool) stays() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open > len(p.idle) {
+		return true
+	}
+	return len(p.idle) > 0 && p.idle[len(p.idle)-1].alive()
+}
+
 func (p *Pool) put(c *conn) {
 	c.used = true
 	c.idleSince = time.Now()
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -20,6 +20,10 @@
 	// avoidFull is the same for one that had no room.
 	avoidFull = 100 * time.Millisecond
 
+	// settle is for how long a new connection is looked at before it is used: the way to a server in another failure domain
+	// and back takes 3 ms.
+	settle = 4 * time.Millisecond
+
 	// suspectRestart is for how long a server that reset connections is sent one request each suspectPace: it may have
 	// started again and be cold, and its announcement of that takes up to a heartbeat and the way through the store.
 	suspectRestart = 1500 * time.Millisecond
@@ -139,7 +143,7 @@
 	// No suspicion of a connection that is silent while others are answered: the server may be at work on the request, and
 	// giving it up would cost its caller the answer when no other send is left.
 	x = b.pool.Do(r.ctx, conns.Call{
-		Deadline: s.o.Clock.Std(r.deadline), Guard: func() bool { return s.maySend(r, b) },
+		Deadline: s.o.Clock.Std(r.deadline), Settle: settle, Guard: func() bool { return s.maySend(r, b) },
 	}, req, resp)
 	sent = x.Outcome != retry.NotRun || x.End == admit.EndRefused
 	return x, sent
@@ -218,6 +222,10 @@
 			b.load.Failed(now, avoidFull)
 		}
 	case admit.EndReset, admit.EndNoDial:
+		if x.Over {
+			b.load.Failed(now, avoidFull)
+			break
+		}
 		b.load.Failed(now, avoidFailed)
 		b.suspect = now.Add(suspectRestart)
 	case admit.EndTimeout, admit.EndSilent:
