--- /dev/null
+++ b/core/hold/admit_test.go
@@ -0,0 +1,70 @@
+package hold
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// All requests for the keys of one server are late, because one key gets ten times what the server carries. The requests
+// for that key are refused beyond what is left of the server; all others are sent.
+func TestAdmitBusyKey(t *testing.T) {
+	all := targets(200*time.Millisecond, 200*time.Millisecond)
+	r := make(Rates, Keys/BucketKeys)
+	for i := range r {
+		r[i] = 6.0 / float64(len(r))
+	}
+	r[1000] = 70
+	l := []Hold{
+		{Range: Range{First: 0, Last: 32767}, Server: "s0"},
+		{Range: Range{First: 32768, Last: 65535}, Server: "s1"},
+	}
+	next := Admit(l, all, r)
+	require.Len(t, next, 4)
+	require.Equal(t, Range{First: 4000, Last: 4003}, next[1].Range)
+	require.InDelta(t, 5, next[1].Admit, 5)
+	for _, i := range []int{0, 2, 3} {
+		require.Zero(t, next[i].Admit)
+	}
+	at := 0
+	for _, h := range next {
+		require.Equal(t, at, int(h.First))
+		at = int(h.Last) + 1
+	}
+	require.Equal(t, Keys, at)
+}
+
+// A server with more than it carries, spread over all its keys, is sent a share of each.
+func TestAdmitEvenly(t *testing.T) {
+	all := targets(200 * time.Millisecond)
+	r := make(Rates, Keys/BucketKeys)
+	for i := range r {
+		r[i] = 14.0 / float64(len(r))
+	}
+	l := []Hold{{Range: Range{First: 0, Last: 65535}, Server: "s0"}}
+	next := Admit(l, all, r)
+	require.Len(t, next, 1)
+	require.InDelta(t, 50, next[0].Admit, 5)
+	require.Equal(t, l, Admit(l, all, make(Rates, Keys/BucketKeys)))
+	require.Equal(t, l, Admit(l, all, nil))
+}
+
+// What is let through doesn't depend on which of two busy keys is looked at first, and a server's load is met.
+func TestAdmitMeetsWhatIsCarried(t *testing.T) {
+	all := targets(200 * time.Millisecond)
+	r := make(Rates, Keys/BucketKeys)
+	r[10], r[20], r[30] = 40, 3, 20
+	next := Admit([]Hold{{Range: Range{First: 0, Last: 65535}, Server: "s0"}}, all, r)
+	sent := 0.0
+	for _, h := range next {
+		for b := int(h.First) / BucketKeys; b <= int(h.Last)/BucketKeys; b++ {
+			share := float64(h.Admit) / 100
+			if h.Admit == 0 {
+				share = 1
+			}
+			sent += r[b] * share
+		}
+	}
+	require.InDelta(t, 0.85*3/(0.2*1.4*1.3), sent, 1)
+}
--- a/core/hold/holds.go
+++ b/core/hold/holds.go
@@ -45,6 +45,7 @@
 	Range
 	Server ident.Server // empty while nobody does
 	Lost   bool         // nobody will for a while: its last holder doesn't answer, and what it holds has to lapse
+	Admit  uint8        // percent of the requests to send, where there are more than the server carries; 0 for all
 }
 
 // Holds is who holds which keys, as the coordinator believes. It never changes once it is built.
--- a/core/hold/plan.go
+++ b/core/hold/plan.go
@@ -87,16 +87,10 @@
 	if len(targets) == 0 {
 		return pieces, false
 	}
-	p := &planner{pieces: slices.Clone(pieces), targets: slices.Clone(targets), width: Keys / max(1, len(rates))}
-	slices.SortFunc(p.targets, func(a, b Target) int { return cmp.Compare(a.Server, b.Server) })
-	p.indexes = make(map[ident.Server]int, len(p.targets))
-	for i, t := range p.targets {
-		p.indexes[t.Server] = i
-	}
+	p := newPlanner(pieces, targets, rates)
 	if len(pieces) == 0 {
 		return p.first(), true
 	}
-	p.measure(rates)
 	changed := p.leave()
 	changed = p.balance() || changed
 	changed = p.tidy() || changed
@@ -107,6 +101,17 @@
 	return p.pieces, true
 }
 
+func newPlanner(pieces []Piece, targets []Target, rates Rates) *planner {
+	p := &planner{pieces: slices.Clone(pieces), targets: slices.Clone(targets), width: Keys / max(1, len(rates))}
+	slices.SortFunc(p.targets, func(a, b Target) int { return cmp.Compare(a.Server, b.Server) })
+	p.indexes = make(map[ident.Server]int, len(p.targets))
+	for i, t := range p.targets {
+		p.indexes[t.Server] = i
+	}
+	p.measure(rates)
+	return p
+}
+
 // first deals out all keys.
 func (p *planner) first() []Piece {
 	n := len(p.targets) * min(firstPieces, max(1, mostPieces/len(p.targets)))
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -193,6 +194,12 @@
 		if r.Err == nil && (streamed || c.reusable()) {
 			return c, r
 		}
+		if errors.Is(r.Err, ErrGuard) && !c.broken {
+			// Nothing was written. Closed for an order that came too late, the connection would be missed by the next, which
+			// would be late in turn.
+			c.unanswered = false
+			return c, r
+		}
 		p.discard(c)
 		r.Over = !used && r.End == admit.EndReset && p.stays()
 		// A connection that the server closed while it was idle fails at the write. As long as not one byte
@@ -236,6 +243,18 @@
 	return nil, Result{Outcome: retry.NotRun, End: end, Err: trace.Wrap(err, "dial %v", p.addr)}
 }
 
+// Warm opens a connection ahead of its use, unless there is one that is idle and open; it reports whether there is one then.
+func (p *Pool) Warm(ctx context.Context, deadline time.Time) bool {
+	c, r := p.get(ctx, Call{Deadline: deadline})
+	if r.Err != nil {
+		return false
+	}
+	used := c.used
+	p.put(c)
+	c.used = used
+	return true
+}
+
 // take returns the connection used last, or nil for leave to dial one.
 func (p *Pool) take() (*conn, error) {
 	p.mu.Lock()
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -315,6 +315,28 @@
 	require.EqualValues(t, 2, runs.Load())
 }
 
+// A server's keys lapse one after the other. An order that waited too long isn't sent, and its connection must stay for
+// the next one: opening another takes a busy server seconds.
+func TestGuardLeavesTheConnection(t *testing.T) {
+	var accepted atomic.Int32
+	a := listen(t, func(_ int, c net.Conn) {
+		accepted.Add(1)
+		requests(c, func(path string) { answerWith(c, path) })
+	})
+	p := newPool(t, Options{Addr: a})
+	for i := range 6 {
+		call := soon()
+		call.Guard = func() bool { return i%2 == 0 }
+		r, _ := do(p, call, "/grant")
+		if i%2 == 0 {
+			require.Equal(t, retry.Answered, r.Outcome, r.Err)
+			continue
+		}
+		require.ErrorIs(t, r.Err, ErrGuard)
+	}
+	require.Equal(t, int32(1), accepted.Load())
+}
+
 // The caller sees an answer well before its deadline, from a second send. Its connection delivers nothing
 // more while others are answered, so it is given up as silent, and the idle ones with it.
 func TestSilentInFlight(t *testing.T) {
--- a/io/feed/draft.go
+++ b/io/feed/draft.go
@@ -170,10 +170,12 @@
 	w := &wire.ServiceHolds{Service: string(s)}
 	index := map[ident.Server]uint32{"": holderLost}
 	next := 0 // the first key that isn't covered
+	some := false
 	for _, x := range l {
 		if int(x.First) > next {
-			w.Lasts, w.Holders = append(w.Lasts, uint32(x.First)-1), append(w.Holders, holderNone)
+			w.Lasts, w.Holders, w.Admits = append(w.Lasts, uint32(x.First)-1), append(w.Holders, holderNone), append(w.Admits, 0)
 		}
+		w.Admits, some = append(w.Admits, uint32(x.Admit)), some || x.Admit > 0
 		if _, ok := index[x.Server]; !ok {
 			index[x.Server] = uint32(firstHolder + len(w.Servers)) //nolint:gosec // of servers
 			w.Servers = append(w.Servers, string(x.Server))
@@ -181,6 +183,9 @@
 		w.Lasts, w.Holders = append(w.Lasts, uint32(x.Last)), append(w.Holders, index[x.Server])
 		next = int(x.Last) + 1
 	}
+	if !some {
+		w.Admits = nil
+	}
 	return w
 }
 
@@ -201,6 +206,9 @@
 		}
 		x := hold.Hold{Range: hold.Range{First: hold.Key(first), Last: hold.Key(last)}} //nolint:gosec // below hold.Keys
 		first = last + 1
+		if i < len(w.GetAdmits()) {
+			x.Admit = uint8(min(100, w.GetAdmits()[i])) //nolint:gosec // bounded
+		}
 		switch n := int(w.GetHolders()[i]); {
 		case n == holderLost:
 			x.Lost = true
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -97,6 +97,8 @@
 	result  hold.Result
 	lost    bool // the connection for renewals to the server is gone
 	server  ident.Server
+	err     error // why there is no answer
+	status  int   // of the answer
 }
 
 // doneRing is how many ends of orders may wait for the duty.
@@ -241,7 +243,7 @@
 	h := &hold.Holds{Services: map[ident.Service][]hold.Hold{}}
 	changed := g.sequence == 0
 	for n, x := range g.services {
-		l := x.table.Holds()
+		l := hold.Admit(x.table.Holds(), x.targets, x.rates)
 		h.Services[n] = l
 		changed = changed || !sameHolds(l, x.published)
 		x.published = l
@@ -283,8 +285,8 @@
 		}
 	}
 	if x.result.Outcome != hold.Accepted || x.lost {
-		g.o.Log.Info().Str("service", string(x.service)).Str("server", string(x.server)).
-			Str("order", orderName(x.order)).Str("end", x.result.Outcome.String()).Bool("connection-lost", x.lost).Msg("order ended")
+		g.o.Log.Info().Err(x.err).Str("service", string(x.service)).Str("server", string(x.server)).
+			Int("status", x.status).Str("order", orderName(x.order)).Str("end", x.result.Outcome.String()).Bool("connection-lost", x.lost).Msg("order ended")
 	}
 }
 
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -18,7 +18,16 @@
 )
 
 const (
-	orderDial   = 300 * time.Millisecond
+	orderDial = 300 * time.Millisecond
+
+	// patientDial is for connections that no order waits for, or one that may wait. A server that is busy drops the opening
+	// packet of a new connection, which is sent again after a second.
+	patientDial = 2500 * time.Millisecond
+
+	// spareEvery is how often a look is taken whether the spare connection is still open: servers close idle ones, those
+	// known after 10 s.
+	spareEvery = time.Second
+
 	releaseOver = 10 * time.Second // at most, for the work on released keys to end
 
 	// maxReleases is how many releases of one server may wait for work to end at the same time. A server that leaves has a
@@ -29,12 +38,19 @@
 // link is the connections for orders to one life of a server. Grants have one of their own, on which each follows the
 // answer to the last, so that a renewal reaches the life that took the grant; a release is answered only when work ends,
 // and must not hold up renewals.
+//
+// A second connection for grants is kept open. Servers close the first one now and then, and a busy server takes seconds to
+// accept the next: without the spare all its keys lapse just when most requests come for them. What goes over it bears a
+// higher fence, like all that goes over a new connection.
 type link struct {
 	server   *site.Server
-	grants   *conns.Pool
 	releases *conns.Pool
-	turn     sync.Mutex
 	room     chan struct{} // for releases
+
+	turn   sync.Mutex // one order for grants at a time
+	grants *conns.Pool
+	spare  *conns.Pool
+	looked time.Time // at the spare
 }
 
 // link returns the link to a server's life, or nil when its address isn't known.
@@ -51,18 +67,49 @@
 		x.close()
 	}
 	o := conns.Options{Addr: s.Addr, MaxConns: 1, DialTimeout: orderDial, ProbeEvery: conns.NoProbes, Names: conns.NoNames}
-	x = &link{server: s, grants: conns.New(o)}
-	o.MaxConns = maxReleases
+	x = &link{server: s, grants: conns.New(o), spare: conns.New(o)}
+	o.MaxConns, o.DialTimeout = maxReleases, patientDial
 	x.releases, x.room = conns.New(o), make(chan struct{}, maxReleases)
 	g.links[l.Server] = x
 	return x
 }
 
 func (x *link) close() {
+	x.turn.Lock()
+	defer x.turn.Unlock()
 	_ = x.grants.Close() // ends idle connections; an order under way ends with its answer
+	_ = x.spare.Close()
 	_ = x.releases.Close()
 }
 
+// keepSpare opens the spare connection in the background if it is gone; the caller has the turn.
+func (g *Granter) keepSpare(l *link) {
+	now := time.Now()
+	if now.Sub(l.looked) < spareEvery {
+		return
+	}
+	l.looked = now
+	p := l.spare
+	g.group.Go(func(c context.Context) error {
+		p.Warm(c, now.Add(patientDial)) // one that isn't opened is tried again with a later order
+		return nil
+	})
+}
+
+// grant sends a grant over the connection for grants. Once that is lost the spare takes its place; a renewal isn't sent
+// over it, and what follows has a higher fence.
+func (g *Granter) grant(c context.Context, l *link, call conns.Call, req *fasthttp.Request, resp *fasthttp.Response) (r conns.Result, lost bool) {
+	l.turn.Lock()
+	defer l.turn.Unlock()
+	r = l.grants.Do(c, call, req, resp)
+	if lost = errors.Is(r.Err, conns.ErrNoReuse) || r.End == admit.EndReset; lost {
+		l.grants, l.spare = l.spare, l.grants
+		l.looked = time.Time{}
+	}
+	g.keepSpare(l)
+	return r, lost
+}
+
 // send carries out an order on a goroutine of its own; its end comes back over the ring.
 func (g *Granter) send(n ident.Service, o hold.Order) {
 	life := lifeOf(o)
@@ -103,24 +150,20 @@
 	call.Guard = func() bool { // the process may have stood still since the order was due
 		return g.mayOrder(d.term) && time.Now().Before(call.Deadline)
 	}
-	pool := l.releases
+	var r conns.Result
 	switch x := d.order.(type) {
 	case hold.Grant:
 		g.o.Speaker.Grant(req, x)
-		l.turn.Lock()
-		defer l.turn.Unlock()
 		call.Deadline, call.Reuse = g.o.Clock.Std(x.Ends), x.Renewal
-		pool = l.grants
+		r, d.lost = g.grant(c, l, call, req, resp)
 	case hold.Release:
 		g.o.Speaker.Release(req, x)
 		l.room <- struct{}{}
 		defer func() { <-l.room }()
 		call.Deadline = g.releaseDeadline(x.Until)
+		r = l.releases.Do(c, call, req, resp)
 	}
-	r := pool.Do(c, call, req, resp)
-	d.result = g.result(r, resp)
-	_, isGrant := d.order.(hold.Grant)
-	d.lost = isGrant && (errors.Is(r.Err, conns.ErrNoReuse) || r.End == admit.EndReset)
+	d.result, d.err, d.status = g.result(r, resp), r.Err, resp.StatusCode()
 }
 
 func (g *Granter) releaseDeadline(until mono.Time) time.Time {
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -24,6 +24,8 @@
 	servers   int
 	since     mono.Time // when their number last changed
 	published []hold.Hold
+	targets   []hold.Target // as last planned with
+	rates     hold.Rates
 }
 
 // open reads the assignment as the store has it.
@@ -131,7 +133,8 @@
 // plan works out the next assignment and has it written.
 func (g *Granter) plan(x *service, targets []hold.Target, now mono.Time) {
 	pieces := x.table.Pieces()
-	next, changed := hold.Plan(pieces, targets, g.rates.of(now, x.name))
+	x.targets, x.rates = targets, g.rates.of(now, x.name)
+	next, changed := hold.Plan(pieces, targets, x.rates)
 	// Ranges whose last holder is surely free are written down so, for a coordinator to come that would ask it again.
 	if changed || settledRow(x.written, pieces) {
 		g.write(x, next)
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -218,9 +218,7 @@
 	case admit.EndAnswered:
 		b.load.Answered()
 	case admit.EndRefused, admit.EndOverloaded:
-		if resp.StatusCode() != fasthttp.StatusMisdirectedRequest { // which is about the key, not the server
-			b.load.Failed(now, avoidFull)
-		}
+		b.refused(now, resp)
 	case admit.EndReset, admit.EndNoDial:
 		if x.Over {
 			b.load.Failed(now, avoidFull)
@@ -236,6 +234,19 @@
 	return unit
 }
 
+// refused takes in that the server answered without running the request. The holder of a key is left alone only where it
+// has no room, and never for longer after one refusal than after another: no other server can take the request, and one
+// that turns away half of its requests serves the other half.
+func (b *back) refused(now mono.Time, resp *fasthttp.Response) {
+	switch {
+	case resp.StatusCode() == fasthttp.StatusMisdirectedRequest: // which is about the key, not the server
+	case !b.keyed:
+		b.load.Failed(now, avoidFull)
+	case b.load.Full(now):
+		b.load.AvoidUntil = max(b.load.AvoidUntil, now.Add(avoidFull))
+	}
+}
+
 // minPace bounds a server's report of its pace, by which times are divided.
 const minPace = 0.1
 
--- a/io/send/choose.go
+++ b/io/send/choose.go
@@ -19,6 +19,7 @@
 	reasonStopping reason = "daemon-stopping"
 	reasonNoServer reason = "no-server"
 	reasonNoKey    reason = "no-key"
+	reasonBusy     reason = "key-busy"    // its holder gets more than it carries
 	reasonMoving   reason = "keys-moving" // nobody holds the request's key at this moment
 	reasonLost     reason = "keys-lost"   // nor will anybody for a while
 	reasonCold     reason = "servers-cold"
@@ -147,6 +148,9 @@
 	if h.Lost {
 		return nil, reasonLost
 	}
+	if h.Admit > 0 && r.lot >= int(h.Admit) {
+		return nil, reasonBusy
+	}
 	id := h.Server
 	x := snap.Servers[id]
 	if x == nil || !snap.Takes(x) {
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -128,6 +129,7 @@
 	failed  []ident.Server // couldn't be reached
 	again   mono.Time      // not to be sent before
 	maybe   bool           // some send may have run
+	lot     int            // drawn once, below 100: whether it is among the share of a busy key's requests that is sent
 	answer  *fasthttp.Response
 }
 
@@ -154,7 +156,7 @@
 func (s *Sender) Handle(c context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
 	r := &request{
 		id: ident.Request(req.Header.Peek(s.o.Dialect.RequestID)), req: req, host: string(req.Header.Host()),
-		path: pathOf(req.Header.RequestURI()), arrived: s.o.Clock.Now(), caller: c,
+		path: pathOf(req.Header.RequestURI()), arrived: s.o.Clock.Now(), caller: c, lot: rand.IntN(100),
 	}
 	var end context.CancelFunc
 	r.ctx, end = context.WithCancel(c)
@@ -290,7 +292,7 @@
 	}
 	after := retryNoServer
 	switch why {
-	case reasonFull, reasonCold:
+	case reasonFull, reasonCold, reasonBusy:
 		after = retryFull
 	case reasonLost:
 		after = retryLost
