--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -22,12 +22,6 @@
 	// been cut silently, so the copy ages; each second of it costs a call a table.
 	feedWait = 800 * time.Millisecond
 
-	// largeFeedWait is the same in a site of more than largeSite daemons. Some of them are slow, or their links are, and
-	// each that finds its copy older than staleAfter calls the store: of 86 daemons hundreds did so in a minute. Twice as
-	// many calls of one daemon leave all others 0.4 s more.
-	largeFeedWait = 400 * time.Millisecond
-	largeSite     = 40
-
 	// controlWait is the same for the control table, which changes next to never but by its reader's own hand.
 	controlWait = 5 * time.Second
 
@@ -75,7 +69,7 @@
 	if !read {
 		return f.list(c, t, asked)
 	}
-	wait := f.feedWait()
+	wait := feedWait
 	if t == store.Control {
 		wait = controlWait
 	}
@@ -103,16 +97,6 @@
 	return feedWait + turn.SyncWait(len(f.snapshot.Daemons)) + staleSlack
 }
 
-// feedWait returns how long the store may hold a feed back.
-func (f *Feed) feedWait() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.snapshot.Daemons) > largeSite {
-		return largeFeedWait
-	}
-	return feedWait
-}
-
 // fresh reports whether the copy was the newest a moment ago.
 func (f *Feed) fresh(t store.Table) bool {
 	f.mu.Lock()
