--- a/core/hold/plan_test.go
+++ b/core/hold/plan_test.go
@@ -118,18 +118,23 @@
 	require.Greater(t, l["s2"], 0.3)
 }
 
-// Keys that lie side by side get a third of a large service's requests, and all of them are late: one server of 187 has
-// them all. Two plans, each carried out while the next is made, must leave no server with more than it carries.
-func TestBusyKeysOfLargeService(t *testing.T) {
+// largeService returns 187 servers, as many as the largest known service has.
+func largeService() []Target {
 	work := make([]time.Duration, 187)
 	for i := range work {
 		work[i] = 210 * time.Millisecond
 	}
+	return targets(work...)
+}
+
+// Keys that lie side by side get a third of a large service's requests, and all of them are late: one server of 187 has
+// them all. Two plans, each carried out while the next is made, must leave no server with more than it carries.
+func TestBusyKeysOfLargeService(t *testing.T) {
 	r := make(Rates, Keys/BucketKeys)
 	for i := range r {
 		r[i] = 580.0 / float64(len(r))
 	}
-	all := targets(work...)
+	all := largeService()
 	pieces := settle(t, nil, all, r)
 	for i := range 200 / BucketKeys {
 		r[8000+i] += 290.0 * BucketKeys / 200
@@ -143,22 +148,18 @@
 		pieces = next
 	}
 	for s, l := range load(pieces, r) {
-		require.Less(t, l, 3/work[0].Seconds(), "server %s", s)
+		require.Less(t, l, 3/all[0].Work.Seconds(), "server %s", s)
 	}
 }
 
 // The coordinator's processor is taken by plans. With 187 servers, 370 ranges and nothing to gain, one must take a few
 // milliseconds.
 func BenchmarkPlanLargeService(b *testing.B) {
-	work := make([]time.Duration, 187)
-	for i := range work {
-		work[i] = 210 * time.Millisecond
-	}
 	r := make(Rates, Keys/BucketKeys)
 	for i := range r {
 		r[i] = (1 + float64(i%7)) * 150 / float64(len(r))
 	}
-	all := targets(work...)
+	all := largeService()
 	pieces, _ := Plan(nil, all, r)
 	for b.Loop() {
 		Plan(pieces, all, r)
@@ -168,11 +169,7 @@
 // Most keys of a large service lapse: busy keys come up in ever new places, each plan cuts ranges, and in the end the
 // coordinator can't renew them all in time. However the load moves about, there may only be so many ranges.
 func TestRangesAreBounded(t *testing.T) {
-	work := make([]time.Duration, 187)
-	for i := range work {
-		work[i] = 210 * time.Millisecond
-	}
-	all := targets(work...)
+	all := largeService()
 	r := rand.New(rand.NewPCG(1, 1))
 	pieces, _ := Plan(nil, all, nil)
 	for range 200 {
