A daemon with one of its ports taken at the start ends, instead of refusing callers for good

Its log has neither 'daemon started' nor an error of that life: the start failed after the address for callers was open, and giving up waited for the duty that accepts callers, which nothing ended. A port is taken when somebody's outgoing connection gets it while the daemon is down. Ruled out: the store and the peers (all other daemons serve within 2 s; requests at daemon-0 have 0 sends). All ports are opened before anything starts.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -107,15 +108,18 @@
 	if n.id, err = newIdentity(s.Name, n.feed.Snapshot); err != nil {
 		return err
 	}
+	l, err := n.listen()
+	if err != nil {
+		return err
+	}
 	n.peers, err = peer.New(n.group.Context(), peer.Options{
 		Self: s.Name, Listen: s.Peer, Book: book{n.feed.Snapshot}, TLS: n.id, Handler: handler{n.feed}, Log: n.o.Log,
 	})
 	if err != nil {
+		l.close()
 		return err
 	}
-	if err := n.listen(); err != nil {
-		return err
-	}
+	n.serve(l)
 	n.group.Go(n.announce)
 	n.feed.Run(n.group, n.peers)
 	n.granter.Run(n.group, n.peers)
@@ -123,24 +127,47 @@
 	return nil
 }
 
-// listen opens the ports for callers, the balancer and operators.
-func (n *Node) listen() error {
+// listeners are the open ports for callers, the balancer and operators.
+type listeners struct {
+	entry net.Listener
+	pages []net.Listener
+}
+
+// listen opens the ports before any duty starts. With one of them taken, as by somebody's outgoing connection while the
+// daemon was down, a daemon that has begun to take callers would have to be taken down again; refused for good by one that
+// neither serves nor ends, they would not reach those that do.
+func (n *Node) listen() (listeners, error) {
 	s := n.o.Settings
-	l, err := net.Listen("tcp", s.Entry.String())
-	if err != nil {
-		return trace.Wrap(err, "address for callers %v", s.Entry)
+	var x listeners
+	var err error
+	if x.entry, err = net.Listen("tcp", s.Entry.String()); err != nil {
+		return x, trace.Wrap(err, "address for callers %v", s.Entry)
 	}
-	n.front = front.New(n.group, front.Options{Listen: l, Limits: n.limits, Handler: n.sender.Handle, Away: n.isolated})
-	n.pages = &fasthttp.Server{Handler: n.page, NoDefaultServerHeader: true}
-	addrs := []string{s.Ready.String(), s.Admin.String()}
-	for _, a := range addrs {
-		l, err := net.Listen("tcp", a)
+	for _, a := range []netip.AddrPort{s.Ready, s.Admin} {
+		l, err := net.Listen("tcp", a.String())
 		if err != nil {
-			return trace.Wrap(err, "address for pages %v", a)
+			x.close()
+			return x, trace.Wrap(err, "address for pages %v", a)
 		}
+		x.pages = append(x.pages, l)
+	}
+	return x, nil
+}
+
+func (x listeners) close() {
+	x.entry.Close()
+	for _, l := range x.pages {
+		l.Close()
+	}
+}
+
+// serve starts to take callers and to answer the balancer and operators.
+func (n *Node) serve(x listeners) {
+	n.front = front.New(n.group, front.Options{Listen: x.entry, Limits: n.limits, Handler: n.sender.Handle, Away: n.isolated})
+	n.pages = &fasthttp.Server{Handler: n.page, NoDefaultServerHeader: true}
+	for _, l := range x.pages {
 		n.group.Go(func(context.Context) error { return n.pages.Serve(l) })
 	}
-	return nil
 }
 
 func (n *Node) limits() site.Limits {
