--- a/core/hold/plan.go
+++ b/core/hold/plan.go
@@ -21,11 +21,11 @@
 	mostPieces  = 112
 	firstPieces = 8
 
-	// leastPieces is how many ranges a server there may be in a large service: busy keys are cut out of a range in the
-	// middle, which makes three of one. 187 servers with twice as many ranges cost 420 orders a second, and that is as
-	// far as it goes: from morePieces on there are only as many as servers.
-	leastPieces = 2
-	morePieces  = 400
+	// piecesPerServer is how many ranges there may be for each server of a large service: busy keys are cut out of the
+	// middle of a range, which makes three of one. 187 servers with twice as many ranges cost 420 orders a second, and that
+	// is as far as it goes: from manyPieces on there are only as many ranges as servers.
+	piecesPerServer = 2
+	manyPieces  = 400
 
 	// coldWork is how much longer work is taken to be at a cold server. It is sent little, whatever it could do.
 	coldWork = 3
@@ -232,7 +232,7 @@
 // every renewal: at 950 ranges the coordinator of a site of 86 daemons, on 0.8 of a core, sent half of its renewals too
 // late, and most keys lapsed.
 func (p *planner) maxPieces() int {
-	n := max(mostPieces, min(leastPieces*len(p.targets), morePieces), len(p.targets))
+	n := max(mostPieces, min(piecesPerServer*len(p.targets), manyPieces), len(p.targets))
 	return n + n/4
 }
 
