--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -187,6 +188,7 @@
 	for {
 		c, r := p.get(ctx, call)
 		if c == nil {
+			r.Over = r.End == admit.EndReset && p.stays()
 			return nil, r
 		}
 		used := c.used
@@ -237,8 +239,11 @@
 	}
 	p.release()
 	end := admit.EndNoDial
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		end = admit.EndCancelled
+	case errors.Is(err, syscall.ECONNRESET):
+		end = admit.EndReset // the server accepted it and reset it, before this process was told that it is open
 	}
 	return nil, Result{Outcome: retry.NotRun, End: end, Err: trace.Wrap(err, "dial %v", p.addr)}
 }
