--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -254,9 +254,7 @@
 	if r.Err != nil {
 		return false
 	}
-	used := c.used
-	p.put(c)
-	c.used = used
+	p.keep(c)
 	return true
 }
 
@@ -290,8 +288,14 @@
 	return len(p.idle) > 0 && p.idle[len(p.idle)-1].alive()
 }
 
+// put keeps a connection after an exchange.
 func (p *Pool) put(c *conn) {
 	c.used = true
+	p.keep(c)
+}
+
+// keep makes a connection one of the idle ones; from then on it is anybody's.
+func (p *Pool) keep(c *conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	if !p.closed {
--- a/io/conns/over_test.go
+++ b/io/conns/over_test.go
@@ -90,3 +90,27 @@
 	r := p.Do(t.Context(), call, q, resp)
 	require.Equal(t, retry.Answered, r.Outcome, r.Err)
 }
+
+// The keys of a busy server lapse while the coordinator waits for a connection to it. One is opened ahead in the background
+// and taken by the next order, which may come at the same moment; with one open already none is opened.
+func TestWarm(t *testing.T) {
+	var accepted atomic.Int32
+	a := listen(t, func(_ int, c net.Conn) {
+		accepted.Add(1)
+		requests(c, func(path string) { answerWith(c, path) })
+	})
+	p := newPool(t, Options{Addr: a, MaxConns: 1})
+	for range 20 {
+		warmed := make(chan bool, 1)
+		go func() { warmed <- p.Warm(t.Context(), time.Now().Add(time.Second)) }()
+		for {
+			call := soon()
+			call.Reuse = true
+			if r, _ := do(p, call, "/grant"); r.Outcome == retry.Answered {
+				break
+			}
+		}
+		<-warmed
+	}
+	require.Equal(t, int32(1), accepted.Load())
+}
