--- a/cmd/heatherrouter/cli/env.go
+++ b/cmd/heatherrouter/cli/env.go
@@ -13,6 +13,7 @@
 // Env is what a command works with; tests hand in buffers, a set clock and a client of their own.
 type Env struct {
 	Context  context.Context
+	In       io.Reader
 	Out      io.Writer
 	Err      io.Writer
 	Terminal bool // Out is a terminal
--- a/cmd/heatherrouter/main.go
+++ b/cmd/heatherrouter/main.go
@@ -25,6 +25,7 @@
 	defer stop()
 	e := &cli.Env{
 		Context:  ctx,
+		In:       os.Stdin,
 		Out:      os.Stdout,
 		Err:      os.Stderr,
 		Terminal: term.IsTerminal(int(os.Stdout.Fd())),
--- a/cmd/heatherrouter/root/root.go
+++ b/cmd/heatherrouter/root/root.go
@@ -22,6 +22,7 @@
 	domaindrain "heatherrouter/cmd/heatherrouter/domain/drain"
 	domainlist "heatherrouter/cmd/heatherrouter/domain/list"
 	domainrestore "heatherrouter/cmd/heatherrouter/domain/restore"
+	requestexplain "heatherrouter/cmd/heatherrouter/request/explain"
 	serverdrain "heatherrouter/cmd/heatherrouter/server/drain"
 	serverlist "heatherrouter/cmd/heatherrouter/server/list"
 	serverrestore "heatherrouter/cmd/heatherrouter/server/restore"
@@ -84,6 +85,10 @@
 		Restore daemonrestore.Options `cmd:"" help:"Give a daemon new duties again."`
 	} `cmd:"" help:"Daemons."`
 
+	Request struct {
+		Explain requestexplain.Options `cmd:"" help:"Tell from logs what happened to a request."`
+	} `cmd:"" help:"Requests of callers."`
+
 	Status status.Options `cmd:"" help:"Show the daemons."`
 
 	State struct {
