Keys of a server whose life has surely ended go to others at once

Change: a refused connection, and a 400 marked as not run in answer to a release, end a life; the planner leaves it out, and its keys are granted to the next holder without an order to it. Ruled out: a 400 to a grant (may be the holder's own), resets and timeouts (a busy or cut off server answers so).

--- a/core/hold/sim_test.go
+++ b/core/hold/sim_test.go
@@ -221,7 +221,11 @@
 		if g, ok := o.(Grant); ok && g.Renewal {
 			w.table.Lost(w.now, life.Server) // over the connection of the last life it can't go
 		}
-		w.after(simStep, func() { done(Result{Outcome: NotSent}) })
+		r := Result{Outcome: NotSent}
+		if w.rnd.IntN(2) == 0 {
+			r.Outcome = Ended // where its host says that nobody listens
+		}
+		w.after(simStep, func() { done(r) })
 		return
 	}
 	arrived := w.now
--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -78,12 +78,13 @@
 	pieces    []*piece  // by their first key
 	fence     Fence     // the last one used
 	limit     Fence     // fences up to here are reserved by the row in the store
+	ended     map[Life]bool
 }
 
 // New returns a table for the pieces that the store holds. The fence is the one reserved there: this coordinator uses
 // only higher ones. Whatever an earlier coordinator has sent, or may yet send, has lapsed by the time.
 func New(now mono.Time, t Terms, l []Piece, fence Fence, lapsed mono.Time) *Table {
-	x := &Table{terms: t, fence: fence, limit: fence, inherited: lapsed}
+	x := &Table{terms: t, fence: fence, limit: fence, inherited: lapsed, ended: map[Life]bool{}}
 	for _, p := range l {
 		x.pieces = append(x.pieces, &piece{
 			Piece: p, granted: p.Previous == Life{}, next: now, lapses: lapsed, inherits: true, prevInherits: true,
@@ -236,10 +237,10 @@
 func (t *Table) Orders(now mono.Time) (l []Order, next mono.Time) {
 	next = mono.Never
 	for _, p := range t.pieces {
-		if p.Previous != (Life{}) && t.free(now, p) {
+		if p.Previous != (Life{}) && (t.free(now, p) || t.ended[p.Previous]) {
 			t.freed(now, p, "")
 		}
-		if p.pending {
+		if p.pending || p.Previous == (Life{}) && t.ended[p.Owner] {
 			continue
 		}
 		if now.Before(p.next) {
@@ -333,7 +334,7 @@
 		// Sent again it gets a higher fence: the server may have started again since.
 		p.fence, p.accepted, p.next = t.nextFence(), false, now.Add(t.terms.Retry)
 	case Ended:
-		p.granted, p.accepted, p.next = false, false, now.Add(t.terms.Retry)
+		t.end(p.Owner)
 	case NotSent:
 		p.next = now.Add(t.terms.Retry)
 	}
@@ -347,13 +348,32 @@
 
 func (t *Table) releaseDone(now mono.Time, p *piece, r Result) {
 	switch r.Outcome {
-	case Accepted, Ended:
+	case Accepted:
 		t.freed(now, p, r.Handover)
+	case Ended:
+		t.end(p.Previous)
+		t.freed(now, p, "")
 	case Outfenced, NotSent, Silent:
 		p.pending, p.failed, p.next = false, true, now.Add(t.terms.Retry)
 	}
 }
 
+// end takes in that a life has surely ended, and with it all that it held. Its ranges can go to others at once, where the
+// grants of a server that is only silent have to lapse first.
+func (t *Table) end(l Life) {
+	t.ended[l] = true
+	for _, p := range t.pieces {
+		if p.Owner == l {
+			p.granted, p.accepted, p.failed = false, false, false
+		}
+	}
+}
+
+// HasEnded reports whether the life has surely ended, whatever its announcement still says.
+func (t *Table) HasEnded(l Life) bool {
+	return t.ended[l]
+}
+
 // Lost takes in that the connection to a server ended: the server may have started again and know nothing of its grants.
 // The next grant of each of its ranges bears a higher fence, which is right for either life.
 func (t *Table) Lost(now mono.Time, s ident.Server) {
--- /dev/null
+++ b/core/hold/table_test.go
@@ -0,0 +1,68 @@
+package hold
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/mono"
+)
+
+// held returns a table in which one server has accepted the grant of all keys.
+func held(t *testing.T, now mono.Time, owner Life) *Table {
+	t.Helper()
+	x := New(now, DefaultTerms(10*time.Second), nil, 0, now)
+	x.Committed(now, []Piece{{Range: Range{First: 0, Last: Keys - 1}, Owner: owner}}, x.Reserve())
+	l, _ := x.Orders(now)
+	require.Len(t, l, 1)
+	x.Done(now, l[0], Result{Outcome: Accepted})
+	require.Equal(t, owner.Server, x.Holds()[0].Server)
+	return x
+}
+
+// Keys of a server that crashed are refused for 3.7 s, until its grants have lapsed, although its host says that nobody
+// listens there any more. The renewal that meets that ends the life: the keys are nobody's from then on, and the next
+// holder is granted them at once, without an order to the last one.
+func TestKeysOfEndedServer(t *testing.T) {
+	now := mono.Time(time.Hour)
+	a, b := Life{Server: "a", Born: 1}, Life{Server: "b", Born: 1}
+	x := held(t, now, a)
+
+	now = now.Add(x.terms.Renew)
+	l, _ := x.Orders(now)
+	require.Len(t, l, 1)
+	x.Done(now, l[0], Result{Outcome: Ended})
+	require.True(t, x.HasEnded(a))
+	require.False(t, x.HasEnded(Life{Server: "a", Born: 2}), "its next life")
+	require.Empty(t, x.Holds(), "callers are told to wait, not that the keys are lost")
+	l, _ = x.Orders(now.Add(time.Second))
+	require.Empty(t, l, "a life that has ended gets no orders")
+
+	x.Committed(now, []Piece{{Range: Range{First: 0, Last: Keys - 1}, Owner: b, Previous: a}}, x.Reserve())
+	l, _ = x.Orders(now)
+	require.Len(t, l, 1)
+	g, ok := l[0].(Grant)
+	require.True(t, ok, "%T", l[0])
+	require.Equal(t, b, g.To)
+}
+
+// The same where the server is only silent: its keys go to nobody before its grants have lapsed.
+func TestKeysOfSilentServer(t *testing.T) {
+	now := mono.Time(time.Hour)
+	a, b := Life{Server: "a", Born: 1}, Life{Server: "b", Born: 1}
+	x := held(t, now, a)
+	lapsed := now.Add(x.terms.Limit + x.terms.Hold + x.terms.Slack)
+
+	x.Committed(now, []Piece{{Range: Range{First: 0, Last: Keys - 1}, Owner: b, Previous: a}}, x.Reserve())
+	for at := now; at.Before(lapsed); at = at.Add(100 * time.Millisecond) {
+		l, _ := x.Orders(at)
+		for _, o := range l {
+			require.IsType(t, Release{}, o)
+			x.Done(at, o, Result{Outcome: Silent})
+		}
+	}
+	l, _ := x.Orders(lapsed)
+	require.Len(t, l, 1)
+	require.IsType(t, Grant{}, l[0])
+}
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -27,6 +27,10 @@
 	Grant(req *fasthttp.Request, g hold.Grant)
 	Release(req *fasthttp.Request, r hold.Release)
 	Handover(resp *fasthttp.Response) string // of an answered release
+
+	// Foreign reports whether an answer to a release is of a server that holds no keys at all: the one that it was sent to
+	// has ended, and another service has its address.
+	Foreign(resp *fasthttp.Response) bool
 }
 
 // Options are what a Granter needs.
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -163,7 +164,7 @@
 		call.Deadline = g.releaseDeadline(x.Until)
 		r = l.releases.Do(c, call, req, resp)
 	}
-	d.result, d.err, d.status = g.result(r, resp), r.Err, resp.StatusCode()
+	d.result, d.err, d.status = g.result(d.order, r, resp), r.Err, resp.StatusCode()
 }
 
 func (g *Granter) releaseDeadline(until mono.Time) time.Time {
@@ -171,10 +172,15 @@
 	return g.o.Clock.Std(max(now.Add(g.o.Terms.Limit), min(until, now.Add(releaseOver))))
 }
 
-func (g *Granter) result(r conns.Result, resp *fasthttp.Response) hold.Result {
+func (g *Granter) result(o hold.Order, r conns.Result, resp *fasthttp.Response) hold.Result {
 	if r.Outcome == retry.Unknown {
 		return hold.Result{Outcome: hold.Silent}
 	}
+	if errors.Is(r.Err, syscall.ECONNREFUSED) {
+		// Its host is up and nobody listens: a server that is merely busy or cut off lets connections wait, and one that has
+		// too many accepts them before it resets them.
+		return hold.Result{Outcome: hold.Ended}
+	}
 	if r.Err != nil {
 		return hold.Result{Outcome: hold.NotSent}
 	}
@@ -186,5 +192,8 @@
 	case fasthttp.StatusMisdirectedRequest:
 		return hold.Result{Outcome: hold.Ended} // another server has the address
 	}
+	if _, ok := o.(hold.Release); ok && g.o.Speaker.Foreign(resp) {
+		return hold.Result{Outcome: hold.Ended}
+	}
 	return hold.Result{Outcome: hold.Silent}
 }
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -66,7 +66,7 @@
 // keep plans, writes and carries out; it returns when to look again.
 func (g *Granter) keep(s *site.Snapshot, x *service, due bool) mono.Time {
 	now := g.o.Clock.Now()
-	targets := g.targets(s, x.name, now)
+	targets := g.targets(s, x, now)
 	for _, l := range s.Service(x.name) {
 		x.table.Reborn(now, hold.Life{Server: l.ID, Born: l.Born})
 	}
@@ -110,20 +110,21 @@
 func (g *Granter) mustMove(s *site.Snapshot, x *service) bool {
 	for _, p := range x.table.Pieces() {
 		o := s.Servers[p.Owner.Server]
-		if (o == nil || !s.Takes(o)) && p.Previous == (hold.Life{}) {
+		if (o == nil || !s.Takes(o) || x.table.HasEnded(p.Owner)) && p.Previous == (hold.Life{}) {
 			return true
 		}
 	}
 	return false
 }
 
-func (g *Granter) targets(s *site.Snapshot, n ident.Service, now mono.Time) []hold.Target {
+// targets returns the servers that may hold keys. One that has ended is announced for seconds more.
+func (g *Granter) targets(s *site.Snapshot, v *service, now mono.Time) []hold.Target {
 	var l []hold.Target
-	for _, x := range s.Service(n) {
-		if s.Takes(x) {
+	for _, x := range s.Service(v.name) {
+		life := hold.Life{Server: x.ID, Born: x.Born}
+		if s.Takes(x) && !v.table.HasEnded(life) {
 			l = append(l, hold.Target{
-				Life: hold.Life{Server: x.ID, Born: x.Born}, Cold: now.Before(x.ColdUntil), Slots: x.Slots,
-				Work: g.rates.work(n, x.ID),
+				Life: life, Cold: now.Before(x.ColdUntil), Slots: x.Slots, Work: g.rates.work(v.name, x.ID),
 			})
 		}
 	}
