Half of the budget of sends is kept for requests that came back; a failing server's callers come back at once

The budget went to first tries, whose callers come back by themselves; those that had come back were refused a second time, for good. And callers were told 300 ms, which a server that fails at random does not make better. Change: a request that tells less time than the longest of its route came back; others use half of the budget. Retry-After 30 ms for this reason.

--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -56,7 +56,7 @@
 		i := int(r.ExpFloat64()*3) % daemons // uneven
 		budgets[i].Arrive(now, l)
 		first = append(first, now)
-		if budgets[i].Take(now, daemons, l) {
+		if budgets[i].Take(now, daemons, l, true) {
 			more = append(more, now)
 		}
 	}
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -141,7 +141,19 @@
 	n := len(s.daemonNames(s.o.View.Snapshot()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget(r.service.Name).Take(now, n, s.o.Budget)
+	return s.budget(r.service.Name).Take(now, n, s.o.Budget, r.back)
+}
+
+// cameBack reports whether a request on the route, with so much of its caller's time left, was refused before.
+func (s *Sender) cameBack(r *site.Route, left time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.waits[r.Name]
+	if p == nil {
+		p = &pace.Patience{}
+		s.waits[r.Name] = p
+	}
+	return p.CameBack(left)
 }
 
 // Measures returns what the coordinator plans by, since it was last asked: requests by key, and the speed of servers that
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -82,7 +82,8 @@
 	budgets map[ident.Service]*pace.Budget
 	counts  map[bucket]uint32 // requests by key since the coordinator was last told
 	units   map[ident.Service]*choice.Quantile
-	sizes   map[string]float64 // mean bytes of a request and its answer, by route
+	sizes   map[string]float64        // mean bytes of a request and its answer, by route
+	waits   map[string]*pace.Patience // of callers, by route
 	usuals  map[ident.Service]map[ident.Server]bool
 	usualOf *site.Snapshot // that the usual servers were worked out from
 	daemons []ident.Daemon // of the snapshot that they were listed from
@@ -100,7 +101,7 @@
 	return &Sender{
 		base: base, giveUp: giveUp, o: o, names: conns.Names{RequestID: o.Dialect.RequestID, NotRun: o.Dialect.NotRun},
 		backs: map[backKey]*back{}, budgets: map[ident.Service]*pace.Budget{}, counts: map[bucket]uint32{},
-		units: map[ident.Service]*choice.Quantile{}, sizes: map[string]float64{},
+		units: map[ident.Service]*choice.Quantile{}, sizes: map[string]float64{}, waits: map[string]*pace.Patience{},
 	}
 }
 
@@ -129,6 +130,7 @@
 	failed  []ident.Server // couldn't be reached
 	again   mono.Time      // not to be sent before
 	maybe   bool           // some send may have run
+	back    bool           // its caller was refused before, as far as can be told
 	lot     int            // drawn once, below 100: whether it is among the share of a busy key's requests that is sent
 	answer  *fasthttp.Response
 }
@@ -197,7 +199,9 @@
 	}
 	limit := r.route.Timeout
 	if ms, err := strconv.ParseFloat(string(r.req.Header.Peek(s.o.Dialect.Deadline)), 64); err == nil && ms >= 0 {
-		limit = min(limit, time.Duration(ms*float64(time.Millisecond)))
+		left := time.Duration(ms * float64(time.Millisecond))
+		limit = min(limit, left)
+		r.back = s.cameBack(r.route, left)
 	}
 	r.deadline = r.arrived.Add(limit)
 	if !r.route.Idempotent {
@@ -233,6 +237,10 @@
 
 	// retryFull is for callers whose request found no room: queues of servers are shorter than this.
 	retryFull = 150 * time.Millisecond
+
+	// retryFailing is for callers whose request met a server that turns away some of its requests whatever its load: later
+	// it would do no better, and the sooner it comes back the more time is left.
+	retryFailing = 30 * time.Millisecond
 )
 
 // run sends the request as often as it takes and may be.
@@ -296,6 +304,8 @@
 		after = retryFull
 	case reasonLost:
 		after = retryLost
+	case reasonBudget:
+		after = retryFailing
 	}
 	return final{status: fasthttp.StatusServiceUnavailable, outcome: notRun, reason: string(why), retryAfter: after}
 }
