A daemon whose coordinator doesn't answer learns of the next one from the store at once

Change: after a call that the coordinator didn't answer, the control table is followed in the store, 100 ms apart at least. Ruled out: following it from the start in every daemon (82 daemons: a call for each row of each other one). Test fails before: TestNextCoordinatorIsLearntAtOnce.

--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -25,6 +25,10 @@
 	// controlWait is the same for the control table, which changes next to never but by its reader's own hand.
 	controlWait = 5 * time.Second
 
+	// unheardGap is between two calls of a daemon that the coordinator doesn't answer. Such calls are answered at the next
+	// change, and when the whole site starts again there is one for each daemon.
+	unheardGap = 100 * time.Millisecond
+
 	// Pauses after a failed call, doubled each time: calls are paid for, refused ones too.
 	minPause = 50 * time.Millisecond
 	maxPause = 800 * time.Millisecond
@@ -57,13 +61,23 @@
 	if f.leads() || !f.read[t] {
 		return 0
 	}
-	return f.staleAfter() - f.o.Clock.Now().Sub(f.asOf[t])
+	now := f.o.Clock.Now()
+	wait := f.staleAfter() - now.Sub(f.asOf[t])
+	if f.unheard && t == store.Control {
+		// The coordinator has started again under another key, or is gone: who follows it stands in the store before anybody
+		// else tells. Found out once the copy is stale, a second later, all keys would be refused here meanwhile.
+		wait = min(wait, unheardGap-now.Sub(f.asked))
+	}
+	return wait
 }
 
 // askOnce reads the table whole the first time and after the store has forgotten its history, else what changed.
 func (f *Feed) askOnce(c context.Context, t store.Table) error {
 	f.mu.Lock()
 	read, rev := f.read[t], f.tables[t].rev
+	if t == store.Control {
+		f.asked = f.o.Clock.Now()
+	}
 	f.mu.Unlock()
 	asked, boot := f.o.Clock.Now(), f.o.Clock.Boot()
 	if !read {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -84,6 +84,8 @@
 	held     versions[hold.Stamp] // the same, encoded for peers
 	whole    [store.Tables]bool   // peers are asked for the whole table
 	heard    mono.Time            // of the present coordinator, as one that reaches the store
+	unheard  bool                 // the coordinator didn't answer the last call
+	asked    mono.Time            // when the store was last asked for the control table
 	reached  mono.Time            // of the rest of the site: of the coordinator, able or not, or of a daemon of another domain
 
 	announced store.Rev // of this life's row; 0 before it is written
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -223,6 +223,25 @@
 	require.Eventually(t, func() bool { return version(f) == 2 }, 1900*time.Millisecond, 10*time.Millisecond)
 }
 
+// All keys are refused by a daemon for 1.3 s after the whole site has started again. It reads the store while the
+// coordinator's row still names the last life of its daemon, which answers nobody; the next coordinator writes itself down
+// a moment later, and nobody tells. A daemon whose coordinator doesn't answer must learn it from the store at once.
+func TestNextCoordinatorIsLearntAtOnce(t *testing.T) {
+	m := newMemory()
+	m.put(store.Orders, "config", []byte("1"), false)
+	control(t, m, "gone", "gone", "other")
+	f := start(t, m, pair{}, "other")
+	require.Eventually(t, func() bool { return version(f) == 1 && f.Known() }, time.Second, 5*time.Millisecond)
+	time.Sleep(150 * time.Millisecond)
+	v, err := proto.Marshal(&wire.CoordinatorRow{Daemon: "next", Incarnation: 1, Term: 2})
+	require.NoError(t, err)
+	m.put(store.Control, CoordinatorRow, v, false)
+	require.Eventually(t, func() bool { return f.Snapshot().Coordinator.Daemon == "next" }, 300*time.Millisecond, 5*time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	require.LessOrEqual(t, m.calls, store.Tables+4)
+}
+
 // The platform's owner pays for calls that tell nothing new. Two daemons run for two seconds without a change; only the
 // coordinator may follow the store.
 func TestFollowersLeaveTheStoreAlone(t *testing.T) {
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -105,12 +105,23 @@
 	if err != nil {
 		if c.Err() == nil && leads {
 			f.o.Log.Debug().Err(err).Str("peer", string(to)).Msg("coordinator not heard")
+			f.notHeard()
 		}
 		return false
 	}
 	return f.answered(to, r.GetSync())
 }
 
+// notHeard takes in that the coordinator didn't answer.
+func (f *Feed) notHeard() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.unheard {
+		f.unheard = true
+		f.wake()
+	}
+}
+
 // answered takes in what a peer answered.
 func (f *Feed) answered(from ident.Daemon, r *wire.SyncReply) bool {
 	now := f.o.Clock.Now()
@@ -130,6 +141,9 @@
 		f.reached = max(f.reached, now.Add(-duration(r.GetReachedAgeUs())))
 	}
 	f.reach(from)
+	if from == f.snapshot.Coordinator.Daemon {
+		f.unheard = false
+	}
 	// A coordinator that the store doesn't answer is not supported by a daemon that it does: another has to take over.
 	able := now.Sub(asOf) < f.staleAfter() || now.Sub(f.asOf[store.Orders]) > f.staleAfter()
 	able = able && f.announced > 0 && f.tables[store.Control].rev >= f.announced
