A coordinator that is told to stop asks the store before it ends its term

Change: one read of the store, 300 ms at most, on the goroutine that waits for the hand-over; without an answer the daemon goes on as the coordinator and asks again.

--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -70,7 +71,7 @@
 	results chan done
 	words   chan word
 	written chan written
-	leave   chan chan bool
+	leave   chan chan struct{}
 	known   mono.Time // when the feed was first whole
 	leaving atomic.Bool
 
@@ -112,7 +113,7 @@
 func New(o Options) *Granter {
 	return &Granter{
 		o: o, results: make(chan done, doneRing), words: make(chan word, doneRing), written: make(chan written, doneRing),
-		leave: make(chan chan bool), rates: newRates(),
+		leave: make(chan chan struct{}), rates: newRates(),
 	}
 }
 
@@ -130,21 +131,31 @@
 // Leave hands the duty over, and returns when that is done or the context ends.
 //
 // While the store doesn't answer nobody could take over, and all grants would lapse: then the daemon goes on as the
-// coordinator for as long as it may.
+// coordinator for as long as it may. The store is asked right before: its last word may be a second old, and once the term
+// has ended it can't be taken up again.
 func (g *Granter) Leave(c context.Context) {
 	g.leaving.Store(true)
-	for c.Err() == nil {
-		d := make(chan bool, 1)
-		select {
-		case g.leave <- d:
-		case <-c.Done():
-			return
-		}
-		if <-d {
+	for g.o.Feed.Leads() && !g.storeAnswers(c) {
+		if c.Err() != nil {
 			return
 		}
 		clock.Sleep(c, lookEvery)
 	}
+	d := make(chan struct{})
+	select {
+	case g.leave <- d:
+		<-d
+	case <-c.Done():
+	}
+}
+
+// storeAnswers reports whether the store answers within a usual time.
+func (g *Granter) storeAnswers(c context.Context) bool {
+	x, cancel := context.WithTimeout(c, storeLimit)
+	defer cancel()
+	row, _ := g.o.Feed.Row(feed.CoordinatorRow)
+	_, err := g.o.Store.Follow(x, store.Control, row.Rev, 0)
+	return err == nil || errors.Is(err, store.ErrHistoryGone)
 }
 
 func (g *Granter) run(c context.Context) error {
@@ -166,7 +177,8 @@
 		case x := <-g.written:
 			g.takeWritten(x)
 		case d := <-g.leave:
-			d <- g.handOver(c)
+			g.handOver(c)
+			close(d)
 		case <-t.C:
 		}
 	}
--- a/io/grant/member.go
+++ b/io/grant/member.go
@@ -15,6 +15,10 @@
 // cut off writes its row again.
 const goneAfter = 6 * time.Second
 
+// storeSilent is the age of the copy from which the store is taken not to answer. The copy of a coordinator that the
+// store answers is 0.8 s old at most.
+const storeSilent = 1200 * time.Millisecond
+
 // members drops the rows of daemons that are gone, and begins a term without their support when too many are; it reports
 // whether the term goes on.
 func (g *Granter) members(c context.Context, s *site.Snapshot) bool {
--- a/io/grant/turn.go
+++ b/io/grant/turn.go
@@ -87,18 +87,14 @@
 	g.term, g.services, g.links = 0, nil, nil
 }
 
-// handOver ends the term so that any other daemon may begin the next at once; it reports whether there is nothing left
-// to hand over.
+// handOver ends the term so that any other daemon may begin the next at once.
 //
 // The term ends before it is written down: its successor counts on that, and a transaction without an answer may be
 // carried out later.
-func (g *Granter) handOver(c context.Context) bool {
+func (g *Granter) handOver(c context.Context) {
 	s := g.o.Feed.Snapshot()
 	if g.term == 0 || s.Coordinator.Term != g.term {
-		return true
-	}
-	if copied, _ := g.o.Feed.Ages(); copied > storeSilent {
-		return false
+		return
 	}
 	row, _ := g.o.Feed.Row(feed.CoordinatorRow)
 	term := g.term
@@ -106,7 +102,7 @@
 	v, err := proto.Marshal(&wire.CoordinatorRow{Term: uint64(term), Clean: true})
 	if err != nil {
 		g.o.Log.Error().Err(err).Msg("coordinator's row not encoded")
-		return true
+		return
 	}
 	rev, err := g.o.Store.Commit(c, store.Txn{
 		Expect: []store.Expect{{Key: feed.CoordinatorRow, Rev: row.Rev}},
@@ -114,16 +110,14 @@
 	})
 	if err != nil {
 		g.o.Log.Warn().Err(err).Msg("turn not handed over, another daemon takes it later")
-		return true
+		return
 	}
 	g.o.Feed.Learn([]store.Row{{Key: feed.CoordinatorRow, Value: v, Rev: rev}})
 	g.o.Log.Info().Uint64("term", uint64(term)).Msg("turn handed over")
-	return true
 }
 
-// storeSilent is the age of the copy from which the store is taken not to answer. The copy of a coordinator that the
-// store answers is 0.8 s old at most.
-const storeSilent = 1200 * time.Millisecond
+// storeLimit is how long the answer of a store that is well takes at most.
+const storeLimit = 300 * time.Millisecond
 
 // mayOrder is asked right before each order: the process may have stood still, and another may lead by now.
 func (g *Granter) mayOrder(term site.Term) bool {
