--- a/io/grant/rates.go
+++ b/io/grant/rates.go
@@ -28,7 +28,7 @@
 type rates struct {
 	mu       sync.Mutex
 	services map[ident.Service]*rate
-	paces    map[ident.Server]float64           // the least that each reported
+	paces    map[ident.Server]*choice.Least
 	units    map[ident.Service]*choice.Quantile // of a request's time at a usual server, in nanoseconds
 }
 
@@ -39,7 +39,7 @@
 }
 
 func newRates() *rates {
-	return &rates{services: map[ident.Service]*rate{}, paces: map[ident.Server]float64{}, units: map[ident.Service]*choice.Quantile{}}
+	return &rates{services: map[ident.Service]*rate{}, paces: map[ident.Server]*choice.Least{}, units: map[ident.Service]*choice.Quantile{}}
 }
 
 func (r *rates) reset() {
@@ -66,9 +66,10 @@
 	for _, x := range works {
 		if p := x.GetPacePercent(); p > 0 {
 			id := ident.Server(x.GetServer())
-			if own := float64(p) / 100; r.paces[id] == 0 || own < r.paces[id] {
-				r.paces[id] = own
+			if r.paces[id] == nil {
+				r.paces[id] = &choice.Least{}
 			}
+			r.paces[id].Add(now, float64(p)/100)
 		}
 		q := r.units[ident.Service(x.GetService())]
 		if q == nil {
@@ -112,12 +113,12 @@
 }
 
 // work returns how long an undisturbed request takes at a server; 0 while nobody has measured it.
-func (r *rates) work(n ident.Service, s ident.Server) time.Duration {
+func (r *rates) work(now mono.Time, n ident.Service, s ident.Server) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	q, pace := r.units[n], r.paces[s]
-	if q == nil || pace == 0 {
+	if q == nil || pace == nil {
 		return 0
 	}
-	return time.Duration(q.Q * pace)
+	return time.Duration(q.Q * pace.At(now))
 }
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -124,7 +124,7 @@
 		life := hold.Life{Server: x.ID, Born: x.Born}
 		if s.Takes(x) && !v.table.HasEnded(life) {
 			l = append(l, hold.Target{
-				Life: life, Cold: now.Before(x.ColdUntil), Slots: x.Slots, Work: g.rates.work(v.name, x.ID),
+				Life: life, Cold: now.Before(x.ColdUntil), Slots: x.Slots, Work: g.rates.work(now, v.name, x.ID),
 			})
 		}
 	}
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -207,7 +207,7 @@
 	var unit time.Duration
 	if x.Outcome == retry.Answered || x.End == admit.EndRefused {
 		if rep, ok := d.ParseLoad(resp.Header.Peek(d.Load)); ok {
-			b.load.Report(now, rep.Running, rep.Waiting, rep.Pace)
+			b.report(now, rep)
 			if x.End == admit.EndAnswered && rep.Waiting == 0 && b.load.Undisturbed() {
 				unit = time.Duration(float64(took) / max(minPace, b.load.Own))
 				b.sample(unit)
