--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -74,11 +74,11 @@
 // Table is the assignment of one service's keys.
 type Table struct {
 	terms     Terms
-	inherited mono.Time // when every grant that earlier coordinators may have sent has lapsed
-	pieces    []*piece  // by their first key
-	fence     Fence     // the last one used
-	limit     Fence     // fences up to here are reserved by the row in the store
-	ended     map[Life]bool
+	inherited mono.Time     // when every grant that earlier coordinators may have sent has lapsed
+	pieces    []*piece      // by their first key
+	fence     Fence         // the last one used
+	limit     Fence         // fences up to here are reserved by the row in the store
+	ended     map[Life]bool // lives that have surely ended
 }
 
 // New returns a table for the pieces that the store holds. The fence is the one reserved there: this coordinator uses
--- a/core/pace/budget.go
+++ b/core/pace/budget.go
@@ -89,8 +89,13 @@
 // before, and told when to come back.
 const unsteady = 10 * time.Millisecond
 
+// forget is the part of the difference by which each request brings the longest time nearer to its own. One caller that
+// waits for a minute would else make all others look as if they had come back, for good.
+const forget = 0.002
+
 // CameBack takes in how much time a request has left, and reports whether it seems to have come back.
 func (p *Patience) CameBack(left time.Duration) bool {
-	p.longest = max(p.longest, left)
-	return left < p.longest-unsteady
+	back := left < p.longest-unsteady
+	p.longest = max(left, p.longest-time.Duration(forget*float64(p.longest-left)))
+	return back
 }
--- a/core/pace/budget_test.go
+++ b/core/pace/budget_test.go
@@ -73,3 +73,15 @@
 	require.False(t, p.CameBack(1194*time.Millisecond))
 	require.True(t, p.CameBack(1165*time.Millisecond))
 }
+
+// All requests pass for such that came back, and use up the budget kept for those, because one caller once told that it
+// waits for a minute.
+func TestOnePatientCaller(t *testing.T) {
+	p := Patience{}
+	p.CameBack(time.Minute)
+	for range 5000 {
+		p.CameBack(1200 * time.Millisecond)
+	}
+	require.False(t, p.CameBack(1200*time.Millisecond))
+	require.True(t, p.CameBack(1165*time.Millisecond))
+}
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -103,7 +103,8 @@
 	return &Sender{
 		base: base, giveUp: giveUp, o: o, names: conns.Names{RequestID: o.Dialect.RequestID, NotRun: o.Dialect.NotRun},
 		backs: map[backKey]*back{}, budgets: map[ident.Service]*pace.Budget{}, counts: map[bucket]uint32{},
-		units: map[ident.Service]*choice.Quantile{}, sizes: map[string]float64{}, waits: map[string]*pace.Patience{}, splits: map[string]*choice.Split{},
+		units: map[ident.Service]*choice.Quantile{}, sizes: map[string]float64{},
+		waits: map[string]*pace.Patience{}, splits: map[string]*choice.Split{},
 	}
 }
 
