A refused connection ends no life: what cuts a domain off may refuse for servers that live

Change: only an answer ends a life: 421, or a 400 marked as not run to a release. Refused orders count as not sent again.

--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -167,16 +166,6 @@
 	d.result, d.err, d.status = g.result(d.order, r, resp), r.Err, resp.StatusCode()
 }
 
-// stays reports whether the life of a server that refuses connections would not do so if it had not ended. Its host is up
-// and nobody listens: one that is merely busy or cut off lets connections wait, and one that has too many accepts them
-// before it resets them. One that leaves stops to listen while it still works, on keys that nobody else may have before it
-// is done; it has told so two seconds earlier at least, which a copy of the store that is new enough shows.
-func (g *Granter) stays(l hold.Life) bool {
-	x := g.o.Feed.Snapshot().Servers[l.Server]
-	copied, _ := g.o.Feed.Ages()
-	return x != nil && x.Born == l.Born && !x.Draining && copied < storeSilent
-}
-
 func (g *Granter) releaseDeadline(until mono.Time) time.Time {
 	now := g.o.Clock.Now()
 	return g.o.Clock.Std(max(now.Add(g.o.Terms.Limit), min(until, now.Add(releaseOver))))
@@ -186,10 +175,9 @@
 	if r.Outcome == retry.Unknown {
 		return hold.Result{Outcome: hold.Silent}
 	}
-	if errors.Is(r.Err, syscall.ECONNREFUSED) && g.stays(lifeOf(o)) {
-		return hold.Result{Outcome: hold.Ended}
-	}
 	if r.Err != nil {
+		// A refused connection proves nothing: a server that leaves stops to listen while it still works, and what cuts a
+		// failure domain off may refuse in the name of servers that live and hold their keys.
 		return hold.Result{Outcome: hold.NotSent}
 	}
 	switch resp.StatusCode() {
