One copy of what neighbours cost a server and of how busy it is; comments; no change of behaviour

core/hold and core/choice had the constant each, Expect and Full worked out the same sum. The bound of log lines told how it was reckoned.

--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -46,9 +46,9 @@
 	// queueLife is the same for the requests of others. A queue that stands is one that is fed.
 	queueLife = time.Second
 
-	// disturbed is by how much work takes longer in the mean of all moments: a fifth of the servers are three times
-	// slower at any.
-	disturbed = 1.4
+	// Disturbed is by how much neighbours on its host slow a server down in the mean of all moments: a fifth of the servers
+	// are three times slower at any.
+	Disturbed = 1.4
 
 	// firstUnit is assumed until a first answer: the mean of the known services' work.
 	firstUnit = 200 * time.Millisecond
@@ -77,15 +77,14 @@
 	if own == 0 {
 		own = 1
 	}
-	pace, others := own*disturbed, 0.0
+	pace := own * Disturbed
 	if l.At > 0 {
 		pace += (l.Pace - pace) * fresh(now.Sub(l.At), paceLife)
-		others = float64(l.Others) * fresh(now.Sub(l.At), queueLife)
 	}
 	if unit == 0 {
 		unit = firstUnit
 	}
-	busy := float64(l.Mine) + others + 1
+	busy := l.busy(now) + 1
 	slots := float64(max(1, l.Slots))
 	wait := 0.0
 	if busy > slots {
@@ -103,11 +102,15 @@
 // Full reports whether a request sent now would find all slots taken and a request waiting for each: the server is as busy
 // as it can be, and one more only makes all wait longer.
 func (l *Load) Full(now mono.Time) bool {
-	others := 0.0
-	if l.At > 0 {
-		others = float64(l.Others) * fresh(now.Sub(l.At), queueLife)
+	return l.busy(now) >= 2*float64(max(1, l.Slots))
+}
+
+// busy returns how many requests are at the server, those of others as far as the last report still counts.
+func (l *Load) busy(now mono.Time) float64 {
+	if l.At == 0 {
+		return float64(l.Mine)
 	}
-	return float64(l.Mine)+others >= 2*float64(max(1, l.Slots))
+	return float64(l.Mine) + float64(l.Others)*fresh(now.Sub(l.At), queueLife)
 }
 
 // sharing is the weight of filled slots against free ones in the expectation.
--- a/core/choice/near.go
+++ b/core/choice/near.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// crossing is the time that the way to a server in another failure domain and back adds.
+	// crossing is the time that is always granted to a server nearby, for the way to another failure domain and back.
 	crossing = 10 * time.Millisecond
 
 	// crossingWorth is how many bytes between failure domains cost operators about as much as one request is worth to
--- a/core/hold/admit.go
+++ b/core/hold/admit.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"slices"
+
+	"heatherrouter/core/choice"
 )
 
 // A key that gets far more requests than its holder carries can't be spread: only one server may have it. Each daemon sees a
@@ -62,7 +64,7 @@
 
 // carries returns the requests a second that the target carries without most of them being late.
 func (p *planner) carries(i int) float64 {
-	return carried * float64(max(1, p.targets[i].Slots)) / (p.work[i] * disturbed * meanWork)
+	return carried * float64(max(1, p.targets[i].Slots)) / (p.work[i] * choice.Disturbed * meanWork)
 }
 
 // shares divides what a target carries among its busiest buckets and all its other keys: none of them gets more than it
--- a/core/hold/plan.go
+++ b/core/hold/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"heatherrouter/core/choice"
 	"heatherrouter/core/ident"
 )
 
@@ -32,9 +33,6 @@
 
 	// usualWork is assumed of servers while nobody has measured any.
 	usualWork = 200 * time.Millisecond
-
-	// disturbed is the mean by which neighbours on its host slow a server down.
-	disturbed = 1.4
 )
 
 // Target is a server that may hold keys.
@@ -173,7 +171,7 @@
 
 // used returns which part of the target's slots the load fills.
 func (p *planner) used(i int, load float64) float64 {
-	return load * p.work[i] * disturbed / float64(max(1, p.targets[i].Slots))
+	return load * p.work[i] * choice.Disturbed / float64(max(1, p.targets[i].Slots))
 }
 
 // nearFull is the part of a server's slots from which on a line only grows.
--- a/io/lines/lines.go
+++ b/io/lines/lines.go
@@ -20,8 +20,7 @@
 	// ringSize is how many lines may wait: what a daemon logs in about two seconds of a flood.
 	ringSize = 1024
 
-	// maxRate is the most lines written in a second. A line costs about 10 us to write, so logs take 0.5 % of a core at
-	// most; a daemon of the known sites carries 20 to 60 requests a second and logs one in ten on a bad day.
+	// maxRate is the most lines written in a second: a flood of refusals must not take the processor from requests.
 	maxRate = 500
 
 	flushEvery = time.Second // for the count of what was left out
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -34,12 +34,12 @@
 	server *site.Server
 	pool   *conns.Pool
 
-	mu      sync.Mutex
-	load    choice.Load
-	cold    pace.Window // of requests while it is cold
-	keyed   bool
-	samples []uint32 // of the time of undisturbed requests, since the coordinator was last told
-	pace    float64  // the least that it reported since then; 0 for no report
+	mu        sync.Mutex
+	load      choice.Load
+	cold      pace.Window // of requests while it is cold
+	keyed     bool
+	samples   []uint32 // of the time of undisturbed requests, since the coordinator was last told
+	leastPace float64  // that it reported since then; 0 for no report
 
 	suspect mono.Time   // until when the server may have started again, and be cold, without having said so
 	again   pace.Window // of requests in that time
@@ -180,22 +180,22 @@
 func (b *back) measured() *wire.ServerWork {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.keyed || b.pace == 0 {
+	if !b.keyed || b.leastPace == 0 {
 		return nil
 	}
 	w := &wire.ServerWork{
-		Service: string(b.server.Service), Server: string(b.server.ID), PacePercent: uint32(math.Round(100 * b.pace)),
+		Service: string(b.server.Service), Server: string(b.server.ID), PacePercent: uint32(math.Round(100 * b.leastPace)),
 		Took_100Us: b.samples,
 	}
-	b.samples, b.pace = nil, 0
+	b.samples, b.leastPace = nil, 0
 	return w
 }
 
 // report takes in a server's report of its load.
 func (b *back) report(now mono.Time, r Report) {
 	b.load.Report(now, r.Running, r.Waiting, r.Pace)
-	if b.pace == 0 || r.Pace < b.pace {
-		b.pace = r.Pace
+	if b.leastPace == 0 || r.Pace < b.leastPace {
+		b.leastPace = r.Pace
 	}
 }
 
