Callers of a full server for whose request the budget is out are not told to come back at once

Cause: read in the change itself; the 30 ms meant for servers that refuse whatever their load were given at full ones too. Test fails before (doesn't compile): TestBudgetIsOutAtFullServer. Kept for what it spares a full server.

--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -34,7 +34,7 @@
 func (s *Sender) attempt(r *request, b *back) *final {
 	now := s.o.Clock.Now()
 	if len(r.tried) > 0 && !s.takeMore(r, now) {
-		f := s.refuse(r, reasonBudget)
+		f := s.refuse(r, b.unpaid(now))
 		return &f
 	}
 	resp := fasthttp.AcquireResponse()
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -199,6 +199,17 @@
 	}
 }
 
+// unpaid returns why a request isn't sent again that the budget has nothing left for. Where the server is full its callers
+// must not come back at once, as those of one may that turns requests away whatever its load.
+func (b *back) unpaid(now mono.Time) reason {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.load.Full(now) {
+		return reasonFull
+	}
+	return reasonBudget
+}
+
 // maxSamples bounds the samples kept for a coordinator that doesn't ask.
 const maxSamples = 64
 
--- a/io/send/back_test.go
+++ b/io/send/back_test.go
@@ -61,3 +61,15 @@
 	see(b, now, conns.Result{Outcome: retry.Unknown, End: admit.EndReset}, 0, "")
 	require.Equal(t, now.Add(suspectRestart), b.suspect)
 }
+
+// A server that is full is overrun by callers who come back at once. Its refusals use up the budget of sends, and callers
+// of the next requests are told when to come back: after the time that a queue takes, not at once as where a server turns
+// requests away that it could run.
+func TestBudgetIsOutAtFullServer(t *testing.T) {
+	s := &Sender{}
+	now := mono.Time(time.Hour)
+	idle := back{load: choice.Load{Slots: 3}}
+	full := back{load: choice.Load{Slots: 3, Mine: 6}}
+	require.Equal(t, retryFailing, s.refuse(&request{}, idle.unpaid(now)).retryAfter)
+	require.Equal(t, retryFull, s.refuse(&request{}, full.unpaid(now)).retryAfter)
+}
