Authenticate callers with the API keys of their organisations

Cause: organisations in a configuration were ignored: every caller was served, its API key was forwarded to the servers, and no server was told which organisation a request belonged to. The key is looked up after the route and checked again right before each send. Requests without a route are answered 404 first, then unreadable credentials 400, then other failed authentication 401. Open routes serve all callers. Servers receive the organisation's name, but neither the key nor an organisation header set by the caller. Refusals log the configuration version, the age of the copy and a prefix of the key's digest. Ruled out: storing keys in plain text (they would appear in dumps); constant-time comparison with each key (a lookup by digest discloses nothing about a key, and its cost doesn't grow with their number). Limits are not enforced yet.

--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -19,6 +19,9 @@
 	// Region names a region, a group of failure domains.
 	Region string
 
+	// Organisation names a customer whose callers authenticate with API keys.
+	Organisation string
+
 	// Request is the id of one caller's request.
 	Request string
 
--- a/core/site/route.go
+++ b/core/site/route.go
@@ -11,8 +11,11 @@
 )
 
 // NewConfig checks and builds a configuration. The error holds all findings.
-func NewConfig(v Version, services []*Service, routes []*Route, l Limits) (*Config, error) {
-	c := &Config{Version: v, Services: map[ident.Service]*Service{}, Limits: l, hosts: map[string][]*Route{}}
+func NewConfig(v Version, services []*Service, routes []*Route, organisations []*Organisation, l Limits) (*Config, error) {
+	c := &Config{
+		Version: v, Services: map[ident.Service]*Service{}, Limits: l, hosts: map[string][]*Route{},
+		organisations: map[ident.Organisation]*Organisation{}, keyOwners: map[KeyDigest]*Organisation{},
+	}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
@@ -22,6 +25,9 @@
 		h := HostName(r.Host)
 		c.hosts[h] = append(c.hosts[h], r)
 	}
+	for _, o := range organisations {
+		found = append(found, c.addOrganisation(o)...)
+	}
 	if l.HeaderBytes <= 0 || l.BodyBytes <= 0 || l.HeaderTime <= 0 || l.IdleTime <= 0 {
 		found = append(found, check.Finding{Message: "limits must be above zero"})
 	}
--- a/core/site/site.go
+++ b/core/site/site.go
@@ -19,7 +19,9 @@
 	Services map[ident.Service]*Service
 	Limits   Limits
 
-	hosts map[string][]*Route // by host, the longest prefix first
+	hosts         map[string][]*Route // by host, the longest prefix first
+	organisations map[ident.Organisation]*Organisation
+	keyOwners     map[KeyDigest]*Organisation
 }
 
 // Limits bound what a caller may send and how long it may take.
@@ -46,15 +48,16 @@
 
 // Route is the policy for the requests under one prefix of one host.
 type Route struct {
-	Name       string
-	Host       string
-	Prefix     string // begins and ends with a slash
-	Idempotent bool   // may run more than once
-	Timeout    time.Duration
-	Target     time.Duration // an answer within it is worth most to its caller
-	Attempts   int           // backend servers to which one request may be sent
-	Priority   int           // 0 is the highest
-	Parts      []Part
+	Name           string
+	Host           string
+	Prefix         string // begins and ends with a slash
+	Idempotent     bool   // may run more than once
+	Timeout        time.Duration
+	Target         time.Duration // an answer within it is worth most to its caller
+	Attempts       int           // backend servers to which one request may be sent
+	Priority       int           // 0 is the highest
+	AllowAnonymous bool          // serves callers without a valid API key, too
+	Parts          []Part
 }
 
 // Part is the share of a route's requests that goes to one service.
--- a/core/site/site_test.go
+++ b/core/site/site_test.go
@@ -16,7 +16,7 @@
 	p := Part{Service: "a", Weight: 1}
 	c, err := NewConfig(1, s, []*Route{
 		route("short", "X.example", "/k/", p), route("long", "x.example", "/k/long/", p), route("other", "y.example", "/", p),
-	}, DefaultLimits())
+	}, nil, DefaultLimits())
 	require.NoError(t, err)
 	tests := []struct{ host, path, want string }{
 		{"x.example", "/k/1", "short"},
@@ -37,11 +37,11 @@
 }
 
 func TestFindings(t *testing.T) {
-	_, err := NewConfig(1, nil, []*Route{{Name: "r", Prefix: "k"}}, Limits{})
+	_, err := NewConfig(1, nil, []*Route{{Name: "r", Prefix: "k"}}, nil, Limits{})
 	for _, w := range []string{"no host", "begin and end with a slash", "no timeout", "names no service", "limits"} {
 		require.ErrorContains(t, err, w)
 	}
-	_, err = NewConfig(1, nil, []*Route{route("r", "x", "/", Part{Service: "gone", Weight: 1})}, DefaultLimits())
+	_, err = NewConfig(1, nil, []*Route{route("r", "x", "/", Part{Service: "gone", Weight: 1})}, nil, DefaultLimits())
 	require.ErrorContains(t, err, "unknown service gone")
 }
 
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -173,6 +173,12 @@
 	return f.ages()
 }
 
+// CopyAge returns for how long the copy may be behind.
+func (f *Feed) CopyAge() time.Duration {
+	copied, _ := f.Ages()
+	return copied
+}
+
 func (f *Feed) ages() (copied, coordinator time.Duration) {
 	now := f.o.Clock.Now()
 	copied = now.Sub(min(f.asOf[store.Orders], f.asOf[store.Servers]))
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -134,7 +134,7 @@
 	if err := json.Unmarshal(value, &v); err != nil {
 		return nil, err
 	}
-	c, err := site.NewConfig(v, nil, nil, site.DefaultLimits())
+	c, err := site.NewConfig(v, nil, nil, nil, site.DefaultLimits())
 	return Configure{Config: c}, err
 }
 
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -158,6 +158,9 @@
 		req.Header.Del(h)
 	}
 	req.Header.Del(fasthttp.HeaderExpect)
+	if r.authEnabled {
+		s.setOrganisation(req, r)
+	}
 	left := r.deadline.Sub(s.o.Clock.Now())
 	req.Header.Set(s.o.Dialect.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	req.Header.Set(s.o.Dialect.Expect, string(b.server.ID))
@@ -174,7 +177,7 @@
 		return false
 	}
 	route := snap.Config.Route(r.host, r.path)
-	if route == nil || !route.Sends(r.service.Name) {
+	if route == nil || !route.Sends(r.service.Name) || !r.stillAuthorised(route, snap.Config) {
 		return false
 	}
 	if r.service.Keyed {
--- /dev/null
+++ b/io/send/caller.go
@@ -0,0 +1,126 @@
+package send
+
+import (
+	"bytes"
+
+	"github.com/phuslu/log"
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/site"
+)
+
+const (
+	// bearerScheme is the authentication scheme; it is compared case-insensitively.
+	bearerScheme = "Bearer"
+
+	// maxKeyLength is the longest accepted API key in bytes.
+	maxKeyLength = 512
+)
+
+// credential is a caller's parsed Authorization header.
+type credential struct {
+	state  credentialState
+	digest site.KeyDigest // set if state is credentialPresent
+}
+
+type credentialState uint8
+
+const (
+	credentialMissing credentialState = iota
+	credentialPresent
+	credentialMalformed // anything but one header with one bearer key of visible ASCII characters
+)
+
+// readCredential parses the Authorization header.
+func readCredential(h *fasthttp.RequestHeader) credential {
+	l := h.PeekAll(fasthttp.HeaderAuthorization)
+	switch len(l) {
+	case 0:
+		return credential{state: credentialMissing}
+	case 1:
+		return parseCredential(l[0])
+	default:
+		return credential{state: credentialMalformed}
+	}
+}
+
+func parseCredential(v []byte) credential {
+	scheme, key, found := bytes.Cut(bytes.TrimSpace(v), []byte(" "))
+	key = bytes.TrimLeft(key, " ")
+	if !found || !bytes.EqualFold(scheme, []byte(bearerScheme)) || len(key) == 0 || len(key) > maxKeyLength || !visibleASCII(key) {
+		return credential{state: credentialMalformed}
+	}
+	return credential{state: credentialPresent, digest: site.DigestKey(key)}
+}
+
+func visibleASCII(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// authenticate looks up the caller's organisation in the configuration. It must run after the route lookup, so that requests
+// without a route are answered 404 whatever their credential.
+func (s *Sender) authenticate(r *request, c *site.Config) *final {
+	r.organisation, r.authEnabled = nil, c.HasOrganisations()
+	if !r.authEnabled {
+		return nil
+	}
+	if r.credential.state == credentialPresent {
+		r.organisation = c.OrganisationByKey(r.credential.digest)
+	}
+	switch {
+	case r.organisation != nil || r.route.AllowAnonymous:
+		return nil
+	case r.credential.state == credentialMalformed:
+		return &final{status: fasthttp.StatusBadRequest, outcome: notRun, reason: "malformed-credential"}
+	case r.credential.state == credentialMissing:
+		return &final{status: fasthttp.StatusUnauthorized, outcome: notRun, reason: "no-credential"}
+	default:
+		return &final{status: fasthttp.StatusUnauthorized, outcome: notRun, reason: "unknown-credential"}
+	}
+}
+
+// stillAuthorised reports whether the configuration authenticates the caller as when the request was prepared. The key may
+// have been revoked or assigned to another organisation while the request waited.
+func (r *request) stillAuthorised(route *site.Route, c *site.Config) bool {
+	if c.HasOrganisations() != r.authEnabled {
+		return false
+	}
+	if !r.authEnabled {
+		return true
+	}
+	var o *site.Organisation
+	if r.credential.state == credentialPresent {
+		o = c.OrganisationByKey(r.credential.digest)
+	}
+	if o == nil || r.organisation == nil {
+		return o == nil && r.organisation == nil && route.AllowAnonymous
+	}
+	return o.Name == r.organisation.Name
+}
+
+// setOrganisation sets the organisation header for the server. It removes the caller's credential and any organisation header
+// that the caller sent.
+func (s *Sender) setOrganisation(req *fasthttp.Request, r *request) {
+	req.Header.Del(fasthttp.HeaderAuthorization)
+	req.Header.Del(s.o.Dialect.Organisation)
+	if r.organisation != nil {
+		req.Header.Set(s.o.Dialect.Organisation, string(r.organisation.Name))
+	}
+}
+
+// logCaller adds the caller's identity and the configuration in use to the log entry of a refused request.
+func (s *Sender) logCaller(r *request, e *log.Entry) {
+	snap := s.o.View.Snapshot()
+	e.Uint64("configuration", uint64(snap.Config.Version)).Dur("copy-age", s.o.View.CopyAge())
+	if r.credential.state == credentialPresent {
+		e.Str("key-digest", r.credential.digest.String())
+	}
+	if r.organisation != nil {
+		e.Str("organisation", string(r.organisation.Name))
+	}
+}
--- a/io/send/final.go
+++ b/io/send/final.go
@@ -91,9 +91,12 @@
 	}
 	resp.SetStatusCode(f.status)
 	resp.Header.Set(s.o.Dialect.RequestID, string(r.id))
-	if f.retryAfter > 0 && f.status == fasthttp.StatusServiceUnavailable {
+	if f.retryAfter > 0 && (f.status == fasthttp.StatusServiceUnavailable || f.status == fasthttp.StatusTooManyRequests) {
 		resp.Header.Set(s.o.Dialect.RetryAfter, strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
 	}
+	if f.status == fasthttp.StatusUnauthorized {
+		resp.Header.Set(fasthttp.HeaderWWWAuthenticate, bearerScheme)
+	}
 	resp.Header.SetContentType("text/plain; charset=utf-8")
 	resp.SetBodyString(f.reason + "\n")
 }
@@ -137,6 +140,9 @@
 	if r.hasKey {
 		e.Uint16("key", uint16(r.key))
 	}
+	if f.status == fasthttp.StatusUnauthorized || f.status == fasthttp.StatusTooManyRequests {
+		s.logCaller(r, e)
+	}
 	if n := len(r.tried); n > 0 {
 		e.Str("last-server", string(r.tried[n-1]))
 	}
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -38,6 +38,8 @@
 	Load       string // in answers: see ParseLoad
 	RetryAfter string // in refusals: seconds, with fractions
 
+	Organisation string // to servers: the caller's organisation; removed from what callers send
+
 	// ParseLoad reads a server's report of its load.
 	ParseLoad func(value []byte) (Report, bool)
 }
@@ -53,6 +55,7 @@
 	Snapshot() *site.Snapshot
 	Holds() *hold.Holds
 	Changed() <-chan struct{}
+	CopyAge() time.Duration // for which the copy may be behind
 }
 
 // Counter counts final answers.
@@ -130,13 +133,18 @@
 
 	route   *site.Route
 	service *site.Service
-	tried   []ident.Server // sent to, whatever came of it
-	failed  []ident.Server // couldn't be reached
-	again   mono.Time      // not to be sent before
-	maybe   bool           // some send may have run
-	back    bool           // its caller was refused before, as far as can be told
-	lot     int            // drawn once, below 100: whether it is among the share of a busy key's requests that is sent
-	answer  *fasthttp.Response
+
+	credential   credential
+	organisation *site.Organisation // nil if the caller is anonymous or no organisations are configured
+	authEnabled  bool               // organisations are configured
+
+	tried  []ident.Server // sent to, whatever came of it
+	failed []ident.Server // couldn't be reached
+	again  mono.Time      // not to be sent before
+	maybe  bool           // some send may have run
+	back   bool           // its caller was refused before, as far as can be told
+	lot    int            // drawn once, below 100: whether it is among the share of a busy key's requests that is sent
+	answer *fasthttp.Response
 }
 
 // Handle answers one request.
@@ -179,6 +187,7 @@
 	if k, err := strconv.ParseUint(string(r.req.Header.Peek(s.o.Dialect.Key)), 10, 16); err == nil {
 		r.key, r.hasKey = hold.Key(k), true
 	}
+	r.credential = readCredential(&r.req.Header)
 	if f := s.match(r, snap); f != nil {
 		return f
 	}
@@ -206,6 +215,9 @@
 	if r.route == nil {
 		return &final{status: fasthttp.StatusNotFound, outcome: notRun, reason: "no-route"}
 	}
+	if f := s.authenticate(r, snap.Config); f != nil {
+		return f
+	}
 	n := ident.Service("")
 	if r.service != nil && r.route.Sends(r.service.Name) {
 		n = r.service.Name
