Enforce organisation request limits across all daemons

Change: core/quota (pure) adds the coordinator's Ledger, which grants tokens, and a daemon's TokenCache, which keeps a few of them. The requests sent in the current window, the cached tokens and the bursts that daemons may send without the coordinator together stay within the window's limit; a token bucket paces them. Daemons report changes in their existing exchanges with the coordinator; a request that finds no token asks immediately. A daemon that the coordinator doesn't answer continues at a previously set rate, which the coordinator counts as sent for as long as the daemon is silent; a daemon cut off from its whole site stops after 5 s. Requests over the limit get 429 immediately, with the time at which a token is likely; a request that is known not to have run returns its token.

--- /dev/null
+++ b/core/quota/account.go
@@ -0,0 +1,190 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/site"
+)
+
+// account is the coordinator's state for one organisation.
+type account struct {
+	terms         Terms
+	limit         site.Limit
+	level         float64 // of the token bucket; negative when overdrawn
+	updatedAt     mono.Time
+	sent          sentWindow
+	outstanding   float64 // tokens held by daemons
+	wanted        float64 // sum of the daemons' latest Want
+	rate          float64 // sum of the daemons' latest Rate
+	fallbackRate  float64 // sum of the daemons' fallback rates
+	fallbackBurst float64 // sum of the daemons' fallback bursts
+	holdings      map[ident.Daemon]*holding
+}
+
+// holding is the coordinator's record of one daemon's tokens for one organisation.
+type holding struct {
+	seq           uint64  // of the latest applied Entry
+	tokens        float64 // held by the daemon
+	precounted    float64 // granted to waiting requests and already counted as sent
+	spent         int64
+	want          float64
+	rate          float64
+	fallbackRate  float64 // requests per second allowed without the coordinator
+	fallbackBurst float64 // requests allowed at once without the coordinator
+	credit        float64 // fraction of a token carried over to the next grant
+}
+
+func newAccount(t Terms, l site.Limit, now mono.Time) *account {
+	return &account{
+		terms: t, limit: l, updatedAt: now,
+		sent: sentWindow{length: t.Window + windowMargin}, holdings: map[ident.Daemon]*holding{},
+	}
+}
+
+// windowMargin extends the counting window, because a request may be sent slightly after its token is spent.
+const windowMargin = 250 * time.Millisecond
+
+// advance refills the token bucket for the time since the last call and counts the requests that daemons are assumed to have
+// sent without the coordinator in that time.
+func (x *account) advance(now mono.Time, fallbackRate float64) {
+	s := now.Sub(x.updatedAt).Seconds()
+	x.updatedAt = now
+	x.sent.advance(now)
+	x.sent.add(fallbackRate * s)
+	x.level = min(x.level+(x.limit.Rate-fallbackRate)*s, x.limit.Burst+x.terms.Slack*slackShare)
+	x.level = max(x.level, -x.limit.Rate) // caps the debt at one second's tokens; headroom still enforces the window
+}
+
+// headroom returns how many tokens can be granted without exceeding the window's limit.
+func (x *account) headroom() float64 {
+	return x.terms.maxRequests(x.limit) - x.sent.sum - x.outstanding - x.fallbackBurst
+}
+
+// recordSent counts requests that were, or may have been, sent.
+func (x *account) recordSent(n float64) {
+	x.sent.add(n)
+	x.level -= n
+}
+
+// applyEntry updates the account from a daemon's Entry. Granted tokens that the daemon neither holds nor has spent were lost in
+// transit or returned; requests beyond its tokens were sent without the coordinator.
+func (x *account) applyEntry(d ident.Daemon, e Entry) {
+	h := x.holdings[d]
+	switch {
+	case h != nil && e.Seq <= h.seq:
+		return
+	case h != nil:
+		x.reconcile(h, float64(e.Spent-h.spent), float64(e.Held))
+	default:
+		h = &holding{tokens: float64(e.Held)}
+		x.holdings[d] = h
+		x.outstanding += h.tokens
+		x.sent.addRecent(e.Recent)
+		x.level += e.UnusedBurst
+	}
+	h.spent = e.Spent
+	x.wanted += float64(e.Want) - h.want
+	x.rate += e.Rate - h.rate
+	x.fallbackRate += e.FallbackRate - h.fallbackRate
+	h.seq, h.want, h.rate, h.fallbackRate = e.Seq, float64(e.Want), e.Rate, e.FallbackRate
+}
+
+func (x *account) reconcile(h *holding, spent, held float64) {
+	x.outstanding += held - h.tokens
+	h.tokens = held
+	if more := spent - h.precounted; more > 0 {
+		x.recordSent(more) // grants to waiting requests are already counted
+	} else {
+		x.level -= more // credit tokens that were returned or never arrived
+	}
+	h.precounted = 0
+}
+
+func (x *account) removeDaemon(d ident.Daemon) {
+	h := x.holdings[d]
+	if h == nil {
+		return
+	}
+	x.recordSent(h.tokens) // the daemon may have used them
+	x.outstanding -= h.tokens
+	x.wanted -= h.want
+	x.rate -= h.rate
+	x.fallbackRate -= h.fallbackRate
+	x.fallbackBurst -= h.fallbackBurst
+	delete(x.holdings, d)
+}
+
+const (
+	// waitingReserve is the share of the window's limit that is reserved for waiting requests.
+	waitingReserve = 0.15
+
+	// minStock is how many tokens per daemon may be outstanding, even if the bucket's level is lower, while the bucket is
+	// at least half full.
+	minStock = 2
+
+	// fallbackHorizon is the period for which an organisation's unused rate is added to the fallback bursts.
+	fallbackHorizon = 3 * time.Second
+
+	// maxFallbackBurstShare is the largest share of the window's headroom that is reserved for fallback bursts.
+	maxFallbackBurstShare = 0.3
+)
+
+// grant allocates tokens for a daemon's waiting and expected requests, and updates its fallback limits.
+func (x *account) grant(d ident.Daemon, e Entry, daemons int, unheardRate float64) Grant {
+	h := x.holdings[d]
+	waiting := math.Floor(max(0, min(float64(e.Waiting), x.level, x.headroom())))
+	x.recordSent(waiting)
+	h.precounted += waiting
+	stock := x.allocateStock(h, daemons)
+	x.outstanding += stock
+	h.tokens += stock
+	x.setFallback(h, daemons, unheardRate)
+	g := Grant{
+		Organisation: e.Organisation, Seq: e.Seq, Tokens: uint64(waiting + stock),
+		FallbackRate: h.fallbackRate, FallbackBurst: h.fallbackBurst,
+	}
+	if waiting < float64(e.Waiting) {
+		g.Wait = x.expectedWait()
+	}
+	return g
+}
+
+// allocateStock returns the daemon's tokens for expected requests, in proportion to the demand of all daemons.
+func (x *account) allocateStock(h *holding, daemons int) float64 {
+	if h.want <= 0 {
+		h.credit = 0
+		return 0
+	}
+	most := max(0, x.level)
+	if x.level >= x.limit.Burst/2 {
+		most = max(most, float64(minStock*daemons))
+	}
+	spare := min(most-x.outstanding, x.headroom()-waitingReserve*x.terms.maxRequests(x.limit))
+	if spare < 1 {
+		return 0
+	}
+	h.credit += min(1, spare/max(x.wanted, h.want)) * h.want
+	n := math.Floor(min(h.credit, h.want, spare))
+	h.credit = min(h.credit-n, 1)
+	return n
+}
+
+// setFallback sets what the daemon may send while no coordinator answers it: its current rate plus a share of the
+// organisation's unused rate.
+func (x *account) setFallback(h *holding, daemons int, unheardRate float64) {
+	left := max(0, x.limit.Rate-unheardRate)
+	unused := max(0, left-x.rate)
+	share := 1 / float64(daemons)
+	if x.rate > 0 {
+		share = (share + h.rate/x.rate) / 2
+	}
+	x.fallbackRate -= h.fallbackRate
+	h.fallbackRate = max(0, min(h.rate+unused*share, left-x.fallbackRate))
+	x.fallbackRate += h.fallbackRate
+	x.fallbackBurst -= h.fallbackBurst
+	h.fallbackBurst = max(0, min(max(0, x.level)+unused*fallbackHorizon.Seconds(), x.headroom()*maxFallbackBurstShare)) * share
+	x.fallbackBurst += h.fallbackBurst
+}
--- /dev/null
+++ b/core/quota/cache.go
@@ -0,0 +1,241 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/site"
+)
+
+const (
+	// TokenLife is how long a daemon may use its tokens after sending the last Ask that was answered.
+	TokenLife = 4 * time.Second
+
+	// unheardAfter is the age of the last answered Ask at which the coordinator is considered lost.
+	unheardAfter = 2500 * time.Millisecond
+
+	// cutLimit is how long a daemon that is cut off from its site continues to send requests.
+	cutLimit = 5 * time.Second
+
+	// arrivalTimeConstant and useTimeConstant are the decay times of the request rate averages.
+	arrivalTimeConstant = 6 * time.Second
+	useTimeConstant     = 2 * time.Second
+)
+
+// Decision is whether a request may be sent: Granted, Refused, or Pending.
+type Decision interface{ decision() }
+
+type (
+	// Granted means that a token was spent and the request may be sent.
+	Granted struct{}
+
+	// Pending means that the coordinator must be asked for a token first.
+	Pending struct{}
+
+	// Refused means that no token is available.
+	Refused struct {
+		RetryAfter time.Duration
+		Limited    bool // by the organisation's limit; false if no coordinator could be asked
+	}
+)
+
+func (Granted) decision() {}
+func (Pending) decision() {}
+func (Refused) decision() {}
+
+// TokenCache holds a daemon's tokens.
+type TokenCache struct {
+	terms    Terms
+	life     ident.Incarnation
+	heard    mono.Time // when the last answered Ask was sent
+	balances map[ident.Organisation]*balance
+	lost     mono.Time // when the coordinator stopped answering; 0 while it answers
+	cut      bool      // the daemon is cut off from the whole site
+}
+
+// balance is the daemon's state for one organisation.
+type balance struct {
+	limit          site.Limit
+	tokens         uint64
+	spent          int64
+	sent           sentWindow
+	waiting        uint64    // requests waiting for a token
+	exhaustedUntil mono.Time // no more tokens are expected before this time
+	arrivals       rate      // requests
+	uses           rate      // tokens
+	fallback       fallback
+	unusedBurst    float64 // from earlier terms, kept until the next coordinator answers
+
+	seq            uint64 // of the last entry
+	lastEntry      Entry
+	changed        bool // since lastEntry
+	unacknowledged bool // lastEntry hasn't been answered
+}
+
+// NewTokenCache returns an empty cache for a daemon that has just started.
+func NewTokenCache(t Terms, life ident.Incarnation, now mono.Time) *TokenCache {
+	return &TokenCache{terms: t, life: life, lost: now, balances: map[ident.Organisation]*balance{}}
+}
+
+// Take takes a token for a request of the organisation. Set waited if the request has already waited for one.
+func (c *TokenCache) Take(now mono.Time, o *site.Organisation, daemons int, waited bool) Decision {
+	b := c.balance(o)
+	if !waited {
+		b.arrivals.add(now, arrivalTimeConstant)
+	}
+	switch {
+	case b.tokens > 0 && now.Sub(c.heard) < TokenLife:
+		b.tokens--
+		b.recordSent(now)
+		return Granted{}
+	case c.lost > 0:
+		return c.takeFallback(now, b, daemons)
+	case now.Before(b.exhaustedUntil):
+		return Refused{RetryAfter: b.exhaustedUntil.Sub(now), Limited: true}
+	default:
+		return Pending{}
+	}
+}
+
+func (c *TokenCache) balance(o *site.Organisation) *balance {
+	b := c.balances[o.Name]
+	if b == nil {
+		b = &balance{sent: sentWindow{length: c.terms.Window + windowMargin}}
+		c.balances[o.Name] = b
+	}
+	if o.Limit.Rate < b.limit.Rate {
+		// Tokens granted under the higher limit would exceed the new one.
+		b.tokens = uint64(float64(b.tokens) * o.Limit.Rate / b.limit.Rate)
+	}
+	b.limit = o.Limit
+	return b
+}
+
+func (b *balance) recordSent(now mono.Time) {
+	b.spent++
+	b.uses.add(now, useTimeConstant)
+	b.sent.advance(now)
+	b.sent.add(1)
+	b.changed = true
+}
+
+// Return returns the token of a request that is known not to have run.
+func (c *TokenCache) Return(n ident.Organisation) {
+	if b := c.balances[n]; b != nil {
+		b.spent--
+		b.tokens++
+		b.changed = true
+	}
+}
+
+// Wait adds d to the number of requests waiting for a token.
+func (c *TokenCache) Wait(n ident.Organisation, d int) {
+	if b := c.balances[n]; b != nil {
+		b.waiting = uint64(max(0, int(b.waiting)+d)) //nolint:gosec // not negative
+	}
+}
+
+// Urgent returns an Ask for the organisations with waiting requests. The granted tokens have to last for the horizon; the term
+// is the coordinator's.
+func (c *TokenCache) Urgent(now mono.Time, horizon time.Duration, term site.Term) Ask {
+	return c.ask(now, horizon, term, func(b *balance, _ Entry) bool { return b.waiting > 0 })
+}
+
+// Ask returns an Ask for all organisations whose state has changed or hasn't been acknowledged.
+func (c *TokenCache) Ask(now mono.Time, horizon time.Duration, term site.Term) Ask {
+	return c.ask(now, horizon, term, func(b *balance, e Entry) bool {
+		return b.changed || b.unacknowledged || b.fallback.term != term || e.Want != b.lastEntry.Want ||
+			e.Rate < b.lastEntry.Rate/2 && b.lastEntry.Rate > idleRate
+	})
+}
+
+func (c *TokenCache) ask(now mono.Time, horizon time.Duration, term site.Term, tells func(*balance, Entry) bool) Ask {
+	a := Ask{Life: c.life, Term: term}
+	for n, b := range c.balances {
+		if now.Sub(c.heard) >= TokenLife {
+			b.tokens = 0
+		}
+		e := b.entry(now, n, horizon)
+		if !tells(b, e) {
+			continue
+		}
+		b.seq++
+		e.Seq = b.seq
+		if b.fallback.term != term {
+			b.unusedBurst += b.fallback.releaseBurst()
+			e.Recent, e.UnusedBurst = b.sent.recent(now), b.unusedBurst
+		}
+		b.lastEntry, b.changed, b.unacknowledged = e, false, true
+		a.Entries = append(a.Entries, e)
+	}
+	return a
+}
+
+const (
+	idleRate = 0.05 // requests per second below which an organisation is considered idle
+
+	// minExpectedRequests is the number of requests expected within the horizon below which no tokens are cached for an
+	// organisation.
+	minExpectedRequests = 0.1
+)
+
+// entry returns the Entry for the balance after releasing the tokens it doesn't need.
+func (b *balance) entry(now mono.Time, n ident.Organisation, horizon time.Duration) Entry {
+	want := uint64(0)
+	if mean := b.arrivals.at(now, arrivalTimeConstant) * horizon.Seconds(); mean >= minExpectedRequests {
+		want = uint64(math.Ceil(mean + math.Sqrt(mean)))
+	}
+	b.tokens = min(b.tokens, 2*want+1)
+	return Entry{
+		Organisation: n, Spent: b.spent, Held: b.tokens, Waiting: b.waiting, Want: want - min(want, b.tokens),
+		Rate: b.uses.at(now, useTimeConstant), FallbackRate: b.fallback.rate,
+	}
+}
+
+// Answered applies the coordinator's answer to the Ask sent at asked.
+func (c *TokenCache) Answered(now, asked mono.Time, a Answer) {
+	c.heard = max(c.heard, asked)
+	if c.lost > 0 {
+		c.lost = 0
+		for _, b := range c.balances {
+			b.fallback.started = false
+		}
+	}
+	for _, g := range a.Grants {
+		b := c.balances[g.Organisation]
+		if b == nil || b.seq != g.Seq {
+			continue
+		}
+		b.tokens += g.Tokens
+		b.unusedBurst = 0
+		b.fallback = fallback{rate: g.FallbackRate, burst: g.FallbackBurst, term: a.Term}
+		b.unacknowledged, b.exhaustedUntil = false, 0
+		if g.Wait > 0 {
+			b.exhaustedUntil = now.Add(g.Wait)
+		}
+	}
+}
+
+// DelayUnanswered delays further asks for organisations that the coordinator's answer left out because it doesn't know them yet.
+func (c *TokenCache) DelayUnanswered(now mono.Time, a Ask) {
+	for _, e := range a.Entries {
+		if b := c.balances[e.Organisation]; b != nil && b.seq == e.Seq && b.unacknowledged && b.waiting > 0 {
+			b.exhaustedUntil = now.Add(shortWait)
+		}
+	}
+}
+
+// Lost records that the coordinator doesn't answer, and whether the daemon is cut off from the rest of its site.
+func (c *TokenCache) Lost(now mono.Time, cut bool) {
+	c.cut = cut
+	if c.lost == 0 {
+		c.lost = now
+	}
+}
+
+// Unheard reports whether the coordinator has been silent long enough to be considered lost.
+func (c *TokenCache) Unheard(now mono.Time) bool {
+	return c.lost > 0 || now.Sub(c.heard) > unheardAfter
+}
--- /dev/null
+++ b/core/quota/fallback.go
@@ -0,0 +1,73 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"heatherrouter/core/mono"
+	"heatherrouter/core/site"
+)
+
+// fallback limits what a daemon may send without the coordinator.
+type fallback struct {
+	rate  float64   // requests per second
+	burst float64   // requests allowed at once
+	term  site.Term // of the coordinator that set these limits
+
+	started   bool
+	level     float64
+	updatedAt mono.Time
+}
+
+// lostRetryAfter is the retry delay for callers while no coordinator answers; a new one is usually elected within this time.
+const lostRetryAfter = 500 * time.Millisecond
+
+// takeFallback takes a token under the fallback limits.
+func (c *TokenCache) takeFallback(now mono.Time, b *balance, daemons int) Decision {
+	if c.cut && now.Sub(c.lost) > cutLimit {
+		return Refused{RetryAfter: lostRetryAfter}
+	}
+	x := &b.fallback
+	if !x.started {
+		if c.heard == 0 {
+			x.rate = b.limit.Rate / float64(max(1, daemons)) // no coordinator has answered this incarnation yet
+		}
+		// Until then, the coordinator doesn't count this daemon's fallback requests.
+		x.started, x.level, x.updatedAt = true, x.burst, max(c.lost, c.heard.Add(silentAfter))
+	}
+	rate := min(x.rate, b.limit.Rate)
+	x.level = min(x.level+rate*max(0, now.Sub(x.updatedAt)).Seconds(), max(1, rate, x.burst))
+	x.updatedAt = max(x.updatedAt, now)
+	if x.level < 1 {
+		wait := time.Duration((1 - x.level) / math.Max(rate, idleRate) * float64(time.Second))
+		return Refused{RetryAfter: min(wait, lostRetryAfter)}
+	}
+	x.level--
+	b.recordSent(now)
+	return Granted{}
+}
+
+// releaseBurst clears the burst and returns its unused part.
+func (x *fallback) releaseBurst() float64 {
+	left := x.burst
+	if x.started {
+		left = min(left, max(0, x.level))
+	}
+	x.burst, x.level = 0, 0
+	return left
+}
+
+// rate is an exponentially decaying average of events per second.
+type rate struct {
+	mean float64
+	last mono.Time
+}
+
+func (r *rate) add(now mono.Time, d time.Duration) {
+	r.mean = r.at(now, d) + 1/d.Seconds()
+	r.last = now
+}
+
+func (r *rate) at(now mono.Time, d time.Duration) float64 {
+	return r.mean * math.Exp(-now.Sub(r.last).Seconds()/d.Seconds())
+}
--- /dev/null
+++ b/core/quota/ledger.go
@@ -0,0 +1,176 @@
+package quota
+
+import (
+	"time"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/site"
+)
+
+const (
+	// silentAfter is the time without an Ask after which a daemon is assumed to send without the coordinator. Daemons ask at
+	// least once a second.
+	silentAfter = 1500 * time.Millisecond
+
+	// shortWait and longWait bound how long daemons wait before asking again for an organisation at its limit.
+	shortWait = 100 * time.Millisecond
+	longWait  = time.Second
+)
+
+// Ledger tracks the requests and tokens of all organisations for one coordinator term.
+//
+// For each organisation, the requests sent in the current window, the tokens held by daemons and the fallback bursts together
+// stay within the window's limit. A token bucket per organisation paces its requests within the window.
+type Ledger struct {
+	terms    Terms
+	term     site.Term
+	accounts map[ident.Organisation]*account
+	daemons  map[ident.Daemon]*daemonState
+
+	silent       []ident.Daemon // heard from in this term, but not within silentAfter
+	unheardShare float64        // share of the daemons not heard from in this term
+	daemonCount  int            // in the site
+	refreshedAt  mono.Time      // when the fields above were last updated
+}
+
+// daemonState describes a daemon that has been heard from in this term.
+type daemonState struct {
+	life  ident.Incarnation
+	heard mono.Time
+}
+
+// NewLedger returns the ledger for a new term. Its buckets start empty because the previous coordinator's grants are unknown.
+func NewLedger(t Terms, term site.Term) *Ledger {
+	return &Ledger{
+		terms: t, term: term, daemonCount: 1,
+		accounts: map[ident.Organisation]*account{}, daemons: map[ident.Daemon]*daemonState{},
+	}
+}
+
+// Configure applies the organisations of the current configuration.
+func (l *Ledger) Configure(now mono.Time, organisations map[ident.Organisation]*site.Organisation) {
+	for n := range l.accounts {
+		if o := organisations[n]; o == nil || !o.Limit.Limited() {
+			delete(l.accounts, n)
+		}
+	}
+	for n, o := range organisations {
+		if !o.Limit.Limited() {
+			continue
+		}
+		if x := l.accounts[n]; x != nil {
+			x.limit = o.Limit
+			continue
+		}
+		l.accounts[n] = newAccount(l.terms, o.Limit, now)
+	}
+}
+
+// Report applies a daemon's Ask. Entries that aren't newer than the last applied ones are ignored.
+func (l *Ledger) Report(now mono.Time, d ident.Daemon, a Ask) {
+	if a.Term != l.term {
+		return // its entries lack the requests sent before this term
+	}
+	x := l.daemons[d]
+	switch {
+	case x == nil:
+		x = &daemonState{life: a.Life}
+		l.daemons[d] = x
+	case x.life > a.Life:
+		return // from an earlier incarnation
+	case x.life < a.Life:
+		l.removeDaemon(d) // counts the previous incarnation's tokens as spent
+		*x = daemonState{life: a.Life}
+	}
+	x.heard = now
+	for _, e := range a.Entries {
+		if y := l.accounts[e.Organisation]; y != nil {
+			y.advance(now, l.activeFallbackRate(y))
+			y.applyEntry(d, e)
+		}
+	}
+}
+
+// Grant answers a reported Ask, skipping entries that a newer Ask has superseded.
+func (l *Ledger) Grant(now mono.Time, d ident.Daemon, a Ask, daemons []ident.Daemon) Answer {
+	l.refreshDaemons(now, daemons)
+	r := Answer{Term: l.term}
+	if x := l.daemons[d]; x == nil || x.life != a.Life || a.Term != l.term {
+		return r
+	}
+	for _, e := range a.Entries {
+		y := l.accounts[e.Organisation]
+		if y == nil || y.holdings[d] == nil || y.holdings[d].seq != e.Seq {
+			continue
+		}
+		y.advance(now, l.activeFallbackRate(y))
+		r.Grants = append(r.Grants, y.grant(d, e, l.daemonCount, l.unheardFallbackRate(y)))
+	}
+	return r
+}
+
+// refreshInterval is the minimum time between two checks for silent daemons.
+const refreshInterval = 50 * time.Millisecond
+
+// refreshDaemons finds the daemons that may be sending without the coordinator.
+func (l *Ledger) refreshDaemons(now mono.Time, daemons []ident.Daemon) {
+	if now.Sub(l.refreshedAt) < refreshInterval {
+		return
+	}
+	l.refreshedAt, l.silent, l.unheardShare, l.daemonCount = now, l.silent[:0], 0, max(1, len(daemons))
+	for _, d := range daemons {
+		x := l.daemons[d]
+		if x == nil {
+			l.unheardShare += 1 / float64(len(daemons))
+			continue
+		}
+		if now.Sub(x.heard) > silentAfter {
+			l.silent = append(l.silent, d)
+		}
+	}
+}
+
+// unheardFactor scales the share of an organisation's limit that is reserved for daemons not heard from in this term, relative
+// to their share of all daemons.
+const unheardFactor = 2
+
+// unheardFallbackRate estimates the fallback rate, in requests per second, of the daemons not heard from in this term. It is
+// at most the rate that isn't assigned to other daemons.
+func (l *Ledger) unheardFallbackRate(x *account) float64 {
+	return max(0, min(x.limit.Rate-x.fallbackRate, x.limit.Rate*l.unheardShare*unheardFactor))
+}
+
+// activeFallbackRate estimates how many requests per second daemons are sending without the coordinator.
+func (l *Ledger) activeFallbackRate(x *account) float64 {
+	rate := l.unheardFallbackRate(x)
+	for _, d := range l.silent {
+		if h := x.holdings[d]; h != nil {
+			rate += h.fallbackRate
+		}
+	}
+	return min(rate, x.limit.Rate)
+}
+
+// Forget removes daemons that are no longer in the site and whose tokens have expired.
+func (l *Ledger) Forget(now mono.Time, known func(ident.Daemon) bool) {
+	for d, x := range l.daemons {
+		if !known(d) && now.Sub(x.heard) > silentAfter+TokenLife {
+			l.removeDaemon(d)
+			delete(l.daemons, d)
+		}
+	}
+}
+
+// removeDaemon removes a daemon from all accounts and counts its tokens as sent.
+func (l *Ledger) removeDaemon(d ident.Daemon) {
+	for _, x := range l.accounts {
+		x.removeDaemon(d)
+	}
+}
+
+// expectedWait returns the time in which one token per daemon is likely to become available.
+func (x *account) expectedWait() time.Duration {
+	s := float64(len(x.holdings)) / x.limit.Rate
+	return max(shortWait, min(longWait, time.Duration(s*float64(time.Second))))
+}
--- /dev/null
+++ b/core/quota/quota.go
@@ -0,0 +1,67 @@
+// Package quota enforces each organisation's request limit across all daemons.
+//
+// The coordinator's Ledger has one token bucket per organisation and grants tokens to daemons. Each daemon keeps the tokens that
+// it needs until its next Ask in a TokenCache and spends one per request. A daemon that the coordinator doesn't answer continues
+// at a previously set fallback rate, which the coordinator counts as sent for as long as the daemon is silent.
+//
+// Tokens held by daemons count as sent, so the limit of every window holds regardless of how the tokens are distributed.
+package quota
+
+import (
+	"time"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/site"
+)
+
+// Terms defines how an organisation's limit is enforced.
+type Terms struct {
+	Window    time.Duration // over which requests are counted
+	Overshoot float64       // share by which the limit of a window may be exceeded
+	Slack     float64       // additional requests allowed per window
+}
+
+// slackShare is the share of the slack that is granted. The rest is reserved for requests sent without the coordinator.
+const slackShare = 0.5
+
+// maxRequests returns how many requests may be sent in a window.
+func (t Terms) maxRequests(l site.Limit) float64 {
+	return (l.Rate*t.Window.Seconds()+l.Burst)*(1+t.Overshoot) + t.Slack*slackShare
+}
+
+// Ask reports a daemon's token usage to the coordinator and requests more tokens.
+type Ask struct {
+	Life    ident.Incarnation
+	Term    site.Term // of the addressed coordinator
+	Entries []Entry
+}
+
+// Entry is the part of an Ask about one organisation. The coordinator uses only the newest one of an incarnation.
+type Entry struct {
+	Organisation ident.Organisation
+	Seq          uint64
+	Spent        int64   // requests sent by this incarnation, minus returned tokens
+	Held         uint64  // unused tokens
+	Waiting      uint64  // requests waiting for a token
+	Want         uint64  // additional tokens for expected requests
+	Rate         float64 // recent requests per second
+	FallbackRate float64 // requests per second allowed while no coordinator answers
+	UnusedBurst  float64 // in the first entry for a new coordinator: unused FallbackBurst of earlier terms
+	Recent       Recent  // in the first entry for a new coordinator: requests sent in the current window
+}
+
+// Answer is the coordinator's reply to an Ask.
+type Answer struct {
+	Term   site.Term
+	Grants []Grant
+}
+
+// Grant answers the Entry with the same Seq. The daemon ignores it after sending a newer Entry.
+type Grant struct {
+	Organisation  ident.Organisation
+	Seq           uint64
+	Tokens        uint64
+	FallbackRate  float64       // requests per second allowed while no coordinator answers
+	FallbackBurst float64       // requests allowed at once while no coordinator answers
+	Wait          time.Duration // until more tokens are likely; set if some waiting requests got none
+}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -70,6 +70,15 @@
 
 	// Measured hands on what a peer has measured.
 	Measured func([]*wire.KeyCount, []*wire.ServerWork)
+
+	// Quota exchanges quota tokens with the coordinator as part of Sync; nil disables this.
+	Quota QuotaClient
+}
+
+// QuotaClient builds the quota asks sent with Sync and receives the answers.
+type QuotaClient interface {
+	Ask() *wire.QuotaAsk
+	Answered(asked mono.Time, a *wire.QuotaAsk, r *wire.QuotaAnswer) // r is nil if there was no answer
 }
 
 // Feed is one daemon's copy.
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -132,12 +132,19 @@
 		x.Stamp, x.PromiseUs = f.stamp, micros(f.promised)
 	}
 	f.mu.Unlock()
+	asked := f.o.Clock.Now()
 	if leads {
 		x.Counts, x.Works = f.o.Measures()
+		if f.o.Quota != nil {
+			x.Quota = f.o.Quota.Ask()
+		}
 	}
 	y, cancel := context.WithTimeout(c, wait+syncLimit)
 	defer cancel()
 	r, err := f.peers.Call(y, to, &wire.Call{Body: &wire.Call_Sync{Sync: x}})
+	if x.GetQuota() != nil {
+		f.o.Quota.Answered(asked, x.GetQuota(), r.GetSync().GetQuota())
+	}
 	if err != nil {
 		f.leaveRelay(to)
 		if c.Err() == nil && leads {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -21,13 +21,16 @@
 
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/pace"
+	"heatherrouter/core/quota"
 	"heatherrouter/core/site"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/feed"
 	"heatherrouter/io/front"
 	"heatherrouter/io/grant"
 	"heatherrouter/io/group"
+	"heatherrouter/io/limit"
 	"heatherrouter/io/meter"
 	"heatherrouter/io/peer"
 	"heatherrouter/io/send"
@@ -62,6 +65,7 @@
 	feed    *feed.Feed
 	granter *grant.Granter
 	sender  *send.Sender
+	limiter *limit.Limiter
 	peers   *peer.Transport
 	front   *front.Front
 	pages   *fasthttp.Server
@@ -96,6 +100,11 @@
 		Self: s.Name, Life: n.life, Store: n.o.Platform.Store, Decoder: n.o.Platform.Decoder, Clock: n.clock, Log: n.o.Log,
 		Measures: func() ([]*wire.KeyCount, []*wire.ServerWork) { return n.sender.Measures() },
 		Measured: func(l []*wire.KeyCount, w []*wire.ServerWork) { n.granter.Measured(l, w) },
+		Quota:    quotaClient{n},
+	})
+	n.limiter = limit.New(limit.Options{
+		Self: s.Name, Life: n.life, View: n.feed, Clock: n.clock, Log: n.o.Log,
+		Terms: quota.Terms{Window: s.Limits.QuotaWindow, Overshoot: s.Limits.QuotaOvershoot, Slack: s.Limits.QuotaSlack},
 	})
 	n.granter = grant.New(grant.Options{
 		Self: s.Name, Life: n.life, Feed: n.feed, Store: n.o.Platform.Store, Speaker: n.o.Platform.Speaker,
@@ -105,7 +114,7 @@
 		Self: s.Name, Domain: s.Domain, View: n.feed, Dialect: n.o.Platform.Dialect,
 		Cold:   pace.ColdLimit{Factor: s.Limits.ColdFactor, Slack: s.Limits.ColdSlack},
 		Budget: pace.BudgetLimit{Ratio: s.Limits.RetryRatio, Slack: s.Limits.RetrySlack, Window: s.Limits.RetryWindow},
-		Clock:  n.clock, Counter: n.meter, Log: n.o.Log,
+		Clock:  n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter,
 	})
 	if n.id, err = newIdentity(s.Name, n.feed.Snapshot); err != nil {
 		return err
@@ -115,7 +124,7 @@
 		return err
 	}
 	n.peers, err = peer.New(n.group.Context(), peer.Options{
-		Self: s.Name, Listen: s.Peer, Book: book{n.feed.Snapshot}, TLS: n.id, Handler: handler{n.feed}, Log: n.o.Log,
+		Self: s.Name, Listen: s.Peer, Book: book{n.feed.Snapshot}, TLS: n.id, Handler: handler{n.feed, n.limiter}, Log: n.o.Log,
 	})
 	if err != nil {
 		l.close()
@@ -125,6 +134,7 @@
 	n.group.Go(n.announce)
 	n.feed.Run(n.group, n.peers)
 	n.granter.Run(n.group, n.peers)
+	n.limiter.Run(n.group, n.peers)
 	n.group.Go(n.follow)
 	return nil
 }
@@ -375,14 +385,32 @@
 	n.group.Stop()
 }
 
+// quotaClient connects the feed to the limiter, which is created after it.
+type quotaClient struct{ n *Node }
+
+// Ask implements feed.QuotaClient.
+func (q quotaClient) Ask() *wire.QuotaAsk { return q.n.limiter.Ask() }
+
+// Answered implements feed.QuotaClient.
+func (q quotaClient) Answered(asked mono.Time, a *wire.QuotaAsk, r *wire.QuotaAnswer) {
+	q.n.limiter.Answered(asked, a, r)
+}
+
 // handler answers peers.
-type handler struct{ feed *feed.Feed }
+type handler struct {
+	feed    *feed.Feed
+	limiter *limit.Limiter
+}
 
 // Call implements peer.Handler.
 func (h handler) Call(c context.Context, from ident.Daemon, m *wire.Call) *wire.Reply {
 	switch x := m.GetBody().(type) {
 	case *wire.Call_Sync:
-		return &wire.Reply{Body: &wire.Reply_Sync{Sync: h.feed.Sync(c, from, x.Sync)}}
+		r := h.sync(c, from, x.Sync)
+		return &wire.Reply{Body: &wire.Reply_Sync{Sync: r}}
+	case *wire.Call_Quota:
+		h.limiter.Report(from, x.Quota)
+		return &wire.Reply{Body: &wire.Reply_Quota{Quota: h.limiter.Grant(from, x.Quota)}}
 	case *wire.Call_Withdraw:
 		given := h.feed.Withdraw(site.Term(x.Withdraw.GetTerm()))
 		return &wire.Reply{Body: &wire.Reply_Withdrawn{Withdrawn: &wire.Withdrawn{Given: given}}}
@@ -390,6 +418,17 @@
 	return nil
 }
 
+// sync answers a Sync, including any quota ask that it carries.
+func (h handler) sync(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
+	if x.GetQuota() == nil {
+		return h.feed.Sync(c, from, x)
+	}
+	h.limiter.Report(from, x.GetQuota())
+	r := h.feed.Sync(c, from, x)
+	r.Quota = h.limiter.Grant(from, x.GetQuota())
+	return r
+}
+
 // Exchange implements peer.Handler.
 func (handler) Exchange(_ context.Context, _ ident.Daemon, x *peer.Exchange) { x.Cut() }
 
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -31,4 +31,8 @@
 	ColdFactor  float64       // of the rate that a cold server states, that it may be sent
 	ColdSlack   float64       // requests beyond that in one second
 	MaxHold     time.Duration // of a grant of keys
+
+	QuotaWindow    time.Duration // over which an organisation's requests are counted
+	QuotaOvershoot float64       // share by which an organisation's limit may be exceeded
+	QuotaSlack     float64       // additional requests allowed per window
 }
--- a/io/send/caller.go
+++ b/io/send/caller.go
@@ -113,6 +113,30 @@
 	}
 }
 
+// acquireToken counts the request against its organisation's limit, once regardless of retries.
+func (s *Sender) acquireToken(r *request) *final {
+	o := r.organisation
+	if o == nil || !o.Limit.Limited() || r.token == o.Name {
+		return nil
+	}
+	x := s.o.Limiter.Acquire(r.caller, o)
+	if x == nil {
+		r.token = o.Name
+		return nil
+	}
+	if x.Limited {
+		return &final{status: fasthttp.StatusTooManyRequests, outcome: notRun, reason: "over-limit", retryAfter: x.RetryAfter}
+	}
+	return &final{status: fasthttp.StatusServiceUnavailable, outcome: notRun, reason: "limit-unknown", retryAfter: x.RetryAfter}
+}
+
+// releaseToken returns the token of a request that is known not to have run.
+func (s *Sender) releaseToken(r *request, f final) {
+	if r.token != "" && f.outcome == notRun {
+		s.o.Limiter.Return(r.token)
+	}
+}
+
 // logCaller adds the caller's identity and the configuration in use to the log entry of a refused request.
 func (s *Sender) logCaller(r *request, e *log.Entry) {
 	snap := s.o.View.Snapshot()
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -25,6 +25,7 @@
 	"heatherrouter/core/site"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/conns"
+	"heatherrouter/io/limit"
 )
 
 // Dialect is how callers and backend servers name what they tell about a request.
@@ -73,9 +74,16 @@
 	Budget  pace.BudgetLimit
 	Clock   *clock.Clock
 	Counter Counter
+	Limiter Limiter
 	Log     *log.Logger
 }
 
+// Limiter enforces the request limits of organisations.
+type Limiter interface {
+	Acquire(c context.Context, o *site.Organisation) *limit.Refusal
+	Return(n ident.Organisation)
+}
+
 // Sender sends requests.
 type Sender struct {
 	o       Options
@@ -136,6 +144,7 @@
 
 	credential   credential
 	organisation *site.Organisation // nil if the caller is anonymous or no organisations are configured
+	token        ident.Organisation // organisation whose token the request holds; empty for none
 	authEnabled  bool               // organisations are configured
 
 	tried  []ident.Server // sent to, whatever came of it
@@ -157,6 +166,7 @@
 	r.ctx, end = context.WithCancel(c)
 	stop := context.AfterFunc(s.base, end)
 	f := s.run(r)
+	s.releaseToken(r, f)
 	stop()
 	end()
 	s.respond(r, f, resp)
@@ -281,6 +291,9 @@
 		if f := s.match(r, snap); f != nil {
 			return *f
 		}
+		if f := s.acquireToken(r); f != nil {
+			return *f
+		}
 		b, why := s.choose(r, snap, now)
 		if b == nil {
 			if s.wait(r, why, now) {
