Serve organisations without a coordinator and right after a takeover

Without a coordinator, each of the 82 daemons may send only a fraction of a request, and waiting for a whole token refuses nearly all requests. The new coordinator's buckets started empty although daemons had reported to it what they sent before.

Change: - A daemon without a coordinator that holds a fraction of a token admits a request with that probability. - A coordinator fills its buckets once 95 % of the daemons have reported the requests they sent in the window. - Callers of an organisation whose demand exceeds its limit get a retry delay equal to the time needed to serve one second's excess demand, at most 5 s. - The delay before a daemon asks again for an exhausted organisation depends on how far the organisation exceeds its limit. Also io/limit counts refusals and reports its state, for the state page.

Rejected: filling the buckets at the start of a term, because the requests sent in the window are not yet known.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -19,6 +19,7 @@
 	outstanding   float64 // tokens held by daemons
 	wanted        float64 // sum of the daemons' latest Want
 	rate          float64 // sum of the daemons' latest Rate
+	demand        float64 // sum of the daemons' latest Demand
 	fallbackRate  float64 // sum of the daemons' fallback rates
 	fallbackBurst float64 // sum of the daemons' fallback bursts
 	holdings      map[ident.Daemon]*holding
@@ -32,6 +33,7 @@
 	spent         int64
 	want          float64
 	rate          float64
+	demand        float64
 	fallbackRate  float64 // requests per second allowed without the coordinator
 	fallbackBurst float64 // requests allowed at once without the coordinator
 	credit        float64 // fraction of a token carried over to the next grant
@@ -88,8 +90,9 @@
 	h.spent = e.Spent
 	x.wanted += float64(e.Want) - h.want
 	x.rate += e.Rate - h.rate
+	x.demand += e.Demand - h.demand
 	x.fallbackRate += e.FallbackRate - h.fallbackRate
-	h.seq, h.want, h.rate, h.fallbackRate = e.Seq, float64(e.Want), e.Rate, e.FallbackRate
+	h.seq, h.want, h.rate, h.demand, h.fallbackRate = e.Seq, float64(e.Want), e.Rate, e.Demand, e.FallbackRate
 }
 
 func (x *account) reconcile(h *holding, spent, held float64) {
@@ -112,6 +115,7 @@
 	x.outstanding -= h.tokens
 	x.wanted -= h.want
 	x.rate -= h.rate
+	x.demand -= h.demand
 	x.fallbackRate -= h.fallbackRate
 	x.fallbackBurst -= h.fallbackBurst
 	delete(x.holdings, d)
@@ -147,11 +151,26 @@
 		FallbackRate: h.fallbackRate, FallbackBurst: h.fallbackBurst,
 	}
 	if waiting < float64(e.Waiting) {
-		g.Wait = x.expectedWait()
+		g.Wait, g.RetryAfter = x.askDelay(), x.retryAfter()
 	}
 	return g
 }
 
+// askDelay returns how long a daemon should wait before asking again. It grows with the excess demand up to the time in which
+// one token per daemon becomes available, so that daemons don't ask more often than tokens are refilled.
+func (x *account) askDelay() time.Duration {
+	excess := min(1, x.demand/x.limit.Rate-1)
+	s := excess * float64(len(x.holdings)) / x.limit.Rate
+	return max(shortWait, min(longWait, time.Duration(s*float64(time.Second))))
+}
+
+// retryAfter returns the time needed to serve one second's excess demand at the limit. Callers that retry sooner only compete
+// with others for the same tokens.
+func (x *account) retryAfter() time.Duration {
+	s := max(0, x.demand/x.limit.Rate-1)
+	return min(maxRetryAfter, time.Duration(s*float64(time.Second)))
+}
+
 // allocateStock returns the daemon's tokens for expected requests, in proportion to the demand of all daemons.
 func (x *account) allocateStock(h *holding, daemons int) float64 {
 	if h.want <= 0 {
--- a/core/quota/cache.go
+++ b/core/quota/cache.go
@@ -51,8 +51,9 @@
 	life     ident.Incarnation
 	heard    mono.Time // when the last answered Ask was sent
 	balances map[ident.Organisation]*balance
-	lost     mono.Time // when the coordinator stopped answering; 0 while it answers
-	cut      bool      // the daemon is cut off from the whole site
+	lost     mono.Time      // when the coordinator stopped answering; 0 while it answers
+	cut      bool           // the daemon is cut off from the whole site
+	random   func() float64 // returns a number in [0, 1)
 }
 
 // balance is the daemon's state for one organisation.
@@ -61,10 +62,12 @@
 	tokens         uint64
 	spent          int64
 	sent           sentWindow
-	waiting        uint64    // requests waiting for a token
-	exhaustedUntil mono.Time // no more tokens are expected before this time
-	arrivals       rate      // requests
-	uses           rate      // tokens
+	waiting        uint64        // requests waiting for a token
+	exhaustedUntil mono.Time     // no more tokens are expected before this time
+	arrivals       rate          // requests
+	uses           rate          // tokens
+	demand         rate          // requests, averaged over useTimeConstant
+	retryAfter     time.Duration // minimum for callers while exhausted
 	fallback       fallback
 	unusedBurst    float64 // from earlier terms, kept until the next coordinator answers
 
@@ -75,8 +78,8 @@
 }
 
 // NewTokenCache returns an empty cache for a daemon that has just started.
-func NewTokenCache(t Terms, life ident.Incarnation, now mono.Time) *TokenCache {
-	return &TokenCache{terms: t, life: life, lost: now, balances: map[ident.Organisation]*balance{}}
+func NewTokenCache(t Terms, life ident.Incarnation, now mono.Time, random func() float64) *TokenCache {
+	return &TokenCache{terms: t, life: life, lost: now, random: random, balances: map[ident.Organisation]*balance{}}
 }
 
 // Take takes a token for a request of the organisation. Set waited if the request has already waited for one.
@@ -84,6 +87,7 @@
 	b := c.balance(o)
 	if !waited {
 		b.arrivals.add(now, arrivalTimeConstant)
+		b.demand.add(now, useTimeConstant)
 	}
 	switch {
 	case b.tokens > 0 && now.Sub(c.heard) < TokenLife:
@@ -93,7 +97,7 @@
 	case c.lost > 0:
 		return c.takeFallback(now, b, daemons)
 	case now.Before(b.exhaustedUntil):
-		return Refused{RetryAfter: b.exhaustedUntil.Sub(now), Limited: true}
+		return Refused{RetryAfter: max(b.retryAfter, b.exhaustedUntil.Sub(now)), Limited: true}
 	default:
 		return Pending{}
 	}
@@ -145,10 +149,12 @@
 
 // Ask returns an Ask for all organisations whose state has changed or hasn't been acknowledged.
 func (c *TokenCache) Ask(now mono.Time, horizon time.Duration, term site.Term) Ask {
-	return c.ask(now, horizon, term, func(b *balance, e Entry) bool {
+	a := c.ask(now, horizon, term, func(b *balance, e Entry) bool {
 		return b.changed || b.unacknowledged || b.fallback.term != term || e.Want != b.lastEntry.Want ||
 			e.Rate < b.lastEntry.Rate/2 && b.lastEntry.Rate > idleRate
 	})
+	a.Full = true
+	return a
 }
 
 func (c *TokenCache) ask(now mono.Time, horizon time.Duration, term site.Term, tells func(*balance, Entry) bool) Ask {
@@ -190,8 +196,18 @@
 	b.tokens = min(b.tokens, 2*want+1)
 	return Entry{
 		Organisation: n, Spent: b.spent, Held: b.tokens, Waiting: b.waiting, Want: want - min(want, b.tokens),
-		Rate: b.uses.at(now, useTimeConstant), FallbackRate: b.fallback.rate,
+		Rate: b.uses.at(now, useTimeConstant), Demand: b.demand.at(now, useTimeConstant), FallbackRate: b.fallback.rate,
+	}
+}
+
+// Usage returns the organisation's unused tokens and the requests sent in the current window.
+func (c *TokenCache) Usage(now mono.Time, n ident.Organisation) (tokens, sent int) {
+	b := c.balances[n]
+	if b == nil {
+		return 0, 0
 	}
+	b.sent.advance(now)
+	return int(b.tokens), int(b.sent.sum) //nolint:gosec // request counts
 }
 
 // Answered applies the coordinator's answer to the Ask sent at asked.
@@ -213,7 +229,7 @@
 		b.fallback = fallback{rate: g.FallbackRate, burst: g.FallbackBurst, term: a.Term}
 		b.unacknowledged, b.exhaustedUntil = false, 0
 		if g.Wait > 0 {
-			b.exhaustedUntil = now.Add(g.Wait)
+			b.exhaustedUntil, b.retryAfter = now.Add(g.Wait), g.RetryAfter
 		}
 	}
 }
--- a/core/quota/fallback.go
+++ b/core/quota/fallback.go
@@ -38,7 +38,10 @@
 	rate := min(x.rate, b.limit.Rate)
 	x.level = min(x.level+rate*max(0, now.Sub(x.updatedAt)).Seconds(), max(1, rate, x.burst))
 	x.updatedAt = max(x.updatedAt, now)
-	if x.level < 1 {
+	// On a site with many daemons, each has only a fraction of a token. Admitting a request with that probability keeps the
+	// expected total at the limit, whereas waiting for a whole token would refuse nearly all requests.
+	if x.level < 1 && c.random() >= x.level {
+		x.level = min(x.level, 0)
 		wait := time.Duration((1 - x.level) / math.Max(rate, idleRate) * float64(time.Second))
 		return Refused{RetryAfter: min(wait, lostRetryAfter)}
 	}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -16,6 +16,9 @@
 	// shortWait and longWait bound how long daemons wait before asking again for an organisation at its limit.
 	shortWait = 100 * time.Millisecond
 	longWait  = time.Second
+
+	// maxRetryAfter bounds the retry delay sent to callers of an organisation over its limit.
+	maxRetryAfter = 5 * time.Second
 )
 
 // Ledger tracks the requests and tokens of all organisations for one coordinator term.
@@ -28,8 +31,10 @@
 	accounts map[ident.Organisation]*account
 	daemons  map[ident.Daemon]*daemonState
 
+	bucketsFilled bool // fillBuckets was called in this term
+
 	silent       []ident.Daemon // heard from in this term, but not within silentAfter
-	unheardShare float64        // share of the daemons not heard from in this term
+	unheardShare float64        // share of the daemons without a full Ask in this term
 	daemonCount  int            // in the site
 	refreshedAt  mono.Time      // when the fields above were last updated
 }
@@ -38,6 +43,7 @@
 type daemonState struct {
 	life  ident.Incarnation
 	heard mono.Time
+	full  bool // a full Ask was received
 }
 
 // NewLedger returns the ledger for a new term. Its buckets start empty because the previous coordinator's grants are unknown.
@@ -84,6 +90,7 @@
 		*x = daemonState{life: a.Life}
 	}
 	x.heard = now
+	x.full = x.full || a.Full
 	for _, e := range a.Entries {
 		if y := l.accounts[e.Organisation]; y != nil {
 			y.advance(now, l.activeFallbackRate(y))
@@ -121,7 +128,7 @@
 	l.refreshedAt, l.silent, l.unheardShare, l.daemonCount = now, l.silent[:0], 0, max(1, len(daemons))
 	for _, d := range daemons {
 		x := l.daemons[d]
-		if x == nil {
+		if x == nil || !x.full {
 			l.unheardShare += 1 / float64(len(daemons))
 			continue
 		}
@@ -129,6 +136,21 @@
 			l.silent = append(l.silent, d)
 		}
 	}
+	if !l.bucketsFilled && l.unheardShare <= maxUnheardShare {
+		l.fillBuckets()
+	}
+}
+
+// maxUnheardShare is the largest share of daemons without a full Ask at which the buckets are filled.
+const maxUnheardShare = 0.05
+
+// fillBuckets adds the burst to each organisation's bucket. It must run only once daemons have reported the requests sent before
+// the term, because the window's limit then holds without the buckets.
+func (l *Ledger) fillBuckets() {
+	l.bucketsFilled = true
+	for _, x := range l.accounts {
+		x.level += x.limit.Burst
+	}
 }
 
 // unheardFactor scales the share of an organisation's limit that is reserved for daemons not heard from in this term, relative
@@ -152,6 +174,35 @@
 	return min(rate, x.limit.Rate)
 }
 
+// Usage is the site-wide use of an organisation's limit.
+type Usage struct {
+	Sent        float64 // requests in the current window
+	MaxRequests float64 // maximum per window
+	Outstanding float64 // tokens held by daemons
+	Available   float64 // tokens in the bucket
+	Demand      float64 // recent requests per second from callers
+	Daemons     int     // number that hold or want tokens
+}
+
+// Usage returns the site-wide use of an organisation's limit, or false if the organisation has no limit.
+func (l *Ledger) Usage(now mono.Time, n ident.Organisation) (Usage, bool) {
+	x := l.accounts[n]
+	if x == nil {
+		return Usage{}, false
+	}
+	x.advance(now, l.activeFallbackRate(x))
+	u := Usage{
+		Sent: x.sent.sum, MaxRequests: l.terms.maxRequests(x.limit), Outstanding: x.outstanding, Available: max(0, x.level),
+		Demand: x.demand,
+	}
+	for _, h := range x.holdings {
+		if h.tokens > 0 || h.want > 0 {
+			u.Daemons++
+		}
+	}
+	return u, true
+}
+
 // Forget removes daemons that are no longer in the site and whose tokens have expired.
 func (l *Ledger) Forget(now mono.Time, known func(ident.Daemon) bool) {
 	for d, x := range l.daemons {
@@ -168,9 +219,3 @@
 		x.removeDaemon(d)
 	}
 }
-
-// expectedWait returns the time in which one token per daemon is likely to become available.
-func (x *account) expectedWait() time.Duration {
-	s := float64(len(x.holdings)) / x.limit.Rate
-	return max(shortWait, min(longWait, time.Duration(s*float64(time.Second))))
-}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -33,6 +33,7 @@
 type Ask struct {
 	Life    ident.Incarnation
 	Term    site.Term // of the addressed coordinator
+	Full    bool      // set if no changed organisation is omitted
 	Entries []Entry
 }
 
@@ -44,7 +45,8 @@
 	Held         uint64  // unused tokens
 	Waiting      uint64  // requests waiting for a token
 	Want         uint64  // additional tokens for expected requests
-	Rate         float64 // recent requests per second
+	Rate         float64 // recent requests sent per second
+	Demand       float64 // recent requests per second from callers
 	FallbackRate float64 // requests per second allowed while no coordinator answers
 	UnusedBurst  float64 // in the first entry for a new coordinator: unused FallbackBurst of earlier terms
 	Recent       Recent  // in the first entry for a new coordinator: requests sent in the current window
@@ -64,4 +66,5 @@
 	FallbackRate  float64       // requests per second allowed while no coordinator answers
 	FallbackBurst float64       // requests allowed at once while no coordinator answers
 	Wait          time.Duration // until more tokens are likely; set if some waiting requests got none
+	RetryAfter    time.Duration // for callers of refused requests, if demand exceeds the organisation's limit
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -85,7 +85,7 @@
 func (d *daemon) start() {
 	d.life++
 	d.down, d.pending, d.askedAt, d.urgentAskedAt = false, nil, 0, 0
-	d.tokens = NewTokenCache(terms, d.life, d.w.now)
+	d.tokens = NewTokenCache(terms, d.life, d.w.now, d.w.rnd.Float64)
 	d.next = d.w.now.Add(time.Duration(d.w.rnd.IntN(300)) * time.Millisecond)
 }
 
--- a/io/limit/limit.go
+++ b/io/limit/limit.go
@@ -70,6 +70,7 @@
 
 	mu       sync.Mutex
 	tokens   *quota.TokenCache
+	refused  map[ident.Organisation]refusals
 	answered chan struct{} // closed and replaced when an ask is answered or fails
 
 	ledger     *quota.Ledger
@@ -83,7 +84,7 @@
 // New returns a limiter; Run starts it.
 func New(o Options) *Limiter {
 	return &Limiter{
-		o: o, tokenNeeded: make(chan struct{}, 1), answered: make(chan struct{}), tokens: quota.NewTokenCache(o.Terms, o.Life, o.Clock.Now()),
+		o: o, tokenNeeded: make(chan struct{}, 1), refused: map[ident.Organisation]refusals{}, answered: make(chan struct{}), tokens: quota.NewTokenCache(o.Terms, o.Life, o.Clock.Now(), rand.Float64),
 	}
 }
 
@@ -127,7 +128,10 @@
 		l.tokens.Lost(now, l.o.View.Cut() > cutAfter)
 	}
 	d := l.tokens.Take(now, o, len(l.o.View.Snapshot().Daemons), waited)
-	if _, ok := d.(quota.Pending); ok {
+	switch x := d.(type) {
+	case quota.Refused:
+		l.countRefusal(o.Name, x.Limited)
+	case quota.Pending:
 		l.tokens.Wait(o.Name, 1)
 		select {
 		case l.tokenNeeded <- struct{}{}:
--- a/io/limit/serve.go
+++ b/io/limit/serve.go
@@ -63,11 +63,12 @@
 }
 
 func encodeAsk(a quota.Ask) *wire.QuotaAsk {
-	w := &wire.QuotaAsk{Life: uint64(a.Life), Term: uint64(a.Term), Entries: make([]*wire.QuotaEntry, 0, len(a.Entries))}
+	w := &wire.QuotaAsk{Life: uint64(a.Life), Term: uint64(a.Term), Full: a.Full, Entries: make([]*wire.QuotaEntry, 0, len(a.Entries))}
 	for _, e := range a.Entries {
 		w.Entries = append(w.Entries, &wire.QuotaEntry{
 			Organisation: string(e.Organisation), Seq: e.Seq, Spent: e.Spent, Held: e.Held, Waiting: e.Waiting, Want: e.Want,
 			Rate: float32(e.Rate), Own: float32(e.FallbackRate), Left: float32(e.UnusedBurst), Recent: encodeRecent(e.Recent),
+			Demand: float32(e.Demand),
 		})
 	}
 	return w
@@ -75,13 +76,14 @@
 
 func decodeAsk(w *wire.QuotaAsk) quota.Ask {
 	a := quota.Ask{
-		Life: ident.Incarnation(w.GetLife()), Term: site.Term(w.GetTerm()), Entries: make([]quota.Entry, 0, len(w.GetEntries())),
+		Life: ident.Incarnation(w.GetLife()), Term: site.Term(w.GetTerm()), Full: w.GetFull(),
+		Entries: make([]quota.Entry, 0, len(w.GetEntries())),
 	}
 	for _, e := range w.GetEntries() {
 		a.Entries = append(a.Entries, quota.Entry{
 			Organisation: ident.Organisation(e.GetOrganisation()), Seq: e.GetSeq(), Spent: e.GetSpent(), Held: e.GetHeld(),
 			Waiting: e.GetWaiting(), Want: e.GetWant(), Rate: float64(e.GetRate()), FallbackRate: float64(e.GetOwn()),
-			UnusedBurst: float64(e.GetLeft()), Recent: decodeRecent(e.GetRecent()),
+			UnusedBurst: float64(e.GetLeft()), Recent: decodeRecent(e.GetRecent()), Demand: float64(e.GetDemand()),
 		})
 	}
 	return a
@@ -113,7 +115,8 @@
 		w.Grants = append(w.Grants, &wire.QuotaGrant{
 			Organisation: string(g.Organisation), Seq: g.Seq, Tokens: g.Tokens,
 			Own: float32(g.FallbackRate), Burst: float32(g.FallbackBurst),
-			WaitUs: uint64(g.Wait / time.Microsecond), //nolint:gosec // not negative
+			WaitUs:       uint64(g.Wait / time.Microsecond),       //nolint:gosec // not negative
+			RetryAfterUs: uint64(g.RetryAfter / time.Microsecond), //nolint:gosec // not negative
 		})
 	}
 	return w
@@ -125,7 +128,8 @@
 		a.Grants = append(a.Grants, quota.Grant{
 			Organisation: ident.Organisation(g.GetOrganisation()), Seq: g.GetSeq(), Tokens: g.GetTokens(),
 			FallbackRate: float64(g.GetOwn()), FallbackBurst: float64(g.GetBurst()),
-			Wait: time.Duration(g.GetWaitUs()) * time.Microsecond, //nolint:gosec // a few seconds at most
+			Wait:       time.Duration(g.GetWaitUs()) * time.Microsecond,       //nolint:gosec // a few seconds at most
+			RetryAfter: time.Duration(g.GetRetryAfterUs()) * time.Microsecond, //nolint:gosec // a few seconds at most
 		})
 	}
 	return a
--- /dev/null
+++ b/io/limit/state.go
@@ -0,0 +1,89 @@
+package limit
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/site"
+)
+
+// State is one daemon's state of an organisation.
+type State struct {
+	Name       ident.Organisation `json:"name"`
+	Keys       int                `json:"keys"`
+	KeyDigests []string           `json:"key-digests"` // truncated; at most maxKeyDigests
+	Rate       float64            `json:"rate"`        // requests per second; 0 for no limit
+	Burst      float64            `json:"burst"`       // requests
+	Tokens     int                `json:"tokens"`      // held by this daemon
+	Sent       int                `json:"sent"`        // by this daemon in the current window
+	OverLimit  int                `json:"over-limit"`  // requests refused by this daemon since its start because of the limit
+	NoAnswer   int                `json:"no-answer"`   // requests refused by it because no coordinator answered
+	Site       *SiteState         `json:"site"`        // set on the coordinator if the organisation has a limit, otherwise null
+}
+
+// SiteState is the coordinator's state of an organisation across all daemons.
+type SiteState struct {
+	Sent      int     `json:"sent"`      // requests in the current window
+	Allowed   int     `json:"allowed"`   // maximum requests per window
+	Held      int     `json:"held"`      // tokens held by daemons
+	Available int     `json:"available"` // tokens in the bucket
+	Demand    float64 `json:"demand"`    // recent requests per second from callers
+	Daemons   int     `json:"daemons"`   // number that hold or want tokens
+}
+
+// maxKeyDigests bounds the key digests listed per organisation.
+const maxKeyDigests = 20
+
+// refusals counts an organisation's refused requests by reason.
+type refusals struct{ overLimit, noAnswer int }
+
+// States returns the state of all organisations, sorted by name.
+func (l *Limiter) States() []State {
+	s := l.o.View.Snapshot()
+	if s.Config == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := s.Config.Organisations()
+	states := make([]State, 0, len(o))
+	for _, n := range slices.Sorted(maps.Keys(o)) {
+		states = append(states, l.state(o[n]))
+	}
+	return states
+}
+
+func (l *Limiter) state(o *site.Organisation) State {
+	now := l.o.Clock.Now()
+	x := State{Name: o.Name, Keys: len(o.Keys), KeyDigests: []string{}, Rate: o.Limit.Rate, Burst: o.Limit.Burst}
+	for _, d := range o.Keys[:min(len(o.Keys), maxKeyDigests)] {
+		x.KeyDigests = append(x.KeyDigests, d.String())
+	}
+	x.Tokens, x.Sent = l.tokens.Usage(now, o.Name)
+	r := l.refused[o.Name]
+	x.OverLimit, x.NoAnswer = r.overLimit, r.noAnswer
+	if ledger := l.currentLedger(); ledger != nil {
+		if u, ok := ledger.Usage(now, o.Name); ok {
+			x.Site = &SiteState{
+				Sent: roundToInt(u.Sent), Allowed: roundToInt(u.MaxRequests), Held: roundToInt(u.Outstanding), Available: roundToInt(u.Available),
+				Demand: math.Round(10*u.Demand) / 10, Daemons: u.Daemons,
+			}
+		}
+	}
+	return x
+}
+
+func roundToInt(x float64) int { return int(math.Round(x)) }
+
+// countRefusal counts a refused request. The caller must hold l.mu.
+func (l *Limiter) countRefusal(n ident.Organisation, limited bool) {
+	r := l.refused[n]
+	if limited {
+		r.overLimit++
+	} else {
+		r.noAnswer++
+	}
+	l.refused[n] = r
+}
