Refresh the configuration when a key is unknown

Cause: a caller may use a new key before the daemon has received the configuration that adds it, and callers treat 401 as final.

Change: an unknown key triggers one refresh from the coordinator, with at most two refreshes per regular exchange. Unknown keys that triggered a refresh within the last second are rejected immediately, as are all further unknown keys while 1,024 are remembered.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -115,6 +115,9 @@
 
 	promised time.Duration // with it
 
+	refreshMu   sync.Mutex // serialises Refresh
+	refreshedAt mono.Time  // when the last exchange of Refresh ended
+
 	confirmed time.Duration // on the clock that counts suspensions: when the store was asked for what the control table has
 	changed   chan struct{} // closed at the next change
 }
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -109,11 +109,9 @@
 	return l[rand.IntN(len(l))], true
 }
 
-// syncWith makes one call; it reports whether the peer answered and its copy is of use.
-func (f *Feed) syncWith(c context.Context, to ident.Daemon) bool {
-	f.mu.Lock()
-	wait := elect.SyncWait(f.snapshot, f.o.Self)
-	x := &wire.Sync{WaitUs: uint64(wait.Microseconds()), Term: uint64(f.snapshot.Coordinator.Term)}
+// syncRequest returns a request with the revisions of this copy. The caller must hold f.mu.
+func (f *Feed) syncRequest() *wire.Sync {
+	x := &wire.Sync{Term: uint64(f.snapshot.Coordinator.Term)}
 	for t := range f.tables {
 		rev := f.tables[t].rev
 		if f.whole[t] {
@@ -124,6 +122,41 @@
 	if f.holds != nil {
 		x.Holds = encodeStamp(f.holds.Stamp)
 	}
+	return x
+}
+
+// Refresh fetches changes from the coordinator without waiting for the next regular exchange, and reports whether the copy may
+// have changed. Concurrent calls share one exchange, and at most two are made per regular exchange.
+func (f *Feed) Refresh(c context.Context) bool {
+	asked := f.o.Clock.Now()
+	f.refreshMu.Lock()
+	defer f.refreshMu.Unlock()
+	f.mu.Lock()
+	to, x := f.snapshot.Coordinator.Daemon, f.syncRequest()
+	done := f.refreshedAt > asked || asked.Sub(f.refreshedAt) < elect.SyncWait(f.snapshot, f.o.Self)/2
+	f.mu.Unlock()
+	if done || to == "" || to == f.o.Self {
+		return done
+	}
+	y, cancel := context.WithTimeout(c, syncLimit)
+	defer cancel()
+	r, err := f.peers.Call(y, to, &wire.Call{Body: &wire.Call_Sync{Sync: x}})
+	f.mu.Lock()
+	f.refreshedAt = f.o.Clock.Now()
+	f.mu.Unlock()
+	if err != nil {
+		f.o.Log.Debug().Err(err).Str("peer", string(to)).Msg("refresh from coordinator failed")
+		return false
+	}
+	return f.takeReply(to, r.GetSync())
+}
+
+// syncWith makes one call; it reports whether the peer answered and its copy is of use.
+func (f *Feed) syncWith(c context.Context, to ident.Daemon) bool {
+	f.mu.Lock()
+	wait := elect.SyncWait(f.snapshot, f.o.Self)
+	x := f.syncRequest()
+	x.WaitUs = uint64(wait.Microseconds())
 	leads := to == f.snapshot.Coordinator.Daemon
 	if leads && f.unheard {
 		x.WaitUs = 0 // whether it answers again is all that is asked
--- a/io/send/caller.go
+++ b/io/send/caller.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"maps"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
 
+	"heatherrouter/core/mono"
 	"heatherrouter/core/site"
 )
 
@@ -84,6 +87,54 @@
 	}
 }
 
+// matchWithRefresh matches the request and, if its key is unknown, refreshes the configuration and retries once. A caller may
+// use a new key before this daemon has received the configuration that adds it.
+func (s *Sender) matchWithRefresh(r *request, snap *site.Snapshot) *final {
+	f := s.match(r, snap)
+	if f == nil || f.status != fasthttp.StatusUnauthorized || r.credential.state != credentialPresent {
+		return f
+	}
+	s.mu.Lock()
+	refresh := s.unknown.shouldRefresh(s.o.Clock.Now(), r.credential.digest)
+	s.mu.Unlock()
+	if !refresh || !s.o.View.Refresh(r.caller) {
+		return f
+	}
+	return s.match(r, s.o.View.Snapshot())
+}
+
+// unknownKeys limits how often unknown keys trigger a refresh of the configuration.
+type unknownKeys struct {
+	expires map[site.KeyDigest]mono.Time
+}
+
+const (
+	// unknownKeyTTL is the time after a refresh for a key during which the key triggers no other.
+	unknownKeyTTL = time.Second
+
+	// maxUnknownKeys bounds the remembered keys. While it is reached, other unknown keys trigger no refresh, so that a flood
+	// of invalid keys neither uses unbounded memory nor overloads the coordinator.
+	maxUnknownKeys = 1024
+)
+
+// shouldRefresh reports whether the unknown key should trigger a refresh, and remembers the key if so.
+func (u *unknownKeys) shouldRefresh(now mono.Time, d site.KeyDigest) bool {
+	if now.Before(u.expires[d]) {
+		return false
+	}
+	if len(u.expires) >= maxUnknownKeys {
+		maps.DeleteFunc(u.expires, func(_ site.KeyDigest, t mono.Time) bool { return !now.Before(t) })
+	}
+	if len(u.expires) >= maxUnknownKeys {
+		return false
+	}
+	if u.expires == nil {
+		u.expires = map[site.KeyDigest]mono.Time{}
+	}
+	u.expires[d] = now.Add(unknownKeyTTL)
+	return true
+}
+
 // stillAuthorised reports whether the configuration authenticates the caller as when the request was prepared. The key may
 // have been revoked or assigned to another organisation while the request waited.
 func (r *request) stillAuthorised(route *site.Route, c *site.Config) bool {
--- a/io/send/caller_test.go
+++ b/io/send/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/site"
 )
 
@@ -136,3 +138,22 @@
 	s.setOrganisation(req, &request{})
 	require.Empty(t, req.Header.PeekAll("Tenant"))
 }
+
+// Guards against a flood of invalid keys causing a flood of requests to the coordinator.
+func TestUnknownKeysAreLookedForOnce(t *testing.T) {
+	var u unknownKeys
+	now := mono.Time(time.Hour)
+	key := func(i int) site.KeyDigest { return site.DigestKey([]byte(strconv.Itoa(i))) }
+	require.True(t, u.shouldRefresh(now, key(0)))
+	require.False(t, u.shouldRefresh(now.Add(unknownKeyTTL/2), key(0)))
+	require.True(t, u.shouldRefresh(now.Add(unknownKeyTTL), key(0)))
+	refreshes := 0
+	for i := range 10 * maxUnknownKeys {
+		if u.shouldRefresh(now, key(i)) {
+			refreshes++
+		}
+	}
+	require.LessOrEqual(t, refreshes, maxUnknownKeys)
+	require.LessOrEqual(t, len(u.expires), maxUnknownKeys)
+	require.True(t, u.shouldRefresh(now.Add(3*unknownKeyTTL), key(1)))
+}
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -56,7 +56,8 @@
 	Snapshot() *site.Snapshot
 	Holds() *hold.Holds
 	Changed() <-chan struct{}
-	CopyAge() time.Duration // for which the copy may be behind
+	Refresh(c context.Context) bool // fetches changes from the coordinator; reports whether the snapshot may have changed
+	CopyAge() time.Duration         // for which the copy may be behind
 }
 
 // Counter counts final answers.
@@ -100,6 +101,7 @@
 	splits  map[string]*choice.Split  // by route
 	usuals  map[ident.Service]map[ident.Server]bool
 	usualOf *site.Snapshot // that the usual servers were worked out from
+	unknown unknownKeys    // that recently triggered a refresh
 	daemons []ident.Daemon // of the snapshot that they were listed from
 	listed  *site.Snapshot
 
@@ -198,7 +200,7 @@
 		r.key, r.hasKey = hold.Key(k), true
 	}
 	r.credential = readCredential(&r.req.Header)
-	if f := s.match(r, snap); f != nil {
+	if f := s.matchWithRefresh(r, snap); f != nil {
 		return f
 	}
 	if r.id == "" {
