--- a/io/node/node.go
+++ b/io/node/node.go
@@ -114,7 +114,7 @@
 		Self: s.Name, Domain: s.Domain, View: n.feed, Dialect: n.o.Platform.Dialect,
 		Cold:   pace.ColdLimit{Factor: s.Limits.ColdFactor, Slack: s.Limits.ColdSlack},
 		Budget: pace.BudgetLimit{Ratio: s.Limits.RetryRatio, Slack: s.Limits.RetrySlack, Window: s.Limits.RetryWindow},
-		Clock:  n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter,
+		Clock:  n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, MaxCopyAge: s.Limits.MaxCopyAge,
 	})
 	if n.id, err = newIdentity(s.Name, n.feed.Snapshot); err != nil {
 		return err
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -32,6 +32,8 @@
 	ColdSlack   float64       // requests beyond that in one second
 	MaxHold     time.Duration // of a grant of keys
 
+	MaxCopyAge time.Duration // of the configuration copy that keys are checked against; 0 for no limit
+
 	QuotaWindow    time.Duration // over which an organisation's requests are counted
 	QuotaOvershoot float64       // share by which an organisation's limit may be exceeded
 	QuotaSlack     float64       // additional requests allowed per window
--- a/io/send/caller.go
+++ b/io/send/caller.go
@@ -76,12 +76,18 @@
 		r.organisation = c.OrganisationByKey(r.credential.digest)
 	}
 	switch {
-	case r.organisation != nil || r.route.AllowAnonymous:
+	case r.route.AllowAnonymous:
 		return nil
 	case r.credential.state == credentialMalformed:
 		return &final{status: fasthttp.StatusBadRequest, outcome: notRun, reason: "malformed-credential"}
 	case r.credential.state == credentialMissing:
 		return &final{status: fasthttp.StatusUnauthorized, outcome: notRun, reason: "no-credential"}
+	case s.o.MaxCopyAge > 0 && s.o.View.CopyAge() > s.o.MaxCopyAge:
+		return &final{
+			status: fasthttp.StatusServiceUnavailable, outcome: notRun, reason: "configuration-too-old", retryAfter: retryNoServer,
+		}
+	case r.organisation != nil:
+		return nil
 	default:
 		return &final{status: fasthttp.StatusUnauthorized, outcome: notRun, reason: "unknown-credential"}
 	}
--- a/io/send/caller_test.go
+++ b/io/send/caller_test.go
@@ -157,3 +157,27 @@
 	require.LessOrEqual(t, len(u.expires), maxUnknownKeys)
 	require.True(t, u.shouldRefresh(now.Add(3*unknownKeyTTL), key(1)))
 }
+
+// fixedAgeView is a View with a fixed CopyAge.
+type fixedAgeView struct {
+	View
+	age time.Duration
+}
+
+func (v fixedAgeView) CopyAge() time.Duration { return v.age }
+
+// Guards against accepting a revoked key on a disconnected daemon when strict revocation is enabled.
+func TestStrictRevocation(t *testing.T) {
+	c := configWithOrganisations(t, 1, organisationWithKey("creche", "key1"))
+	authenticate := func(path string, limit, age time.Duration) *final {
+		s := &Sender{o: Options{MaxCopyAge: limit, View: fixedAgeView{age: age}}}
+		r := &request{route: c.Route("x.example", path), credential: readCredential(parseHeader(t, "Authorization: Bearer key1"))}
+		return s.authenticate(r, c)
+	}
+	require.Nil(t, authenticate("/x", 0, time.Minute))
+	require.Nil(t, authenticate("/x", 5*time.Second, 4*time.Second))
+	require.Nil(t, authenticate("/open/x", 5*time.Second, 6*time.Second))
+	f := authenticate("/x", 5*time.Second, 6*time.Second)
+	require.Equal(t, fasthttp.StatusServiceUnavailable, f.status)
+	require.Equal(t, notRun, f.outcome)
+}
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -77,6 +77,10 @@
 	Counter Counter
 	Limiter Limiter
 	Log     *log.Logger
+
+	// MaxCopyAge is the maximum CopyAge at which keys are accepted. Beyond it, a key may have been revoked without this daemon
+	// knowing. 0 means no limit.
+	MaxCopyAge time.Duration
 }
 
 // Limiter enforces the request limits of organisations.
