Serve requests within the limit right after a restart of all daemons

A daemon that had just started had no fallback burst.

Change: a daemon that has just started may send at once its share of what the limit allows in 0.7 s, to make up for the time in which it was down and sent nothing.

Alternative rejected: one token per organisation for each daemon. Summed over 82 daemons, this exceeds the slack of most limits.

--- a/core/quota/fallback.go
+++ b/core/quota/fallback.go
@@ -22,6 +22,10 @@
 // lostRetryAfter is the retry delay for callers while no coordinator answers; a new one is usually elected within this time.
 const lostRetryAfter = 500 * time.Millisecond
 
+// minDowntime is a lower bound on the time for which a restarting daemon sends no requests. When all daemons restart together,
+// they may send at once what the limit allows in that time.
+const minDowntime = 700 * time.Millisecond
+
 // takeFallback takes a token under the fallback limits.
 func (c *TokenCache) takeFallback(now mono.Time, b *balance, daemons int) Decision {
 	if c.cut && now.Sub(c.lost) > cutLimit {
@@ -30,7 +34,9 @@
 	x := &b.fallback
 	if !x.started {
 		if c.heard == 0 {
-			x.rate = b.limit.Rate / float64(max(1, daemons)) // no coordinator has answered this incarnation yet
+			// No coordinator has answered this incarnation yet.
+			x.rate = b.limit.Rate / float64(max(1, daemons))
+			x.burst = x.rate * minDowntime.Seconds()
 		}
 		// Until then, the coordinator doesn't count this daemon's fallback requests.
 		x.started, x.level, x.updatedAt = true, x.burst, max(c.lost, c.heard.Add(silentAfter))
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -335,6 +335,28 @@
 	return w
 }
 
+// restartAll simulates a restart of all daemons under a load of demand times the limit, and the first two seconds after it,
+// without a coordinator.
+func restartAll(seed uint64, daemons int, l site.Limit, demand float64) *world {
+	w := newWorld(seed, daemons, l)
+	w.run(8 * time.Second)
+	for _, d := range w.daemons {
+		d.rate = demand * l.Rate / float64(len(w.daemons))
+	}
+	w.run(6 * time.Second)
+	w.ledger = nil
+	for _, d := range w.daemons {
+		d.down = true
+	}
+	w.run(800 * time.Millisecond)
+	for _, d := range w.daemons {
+		d.start()
+	}
+	w.requested, w.refused = 0, 0
+	w.run(2 * time.Second)
+	return w
+}
+
 var limits = []site.Limit{{Rate: 6, Burst: 6}, {Rate: 40, Burst: 40}, {Rate: 200, Burst: 200}, {Rate: 50}}
 
 // Guards against exceeding the limit when daemons or coordinators fail.
@@ -343,6 +365,10 @@
 		for seed := range uint64(60) {
 			w := schedule(seed, l, mutation{})
 			require.LessOrEqual(t, w.maxInWindow(), allowed(l), "seed %d limit %v", seed, l)
+			w = restartAll(seed, 12, l, 4)
+			w.elect()
+			w.run(6 * time.Second)
+			require.LessOrEqual(t, w.maxInWindow(), allowed(l), "restart, seed %d limit %v", seed, l)
 			w = takeover(seed, l, mutation{})
 			require.LessOrEqual(t, w.maxInWindow(), allowed(l), "takeover, seed %d limit %v", seed, l)
 		}
@@ -461,3 +487,13 @@
 	w.run(10 * time.Second)
 	require.Less(t, float64(w.refused), 0.1*float64(w.requested))
 }
+
+// Guards against refusing most callers within the limit after all daemons restart and before a coordinator is elected.
+func TestCallersAreServedAfterRestart(t *testing.T) {
+	refused, requested := 0, 0
+	for seed := range uint64(10) {
+		w := restartAll(seed, 82, site.Limit{Rate: 40, Burst: 40}, 0.5)
+		refused, requested = refused+w.refused, requested+w.requested
+	}
+	require.Less(t, float64(refused), 0.4*float64(requested))
+}
