--- a/io/limit/limit.go
+++ b/io/limit/limit.go
@@ -207,8 +207,7 @@
 	case "":
 		return nil, trace.NotFound("no coordinator")
 	case l.o.Self:
-		l.Report(to, a)
-		return l.Grant(to, a), nil
+		return l.Grant(to, l.Report(to, a)), nil
 	}
 	x, cancel := context.WithTimeout(c, askTimeout)
 	defer cancel()
--- a/io/limit/serve.go
+++ b/io/limit/serve.go
@@ -11,24 +11,26 @@
 	"heatherrouter/io/wire"
 )
 
-// Report applies a daemon's ask to the ledger if this daemon is the coordinator.
-func (l *Limiter) Report(from ident.Daemon, a *wire.QuotaAsk) {
+// Report applies a daemon's ask to the ledger if this daemon is the coordinator, and returns the ask for Grant.
+func (l *Limiter) Report(from ident.Daemon, w *wire.QuotaAsk) quota.Ask {
+	a := decodeAsk(w)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if x := l.currentLedger(); x != nil {
-		x.Report(l.o.Clock.Now(), from, decodeAsk(a))
+		x.Report(l.o.Clock.Now(), from, a)
 	}
+	return a
 }
 
 // Grant answers a reported ask, or returns nil if this daemon isn't the addressed coordinator.
-func (l *Limiter) Grant(from ident.Daemon, a *wire.QuotaAsk) *wire.QuotaAnswer {
+func (l *Limiter) Grant(from ident.Daemon, a quota.Ask) *wire.QuotaAnswer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x := l.currentLedger()
-	if x == nil || uint64(l.term) != a.GetTerm() {
+	if x == nil || l.term != a.Term {
 		return nil
 	}
-	return encodeAnswer(x.Grant(l.o.Clock.Now(), from, decodeAsk(a), l.daemonNames()))
+	return encodeAnswer(x.Grant(l.o.Clock.Now(), from, a, l.daemonNames()))
 }
 
 // currentLedger returns the ledger of the current term, or nil if this daemon may not grant tokens now. HasTurn ensures that
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -409,8 +409,8 @@
 		r := h.sync(c, from, x.Sync)
 		return &wire.Reply{Body: &wire.Reply_Sync{Sync: r}}
 	case *wire.Call_Quota:
-		h.limiter.Report(from, x.Quota)
-		return &wire.Reply{Body: &wire.Reply_Quota{Quota: h.limiter.Grant(from, x.Quota)}}
+		a := h.limiter.Report(from, x.Quota)
+		return &wire.Reply{Body: &wire.Reply_Quota{Quota: h.limiter.Grant(from, a)}}
 	case *wire.Call_Withdraw:
 		given := h.feed.Withdraw(site.Term(x.Withdraw.GetTerm()))
 		return &wire.Reply{Body: &wire.Reply_Withdrawn{Withdrawn: &wire.Withdrawn{Given: given}}}
@@ -423,9 +423,9 @@
 	if x.GetQuota() == nil {
 		return h.feed.Sync(c, from, x)
 	}
-	h.limiter.Report(from, x.GetQuota())
+	a := h.limiter.Report(from, x.GetQuota())
 	r := h.feed.Sync(c, from, x)
-	r.Quota = h.limiter.Grant(from, x.GetQuota())
+	r.Quota = h.limiter.Grant(from, a)
 	return r
 }
 
