--- a/cmd/heatherrouter/root/root.go
+++ b/cmd/heatherrouter/root/root.go
@@ -22,6 +22,8 @@
 	domaindrain "heatherrouter/cmd/heatherrouter/domain/drain"
 	domainlist "heatherrouter/cmd/heatherrouter/domain/list"
 	domainrestore "heatherrouter/cmd/heatherrouter/domain/restore"
+	organisationlist "heatherrouter/cmd/heatherrouter/organisation/list"
+	organisationshow "heatherrouter/cmd/heatherrouter/organisation/show"
 	requestexplain "heatherrouter/cmd/heatherrouter/request/explain"
 	serverdrain "heatherrouter/cmd/heatherrouter/server/drain"
 	serverlist "heatherrouter/cmd/heatherrouter/server/list"
@@ -85,6 +87,11 @@
 		Restore daemonrestore.Options `cmd:"" help:"Give a daemon new duties again."`
 	} `cmd:"" help:"Daemons."`
 
+	Organisation struct {
+		List organisationlist.Options `cmd:"" help:"List the organisations with their limits and usage."`
+		Show organisationshow.Options `cmd:"" help:"Show one organisation."`
+	} `cmd:"" help:"Organisations of callers."`
+
 	Request struct {
 		Explain requestexplain.Options `cmd:"" help:"Tell from logs what happened to a request."`
 	} `cmd:"" help:"Requests of callers."`
