--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -165,6 +165,9 @@
 	f.mu.Lock()
 	read, rev := f.read[t], f.tables[t].rev
 	f.asked[t] = f.o.Clock.Now()
+	if t == store.Orders && read && !f.leads() && !f.votes() {
+		f.o.Log.Info().Dur("copy-age", f.age(t)).Str("coordinator", string(f.snapshot.Coordinator.Daemon)).Msg("store asked in place of peers")
+	}
 	f.mu.Unlock()
 	asked, boot := f.o.Clock.Now(), f.o.Clock.Boot()
 	if !read {
@@ -187,7 +190,7 @@
 		return err
 	}
 	// While a feed is held back its copy is the newest; an answer without news says so for the time it was made.
-	f.applied(t, p, false, f.o.Clock.Now())
+	f.applied(t, p, false, f.o.Clock.Now(), fromStore)
 	if t == store.Control {
 		f.Confirm(boot)
 		f.wakeAtStart()
@@ -232,6 +235,6 @@
 	if err != nil {
 		return err
 	}
-	f.applied(t, p, true, asked)
+	f.applied(t, p, true, asked, fromStore)
 	return nil
 }
--- a/io/feed/draft.go
+++ b/io/feed/draft.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -31,12 +32,19 @@
 // draft is a snapshot in the making. A row that can't be read changes nothing and is logged, once for each time that
 // it is written.
 type draft struct {
-	s *site.Snapshot
-	o Options
+	s    *site.Snapshot
+	o    Options
+	from origin
 
 	ready, draining, gone []string // servers whose rows were news
 }
 
+// origin tells where rows came from.
+type origin struct {
+	from string        // a peer, fromStore or fromSelf
+	age  time.Duration // of the table's copy before they came
+}
+
 // Bounds of the servers that one log line names. Hundreds of them start together; one that takes no more work explains why
 // a request was not sent there.
 const (
@@ -56,8 +64,8 @@
 		Int("gone", len(d.gone)).Strs("gone-servers", first(d.gone, maxLeftNamed)).Msg("servers changed")
 }
 
-func newDraft(s *site.Snapshot, o Options) *draft {
-	return &draft{o: o, s: &site.Snapshot{
+func newDraft(s *site.Snapshot, o Options, from origin) *draft {
+	return &draft{o: o, from: from, s: &site.Snapshot{
 		Config: s.Config, Servers: maps.Clone(s.Servers), Evacuated: maps.Clone(s.Evacuated),
 		Daemons: maps.Clone(s.Daemons), Coordinator: s.Coordinator, Voters: s.Voters,
 	}}
@@ -94,7 +102,7 @@
 		}
 		d.s.Config = x.Config
 		d.o.Log.Info().Uint64("version", uint64(x.Config.Version)).Uint64("rev", uint64(r.Rev)).
-			Int("routes", x.Config.Routes()).Msg("configuration in force")
+			Int("routes", x.Config.Routes()).Str("from", d.from.from).Dur("copy-age", d.from.age).Msg("configuration in force")
 	case Evacuate:
 		d.s.Evacuated[x.Domain] = true
 		d.o.Log.Info().Str("domain", string(x.Domain)).Uint64("rev", uint64(r.Rev)).Msg("domain evacuated")
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -349,7 +349,7 @@
 	defer f.mu.Unlock()
 	t := &f.tables[store.Control]
 	// The page claims no more than is known already: what others wrote before it may not have come yet.
-	f.take(store.Control, t.apply(store.Page{Rows: rows, Rev: t.rev}))
+	f.take(store.Control, t.apply(store.Page{Rows: rows, Rev: t.rev}), origin{from: fromSelf})
 }
 
 // Publish makes known who holds which keys.
@@ -379,10 +379,17 @@
 	f.changed = make(chan struct{})
 }
 
-// applied takes in a page of a table; asOf is when the page was the newest for certain.
-func (f *Feed) applied(t store.Table, p store.Page, whole bool, asOf mono.Time) {
+// fromStore and fromSelf name, in log lines, a source that is no peer.
+const (
+	fromStore = "store"
+	fromSelf  = "self"
+)
+
+// applied takes in a page of a table that came from a peer or the store; asOf is when the page was the newest for certain.
+func (f *Feed) applied(t store.Table, p store.Page, whole bool, asOf mono.Time, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	age := f.o.Clock.Now().Sub(f.asOf[t])
 	x := &f.tables[t]
 	var news []store.Row
 	if whole {
@@ -393,17 +400,17 @@
 	f.asOf[t] = max(f.asOf[t], asOf)
 	first := !f.read[t]
 	f.read[t] = true
-	if !f.take(t, news) && first {
+	if !f.take(t, news, origin{from: from, age: age}) && first {
 		f.wake()
 	}
 }
 
 // take builds the next snapshot from rows that are news; it reports whether there is one.
-func (f *Feed) take(t store.Table, news []store.Row) bool {
+func (f *Feed) take(t store.Table, news []store.Row, from origin) bool {
 	if len(news) == 0 {
 		return false
 	}
-	d := newDraft(f.snapshot, f.o)
+	d := newDraft(f.snapshot, f.o, from)
 	for _, r := range news {
 		d.take(t, r)
 		if t == store.Control && r.Key == CoordinatorRow {
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -181,8 +181,7 @@
 	if err != nil {
 		f.leaveRelay(to)
 		if c.Err() == nil && leads {
-			f.o.Log.Debug().Err(err).Str("peer", string(to)).Msg("coordinator not heard")
-			f.notHeard()
+			f.notHeard(to, err)
 		}
 		return false
 	}
@@ -194,18 +193,26 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.relay == d {
+		f.o.Log.Info().Str("peer", string(d)).Str("reason", "no-answer").Msg("voter is of no use")
 		f.relay = ""
 	}
 }
 
 // notHeard takes in that the coordinator didn't answer.
-func (f *Feed) notHeard() {
+func (f *Feed) notHeard(d ident.Daemon, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.unheard {
-		f.unheard = true
-		f.wake()
+	if f.unheard {
+		return
 	}
+	f.o.Log.Info().Err(err).Str("peer", string(d)).Dur("copy-age", f.age(store.Orders)).Msg("coordinator doesn't answer")
+	f.unheard = true
+	f.wake()
+}
+
+// age returns for how long the copy of the table may be behind; the caller holds the lock.
+func (f *Feed) age(t store.Table) time.Duration {
+	return f.o.Clock.Now().Sub(f.asOf[t])
 }
 
 // takeReply takes in what a peer answered; it reports whether the peer's copy is of use.
@@ -213,7 +220,7 @@
 	now := f.o.Clock.Now()
 	asOf := now.Add(-duration(r.GetStoreAgeUs()))
 	for _, t := range r.GetTables() {
-		if t.GetTable() < store.Tables && !f.takeTable(store.Table(t.GetTable()), t) {
+		if t.GetTable() < store.Tables && !f.takeTable(store.Table(t.GetTable()), t, from) {
 			return false
 		}
 	}
@@ -246,6 +253,9 @@
 func (f *Feed) noteSource(from ident.Daemon, useful bool) {
 	switch {
 	case from == f.snapshot.Coordinator.Daemon:
+		if f.unheard {
+			f.o.Log.Info().Str("peer", string(from)).Msg("coordinator answers again")
+		}
 		f.unheard = false
 		if f.behind == useful {
 			f.behind = !useful
@@ -255,15 +265,19 @@
 			f.relay = ""
 		}
 	case useful && slices.Contains(voters(f.snapshot), from):
+		if f.relay != from {
+			f.o.Log.Info().Str("peer", string(from)).Msg("copy taken from a voter")
+		}
 		f.relay = from // others don't renew their copies either
 	case f.relay == from:
+		f.o.Log.Info().Str("peer", string(from)).Str("reason", "old-copy").Msg("voter is of no use")
 		f.relay = ""
 	}
 }
 
 // takeTable takes in what a peer told of a table. What can't be unpacked here is left out as a whole, and the next peer is
 // asked for the whole table: taken in by halves, the copy would claim to be newer than it is.
-func (f *Feed) takeTable(t store.Table, x *wire.SyncTable) bool {
+func (f *Feed) takeTable(t store.Table, x *wire.SyncTable, from ident.Daemon) bool {
 	f.mu.Lock()
 	p, err := f.tables[t].page(x)
 	if err != nil {
@@ -274,7 +288,7 @@
 		f.o.Log.Warn().Err(err).Str("table", t.String()).Msg("rows of a peer not unpacked, the whole table is asked for")
 		return false
 	}
-	f.applied(t, p, x.GetWhole(), 0)
+	f.applied(t, p, x.GetWhole(), 0, string(from))
 	return true
 }
 
