--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -153,6 +153,33 @@
 	pair
 	self   ident.Daemon
 	refuse *atomic.Int64 // so many calls fail, nil for none
+	lost   *lostSet      // daemons that answer nothing, nil for none
+}
+
+// lostSet holds daemons that have lost power: calls to them get no answer.
+type lostSet struct {
+	mu   sync.Mutex
+	lost map[ident.Daemon]bool
+}
+
+func (s *lostSet) add(l ...ident.Daemon) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost == nil {
+		s.lost = map[ident.Daemon]bool{}
+	}
+	for _, d := range l {
+		s.lost[d] = true
+	}
+}
+
+func (s *lostSet) has(d ident.Daemon) bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost[d]
 }
 
 func (p end) Call(c context.Context, to ident.Daemon, m *wire.Call) (*wire.Reply, error) {
@@ -162,7 +189,16 @@
 	if p.refuse != nil && p.refuse.Add(-1) >= 0 {
 		return nil, errors.New("not trusted yet")
 	}
-	return &wire.Reply{Body: &wire.Reply_Sync{Sync: p.pair[to].Sync(c, p.self, m.GetSync())}}, nil
+	if p.lost.has(to) || p.lost.has(p.self) {
+		<-c.Done()
+		return nil, c.Err()
+	}
+	r := p.pair[to].Sync(c, p.self, m.GetSync())
+	if p.lost.has(to) {
+		<-c.Done()
+		return nil, c.Err()
+	}
+	return &wire.Reply{Body: &wire.Reply_Sync{Sync: r}}, nil
 }
 
 func start(t *testing.T, s store.Store, peers pair, name ident.Daemon) *Feed {
--- a/io/feed/fleet_test.go
+++ b/io/feed/fleet_test.go
@@ -45,6 +45,7 @@
 	feeds []*Feed
 	ways  []*access
 	calls atomic.Int64
+	lost  lostSet
 }
 
 const fleetVoters = 5
@@ -74,7 +75,7 @@
 		peers[x.feeds[i].o.Self] = x.feeds[i]
 	}
 	for _, f := range x.feeds {
-		runFeed(t, f, end{pair: peers, self: f.o.Self})
+		runFeed(t, f, end{pair: peers, self: f.o.Self, lost: &x.lost})
 		f.Announced(1)
 	}
 	require.Eventually(t, func() bool { return x.all(1, x.feeds) && x.feeds[0].Supported() }, 3*time.Second, 10*time.Millisecond)
@@ -191,3 +192,20 @@
 	f.noteSource("d2", false)
 	require.Empty(t, f.relay)
 }
+
+// Guards against a daemon that neither hears of a change from its lost sources nor reads it from the store in time.
+func TestChangeWhileCoordinatorAndVotersAreLost(t *testing.T) {
+	x := newFleet(t, 40)
+	x.ways[0].refused.Store(true)
+	x.lost.add("d0")
+	x.m.put(store.Orders, "config", []byte("2"), false)
+	rest := x.feeds[fleetVoters:]
+	require.Eventually(t, func() bool { return x.all(2, rest) }, 2500*time.Millisecond, 10*time.Millisecond)
+	for i := 1; i < fleetVoters; i++ {
+		x.ways[i].refused.Store(true)
+		x.lost.add(x.feeds[i].o.Self)
+	}
+	time.Sleep(time.Second)
+	x.m.put(store.Orders, "config", []byte("3"), false)
+	require.Eventually(t, func() bool { return x.all(3, rest) }, 2500*time.Millisecond, 10*time.Millisecond)
+}
