Ask the store whenever the copy is old and no voter tells that it is out

What callers saw: routes handled by an older configuration 0.04 to 0.4 s past the bound.

Cause: a daemon decided once for how long it need not ask the store, and slept that long. A peer's answer within the last 1.5 s allowed 9.7 s (6 times the stale age at 72 daemons), and nothing woke the daemon when that answer had become old. Its coordinator lost, then the voter that it had turned to, it waited for calls without an answer, 1 s each, and for no other reason heard of a change 2 to 3 s late. Any peer's answer counted, also one that reads the store no more than the asker.

Change: core/source decides whom to ask and when to ask the store, as pure code. StoreAt returns the time to look again, never later than the end of what it rests on. The store is taken for out only while three voters (all, where there are fewer) say that they lack it. A coordinator that doesn't answer is asked 0.3 s long, not 1 s, and a first call to a voter waits for no news. A copy that peers take for old is confirmed by an answer that isn't held back.

Ruled out: a store that refuses the late daemons (no refused calls of theirs), news taken in late (no answer came).

--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -9,26 +9,18 @@
 
 	"heatherrouter/core/elect"
 	"heatherrouter/core/mono"
+	"heatherrouter/core/source"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/store"
 )
 
 const (
-	// staleSlack is how much older than feedWait and the wait for the coordinator's answer, the age that a copy reaches
-	// when all is well, it has to be for a daemon to ask the store itself.
-	staleSlack = 100 * time.Millisecond
-
-	// feedWait is how long the store holds a feed back without news. While it does, nothing tells that the feed has not
-	// been cut silently, so the copy ages; each second of it costs a call a table.
-	feedWait = 800 * time.Millisecond
+	// feedWait is how long the store holds a feed back without news.
+	feedWait = source.FeedWait
 
 	// controlWait is the same for the control table, which changes next to never but by its reader's own hand.
 	controlWait = 5 * time.Second
 
-	// unheardGap is between two calls of a daemon that the coordinator doesn't answer. Such calls are answered at the next
-	// change, and when the whole site starts again there is one for each daemon.
-	unheardGap = 100 * time.Millisecond
-
 	// startGap is between the first two looks at the control table at the first start of a site, whose hosts start within
 	// 0.3 s of each other, and lateGap between later ones. Whoever knows of no coordinator by startLimit reads all tables.
 	startGap   = 800 * time.Millisecond
@@ -40,16 +32,6 @@
 	newsPause        = 100 * time.Millisecond
 	controlNewsPause = 250 * time.Millisecond
 
-	// unreachedGap is the same for a daemon that no voter answers either. All of them are in this state together after a
-	// restart of the whole site.
-	unreachedGap = 500 * time.Millisecond
-
-	// answeredWithin is how long ago a peer's last answer may be for a daemon to rely on its peers for news of the store.
-	answeredWithin = 1500 * time.Millisecond
-
-	// otherwise is how many times older than usual the copy of such a daemon gets before it asks the store itself.
-	otherwise = 6
-
 	// Pauses after a failed call, doubled each time: calls are paid for, refused ones too.
 	minPause = 50 * time.Millisecond
 	maxPause = 800 * time.Millisecond
@@ -92,19 +74,8 @@
 	if !f.read[t] {
 		return 0
 	}
-	age, stale := now.Sub(f.asOf[t]), f.staleAfter()
-	if f.votes() {
-		if f.votersFew() && (f.unheard || f.behind) {
-			return 0 // the others take their copies from the voters now
-		}
-		return f.askSooner(t, now, stale-age, unheardGap)
-	}
-	if now.Sub(f.answered) < answeredWithin {
-		// No peer has a newer copy, and some of them ask the store: it is out for them all, and hundreds of daemons that
-		// ask it as well make it no better.
-		return otherwise*stale - now.Sub(max(f.asOf[t], f.asked[t]))
-	}
-	return f.askSooner(t, now, stale-age, unreachedGap)
+	c := source.Copy{AsOf: f.asOf[t], Asked: f.asked[t], Control: t == store.Control}
+	return f.sources.StoreAt(now, f.snapshot, c).Sub(now)
 }
 
 // askAtStart returns how long the store needn't be asked by a daemon of a site that has had no coordinator yet. Each reads
@@ -130,25 +101,10 @@
 	return f.read[store.Control] && f.asked[store.Control].Sub(f.started) >= startGap
 }
 
-// askSooner shortens the wait for the control table while nobody tells of the coordinator. It has started again under
-// another key, or is gone: who follows it stands in the store before anybody else tells. Found out once the copy is stale,
-// a second later, all keys would be refused here meanwhile.
-func (f *Feed) askSooner(t store.Table, now mono.Time, wait, gap time.Duration) time.Duration {
-	if f.unheard && t == store.Control {
-		return min(wait, gap-now.Sub(f.asked[t]))
-	}
-	return wait
-}
-
 // votes reports whether this daemon is one of the voters, as all are where the coordinator's row names none; the caller
 // holds the lock.
 func (f *Feed) votes() bool {
-	return len(f.snapshot.Voters) == 0 || slices.Contains(f.snapshot.Voters, f.o.Self)
-}
-
-// votersFew reports whether some daemons aren't voters; the caller holds the lock.
-func (f *Feed) votersFew() bool {
-	return len(f.snapshot.Voters) > 0 && len(f.snapshot.Voters) < len(f.snapshot.Daemons)
+	return slices.Contains(voters(f.snapshot), f.o.Self)
 }
 
 // longestPause returns the longest pause between two failed calls. The coordinator is the first to learn that the store is
@@ -220,14 +176,14 @@
 
 // staleAfter returns the age of the copy from which a daemon asks the store itself; the caller holds the lock.
 func (f *Feed) staleAfter() time.Duration {
-	return feedWait + elect.SyncWait(f.snapshot, f.o.Self) + staleSlack
+	return source.Stale(f.snapshot, f.o.Self)
 }
 
-// fresh reports whether the copy was the newest a moment ago.
+// fresh reports whether peers take the copy for new. An old one is confirmed by an answer that isn't held back.
 func (f *Feed) fresh(t store.Table) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.o.Clock.Now().Sub(f.asOf[t]) < f.staleAfter()+feedWait
+	return f.age(t) < source.OldCopy
 }
 
 func (f *Feed) list(c context.Context, t store.Table, asked mono.Time) error {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/site"
+	"heatherrouter/core/source"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/group"
 	"heatherrouter/io/store"
@@ -95,11 +97,7 @@
 	held     versions[hold.Stamp] // the same, encoded for peers
 	whole    [store.Tables]bool   // peers are asked for the whole table
 	heard    mono.Time            // of the present coordinator, as one that reaches the store
-	unheard  bool                 // the coordinator didn't answer the last call
-	behind   bool                 // the coordinator's copy was old when it last answered: the store doesn't answer it
-	relay    ident.Daemon         // the voter whose copy was new when the coordinator's wasn't
-	probed   mono.Time            // when the coordinator was last asked
-	answered mono.Time            // when any peer last answered
+	sources  *source.Tracker      // of the copy
 	asked    [store.Tables]mono.Time
 	reached  mono.Time // of the rest of the site: of the coordinator, able or not, or of a daemon of another domain
 
@@ -126,6 +124,7 @@
 func New(o Options) *Feed {
 	f := &Feed{
 		o: o, changed: make(chan struct{}), heard: o.Clock.Now(), reached: o.Clock.Now(), started: o.Clock.Now(), promise: elect.Promise{Started: o.Clock.Boot()},
+		sources: source.New(o.Self, rand.IntN),
 		snapshot: (&site.Snapshot{
 			Servers: map[ident.Server]*site.Server{}, Evacuated: map[ident.Domain]bool{}, Daemons: map[ident.Daemon]*site.Daemon{},
 		}).Finish(),
@@ -423,7 +422,7 @@
 	if c := f.snapshot.Coordinator; c.Term != was.Term || c.Daemon != was.Daemon || c.Incarnation != was.Incarnation {
 		f.heard = f.o.Clock.Now()
 		f.support.Reset()
-		f.relay, f.behind, f.probed = "", false, 0 // the new one is asked at once
+		f.sources.NewCoordinator()
 	}
 	f.wake()
 	return true
--- a/io/feed/fleet_test.go
+++ b/io/feed/fleet_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/core/source"
 	"heatherrouter/io/store"
 	"heatherrouter/io/wire"
 )
@@ -163,20 +164,21 @@
 	x := newFleet(t, 10)
 	f := x.feeds[8]
 	f.mu.Lock()
-	f.unheard, f.relay, f.probed = true, "d2", f.o.Clock.Now()
+	f.sources.Failed(f.o.Clock.Now(), f.snapshot, source.Call{Peer: "d0"})
+	f.noteAnswer(f.o.Clock.Now(), "d2", 0)
 	f.mu.Unlock()
 	v, err := proto.Marshal(&wire.CoordinatorRow{Daemon: "d1", Incarnation: 1, Term: 2, Voters: []string{"d0", "d1", "d2"}})
 	require.NoError(t, err)
 	f.Learn([]store.Row{{Key: CoordinatorRow, Value: v, Rev: x.m.rev + 1}})
-	to, ok := f.source(0)
+	to, ok := f.next()
 	require.True(t, ok)
-	require.Equal(t, ident.Daemon("d1"), to)
+	require.Equal(t, ident.Daemon("d1"), to.Peer)
 	v, err = proto.Marshal(&wire.CoordinatorRow{Term: 2, Clean: true, Voters: []string{"d3"}})
 	require.NoError(t, err)
 	f.Learn([]store.Row{{Key: CoordinatorRow, Value: v, Rev: x.m.rev + 2}})
-	to, ok = f.source(0)
+	to, ok = f.next()
 	require.True(t, ok)
-	require.Equal(t, ident.Daemon("d3"), to, "the first candidate, while the turn is nobody's")
+	require.Equal(t, ident.Daemon("d3"), to.Peer, "the first candidate, while the turn is nobody's")
 }
 
 // Guards against a daemon that keeps to a peer which reads the store no more than itself, while copies grow old.
@@ -185,12 +187,12 @@
 	f := x.feeds[8]
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noteSource("d7", true)
-	require.Empty(t, f.relay)
-	f.noteSource("d2", true)
-	require.Equal(t, ident.Daemon("d2"), f.relay)
-	f.noteSource("d2", false)
-	require.Empty(t, f.relay)
+	f.noteAnswer(f.o.Clock.Now(), "d7", 0)
+	require.Empty(t, f.sources.Relay())
+	f.noteAnswer(f.o.Clock.Now(), "d2", 0)
+	require.Equal(t, ident.Daemon("d2"), f.sources.Relay())
+	f.noteAnswer(f.o.Clock.Now(), "d2", source.OldCopy)
+	require.Empty(t, f.sources.Relay())
 }
 
 // Guards against a daemon that neither hears of a change from its lost sources nor reads it from the store in time.
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -2,61 +2,58 @@
 
 import (
 	"context"
-	"maps"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"heatherrouter/core/elect"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/site"
+	"heatherrouter/core/source"
 	"heatherrouter/io/store"
 	"heatherrouter/io/wire"
 )
 
-const (
-	// syncLimit is how long an answer may take beyond the wait before another peer is asked.
-	syncLimit = 300 * time.Millisecond
-
-	// idlePause is how often a daemon without a peer to ask looks for one.
-	idlePause = 500 * time.Millisecond
-
-	// syncPause is between two peers that couldn't be asked, doubled up to maxDoubled times.
-	syncPause  = 100 * time.Millisecond
-	maxDoubled = 4
-
-	// oldCopy is the age of a copy from which its daemon doesn't seem to reach the store. The copy of a coordinator that
-	// does is as old as feedWait and a slow store's answer.
-	oldCopy = feedWait + 600*time.Millisecond
-)
+// idlePause is how often a daemon without a peer to ask looks for one.
+const idlePause = 500 * time.Millisecond
 
 // follow asks the coordinator, or another peer when that doesn't answer or its copy is old, for what is new.
 func (f *Feed) follow(c context.Context) error {
-	failed := 0 // calls in a row
 	for c.Err() == nil {
 		changed := f.Changed()
-		to, ok := f.source(failed)
+		x, ok := f.next()
 		if !ok {
 			awaitChange(c, idlePause, changed)
-			failed = 0 // with no other daemon to ask, the coordinator is asked again
 			continue
 		}
-		if f.syncWith(c, to) {
-			failed = 0
+		asked := f.o.Clock.Now()
+		if f.syncWith(c, x) {
 			continue
 		}
-		awaitChange(c, f.syncPause(failed), f.Changed())
-		failed++
+		awaitChange(c, f.pauseUntil(asked).Sub(f.o.Clock.Now()), f.Changed())
 	}
 	return nil
 }
 
-// syncPause returns the pause after so many failed calls. The coordinator is asked in each second turn, often enough for
-// the promises that it needs while the store answers nobody.
-func (f *Feed) syncPause(failed int) time.Duration {
+// next returns the next call to a peer; false when there is none to ask.
+func (f *Feed) next() (source.Call, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leads() || !f.read[store.Control] || f.snapshot.Coordinator.Term == 0 && !f.askedTwice() {
+		f.sources.Rested()
+		return source.Call{}, false
+	}
+	x, ok := f.sources.Next(f.o.Clock.Now(), f.snapshot)
+	if !ok {
+		f.sources.Rested()
+	}
+	return x, ok
+}
+
+// pauseUntil returns when the next call may start after one that failed.
+func (f *Feed) pauseUntil(asked mono.Time) mono.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return min(syncPause<<min(failed, maxDoubled), elect.SyncWait(f.snapshot, f.o.Self)/2)
+	return asked.Add(f.sources.Pause(f.snapshot))
 }
 
 // awaitChange waits, but not beyond the next change. The channel is taken before what is decided on is looked at, else a change
@@ -71,44 +68,6 @@
 	}
 }
 
-// source returns the peer to ask: the coordinator, and after each failed call a voter, which reads the store while the
-// coordinator can't, or any other daemon. A coordinator that didn't answer is left alone for a while.
-func (f *Feed) source(failed int) (ident.Daemon, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s, now := f.snapshot, f.o.Clock.Now()
-	if f.leads() || !f.read[store.Control] || s.Coordinator.Term == 0 && !f.askedTwice() {
-		return "", false
-	}
-	n := s.Coordinator.Daemon
-	if n == "" {
-		n = elect.First(s) // it reads the store, and becomes the coordinator
-	}
-	skip := f.unheard && f.relay != "" && now.Sub(f.probed) < elect.SyncWait(s, f.o.Self)
-	if failed%2 == 0 && !skip && n != "" && n != f.o.Self && s.Daemons[n] != nil {
-		f.probed = now
-		return n, true
-	}
-	if f.relay != "" && s.Daemons[f.relay] != nil {
-		return f.relay, true
-	}
-	if d, ok := f.other(s.Voters); ok && failed%4 != 3 {
-		return d, true
-	}
-	return f.other(slices.Collect(maps.Keys(s.Daemons)))
-}
-
-// other returns a random one of the daemons, neither this one nor the coordinator; the caller holds the lock.
-func (f *Feed) other(l []ident.Daemon) (ident.Daemon, bool) {
-	l = slices.DeleteFunc(slices.Clone(l), func(d ident.Daemon) bool {
-		return d == f.o.Self || d == f.snapshot.Coordinator.Daemon || f.snapshot.Daemons[d] == nil
-	})
-	if len(l) == 0 {
-		return "", false
-	}
-	return l[rand.IntN(len(l))], true
-}
-
 // syncRequest returns a request with the revisions of this copy. The caller must hold f.mu.
 func (f *Feed) syncRequest() *wire.Sync {
 	x := &wire.Sync{Term: uint64(f.snapshot.Coordinator.Term)}
@@ -138,7 +97,7 @@
 	if done || to == "" || to == f.o.Self {
 		return done
 	}
-	y, cancel := context.WithTimeout(c, syncLimit)
+	y, cancel := context.WithTimeout(c, source.AnswerTime)
 	defer cancel()
 	r, err := f.peers.Call(y, to, &wire.Call{Body: &wire.Call_Sync{Sync: x}})
 	f.mu.Lock()
@@ -152,15 +111,11 @@
 }
 
 // syncWith makes one call; it reports whether the peer answered and its copy is of use.
-func (f *Feed) syncWith(c context.Context, to ident.Daemon) bool {
+func (f *Feed) syncWith(c context.Context, k source.Call) bool {
 	f.mu.Lock()
-	wait := elect.SyncWait(f.snapshot, f.o.Self)
 	x := f.syncRequest()
-	x.WaitUs = uint64(wait.Microseconds())
-	leads := to == f.snapshot.Coordinator.Daemon
-	if leads && f.unheard {
-		x.WaitUs = 0 // whether it answers again is all that is asked
-	}
+	x.WaitUs = micros(k.Wait)
+	leads := k.Peer == f.snapshot.Coordinator.Daemon
 	if leads && f.stamped == f.snapshot.Coordinator.Term {
 		x.Stamp, x.PromiseUs = f.stamp, micros(f.promised)
 	}
@@ -172,42 +127,35 @@
 			x.Quota = f.o.Quota.Ask()
 		}
 	}
-	y, cancel := context.WithTimeout(c, wait+syncLimit)
+	y, cancel := context.WithTimeout(c, k.Until.Sub(asked))
 	defer cancel()
-	r, err := f.peers.Call(y, to, &wire.Call{Body: &wire.Call_Sync{Sync: x}})
+	r, err := f.peers.Call(y, k.Peer, &wire.Call{Body: &wire.Call_Sync{Sync: x}})
 	if x.GetQuota() != nil {
 		f.o.Quota.Answered(asked, x.GetQuota(), r.GetSync().GetQuota())
 	}
+	if c.Err() != nil {
+		return false
+	}
 	if err != nil {
-		f.leaveRelay(to)
-		if c.Err() == nil && leads {
-			f.notHeard(to, err)
-		}
+		f.notAnswered(k, err)
 		return false
 	}
-	return f.takeReply(to, r.GetSync())
+	return f.takeReply(k.Peer, r.GetSync())
 }
 
-// leaveRelay takes in that a peer doesn't answer, or only with an old copy.
-func (f *Feed) leaveRelay(d ident.Daemon) {
+// notAnswered takes in that a peer didn't answer.
+func (f *Feed) notAnswered(k source.Call, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.relay == d {
-		f.o.Log.Info().Str("peer", string(d)).Str("reason", "no-answer").Msg("voter is of no use")
-		f.relay = ""
+	silent, relay := f.sources.Silent(), f.sources.Relay()
+	f.sources.Failed(f.o.Clock.Now(), f.snapshot, k)
+	if !silent && f.sources.Silent() {
+		f.o.Log.Info().Err(err).Str("peer", string(k.Peer)).Dur("copy-age", f.age(store.Orders)).Msg("coordinator doesn't answer")
+		f.wake()
 	}
-}
-
-// notHeard takes in that the coordinator didn't answer.
-func (f *Feed) notHeard(d ident.Daemon, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.unheard {
-		return
+	if relay == k.Peer {
+		f.o.Log.Info().Err(err).Str("peer", string(k.Peer)).Msg("voter doesn't answer")
 	}
-	f.o.Log.Info().Err(err).Str("peer", string(d)).Dur("copy-age", f.age(store.Orders)).Msg("coordinator doesn't answer")
-	f.unheard = true
-	f.wake()
 }
 
 // age returns for how long the copy of the table may be behind; the caller holds the lock.
@@ -221,6 +169,9 @@
 	asOf := now.Add(-duration(r.GetStoreAgeUs()))
 	for _, t := range r.GetTables() {
 		if t.GetTable() < store.Tables && !f.takeTable(store.Table(t.GetTable()), t, from) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.sources.Unusable(from)
 			return false
 		}
 	}
@@ -234,9 +185,7 @@
 		f.reached = max(f.reached, now.Add(-duration(r.GetReachedAgeUs())))
 	}
 	f.reach(from)
-	f.answered = now
-	useful := now.Sub(asOf) < oldCopy
-	f.noteSource(from, useful)
+	useful := f.noteAnswer(now, from, now.Sub(asOf))
 	// A coordinator that the store doesn't answer is not supported by a daemon that it does: another has to take over.
 	able := now.Sub(asOf) < f.staleAfter() || now.Sub(f.asOf[store.Orders]) > f.staleAfter()
 	able = able && f.announced > 0 && f.tables[store.Control].rev >= f.announced
@@ -249,30 +198,20 @@
 	return useful
 }
 
-// noteSource takes in that a peer answered with a copy that is new, or old; the caller holds the lock.
-func (f *Feed) noteSource(from ident.Daemon, useful bool) {
-	switch {
-	case from == f.snapshot.Coordinator.Daemon:
-		if f.unheard {
-			f.o.Log.Info().Str("peer", string(from)).Msg("coordinator answers again")
-		}
-		f.unheard = false
-		if f.behind == useful {
-			f.behind = !useful
-			f.wake()
-		}
-		if useful {
-			f.relay = ""
-		}
-	case useful && slices.Contains(voters(f.snapshot), from):
-		if f.relay != from {
-			f.o.Log.Info().Str("peer", string(from)).Msg("copy taken from a voter")
-		}
-		f.relay = from // others don't renew their copies either
-	case f.relay == from:
-		f.o.Log.Info().Str("peer", string(from)).Str("reason", "old-copy").Msg("voter is of no use")
-		f.relay = ""
+// noteAnswer takes in that a peer answered with a copy of the age, and reports whether it is of use; the caller holds the lock.
+func (f *Feed) noteAnswer(now mono.Time, from ident.Daemon, age time.Duration) bool {
+	silent, behind, relay := f.sources.Silent(), f.sources.Behind(), f.sources.Relay()
+	useful := f.sources.Answered(now, f.snapshot, from, age)
+	if behind != f.sources.Behind() {
+		f.wake()
+	}
+	if silent && !f.sources.Silent() {
+		f.o.Log.Info().Str("peer", string(from)).Dur("peer-copy-age", age).Msg("coordinator answers again")
 	}
+	if r := f.sources.Relay(); r != relay && r != "" {
+		f.o.Log.Info().Str("peer", string(r)).Dur("peer-copy-age", age).Msg("copy taken from a voter")
+	}
+	return useful
 }
 
 // takeTable takes in what a peer told of a table. What can't be unpacked here is left out as a whole, and the next peer is
@@ -313,7 +252,7 @@
 	for {
 		r, changed := f.reply(x)
 		// A peer is told in time that this copy isn't renewed any more, and asks another.
-		left := min(until.Sub(f.o.Clock.Now()), oldCopy-duration(r.GetStoreAgeUs()))
+		left := min(until.Sub(f.o.Clock.Now()), source.OldCopy-duration(r.GetStoreAgeUs()))
 		if len(r.GetTables()) > 0 || r.GetHolds() != nil || left <= 0 {
 			return r
 		}
