Ask for a whole table until it is as new as the copy

A daemon that couldn't unpack a difference asked for the whole table; a peer with an older copy answered, and the request was taken for served, so that the next newer peer was asked for the same difference again.

TestWholeTableIsAskedForUntilItIsNew fails without the change.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -392,7 +392,9 @@
 	x := &f.tables[t]
 	var news []store.Row
 	if whole {
-		news, f.whole[t] = x.replace(p), false
+		// An older table than the copy says nothing of what couldn't be unpacked.
+		f.whole[t] = f.whole[t] && p.Rev < x.rev
+		news = x.replace(p)
 	} else {
 		news = x.apply(p)
 	}
--- a/io/feed/pack_test.go
+++ b/io/feed/pack_test.go
@@ -78,6 +78,24 @@
 	require.Equal(t, largeRow(5).Value, peer.rows["config"].Value)
 }
 
+// Guards against a daemon that asks a new peer again and again for a difference that it can't unpack, after an older peer
+// answered its request for the whole table.
+func TestWholeTableIsAskedForUntilItIsNew(t *testing.T) {
+	f := newFeed(newMemory(), "d1")
+	old, lead := newTable(), newTable()
+	old.apply(store.Page{Rows: []store.Row{largeRow(1)}, Rev: 1})
+	for _, rev := range []store.Rev{1, 5} {
+		lead.apply(store.Page{Rows: []store.Row{largeRow(rev)}, Rev: rev})
+	}
+	f.tables[store.Orders].apply(store.Page{Rows: []store.Row{largeRow(3)}, Rev: 3})
+	require.False(t, f.takeTable(store.Orders, lead.since(store.Orders, 3), "lead"))
+	require.Zero(t, f.syncRequest().GetRevs()[store.Orders])
+	require.True(t, f.takeTable(store.Orders, old.since(store.Orders, 0), "old"))
+	require.Zero(t, f.syncRequest().GetRevs()[store.Orders])
+	require.True(t, f.takeTable(store.Orders, lead.since(store.Orders, 0), "lead"))
+	require.Equal(t, uint64(5), f.syncRequest().GetRevs()[store.Orders])
+}
+
 // Requests go to the last holder of a key. The holders change several times while a daemon waits for an answer; it must
 // end with the newest, and one that has none of the kept lists gets the whole.
 func TestHoldsPacked(t *testing.T) {
