State which versions of packed rows a daemon has

TestRowIsPackedAgainstVersionOfPeer: the same tables gave the error that TestRowPackedAgainstAnotherVersion asked for before; that test now plays a copy that changed while the answer was under way, which is still refused. go test ./io/feed passes.

--- a/io/feed/pack.go
+++ b/io/feed/pack.go
@@ -68,7 +68,7 @@
 	return base, false, v.alone, nil
 }
 
-// packRow returns a row as it goes to a peer whose copy of the table is as of a revision.
+// packRow returns a row as it goes to a peer that has it of a revision; 0 for none.
 func (t *table) packRow(r store.Row, peer store.Rev) *wire.SyncRow {
 	x := &wire.SyncRow{Key: r.Key, Rev: uint64(r.Rev)}
 	v := t.large[r.Key]
@@ -76,7 +76,7 @@
 		x.Value = r.Value
 		return x
 	}
-	base, found, packed, err := v.pack(func(rev store.Rev) bool { return rev <= peer })
+	base, found, packed, err := v.pack(func(rev store.Rev) bool { return rev == peer })
 	if err != nil {
 		x.Value = r.Value // whole, as if it were small
 		return x
@@ -88,7 +88,7 @@
 }
 
 // unpackRow returns the value of a row that a peer sent. It fails when this copy doesn't have the version that the value
-// was packed against, since a peer knows only as of when a copy is, not which versions it has seen.
+// was packed against any more.
 func (t *table) unpackRow(r *wire.SyncRow) ([]byte, error) {
 	if len(r.GetPacked()) == 0 {
 		return r.GetValue(), nil
--- a/io/feed/pack_test.go
+++ b/io/feed/pack_test.go
@@ -28,7 +28,7 @@
 // copyOver brings a peer's table up to date and returns the bytes that it took.
 func copyOver(t *testing.T, from, to *table) int {
 	t.Helper()
-	x := from.since(store.Orders, to.rev)
+	x := from.since(store.Orders, to.rev, to.packable())
 	require.NotNil(t, x)
 	p, err := to.page(x)
 	require.NoError(t, err)
@@ -60,24 +60,35 @@
 	require.Equal(t, largeRow(15).Value, behind.rows["config"].Value)
 }
 
-// A daemon puts a configuration into force that nobody wrote. Its copy is of a version that the sender never saw, so the
-// sender takes it for an older one; what was packed against that must be refused, and the whole table be asked for.
+// A daemon puts a configuration into force that nobody wrote. Its copy has become newer than what it told the sender, by an
+// answer of another peer; what was packed against the older must be refused, and the whole table be asked for.
 func TestRowPackedAgainstAnotherVersion(t *testing.T) {
 	lead, peer := newTable(), newTable()
 	for _, rev := range []store.Rev{1, 5} {
 		lead.apply(store.Page{Rows: []store.Row{largeRow(rev)}, Rev: rev})
 	}
 	peer.apply(store.Page{Rows: []store.Row{largeRow(3)}, Rev: 3})
-	x := lead.since(store.Orders, peer.rev)
+	x := lead.since(store.Orders, 1, map[string]store.Rev{"config": 1})
 	require.NotNil(t, x)
 	_, err := peer.page(x)
 	require.Error(t, err)
-	p, err := peer.page(lead.since(store.Orders, 0))
+	p, err := peer.page(lead.since(store.Orders, 0, nil))
 	require.NoError(t, err)
 	peer.replace(p)
 	require.Equal(t, largeRow(5).Value, peer.rows["config"].Value)
 }
 
+// Guards against a difference that a daemon can't unpack, because its peer never saw the version that it has.
+func TestRowIsPackedAgainstVersionOfPeer(t *testing.T) {
+	lead, peer := newTable(), newTable()
+	for _, rev := range []store.Rev{1, 5} {
+		lead.apply(store.Page{Rows: []store.Row{largeRow(rev)}, Rev: rev})
+	}
+	peer.apply(store.Page{Rows: []store.Row{largeRow(3)}, Rev: 3})
+	copyOver(t, &lead, &peer)
+	require.Equal(t, largeRow(5).Value, peer.rows["config"].Value)
+}
+
 // Guards against a daemon that asks a new peer again and again for a difference that it can't unpack, after an older peer
 // answered its request for the whole table.
 func TestWholeTableIsAskedForUntilItIsNew(t *testing.T) {
@@ -88,11 +99,11 @@
 		lead.apply(store.Page{Rows: []store.Row{largeRow(rev)}, Rev: rev})
 	}
 	f.tables[store.Orders].apply(store.Page{Rows: []store.Row{largeRow(3)}, Rev: 3})
-	require.False(t, f.takeTable(store.Orders, lead.since(store.Orders, 3), "lead"))
+	require.False(t, f.takeTable(store.Orders, lead.since(store.Orders, 1, map[string]store.Rev{"config": 1}), "lead"))
 	require.Zero(t, f.syncRequest().GetRevs()[store.Orders])
-	require.True(t, f.takeTable(store.Orders, old.since(store.Orders, 0), "old"))
+	require.True(t, f.takeTable(store.Orders, old.since(store.Orders, 0, nil), "old"))
 	require.Zero(t, f.syncRequest().GetRevs()[store.Orders])
-	require.True(t, f.takeTable(store.Orders, lead.since(store.Orders, 0), "lead"))
+	require.True(t, f.takeTable(store.Orders, lead.since(store.Orders, 0, nil), "lead"))
 	require.Equal(t, uint64(5), f.syncRequest().GetRevs()[store.Orders])
 }
 
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -77,6 +77,12 @@
 			rev = 0
 		}
 		x.Revs = append(x.Revs, uint64(rev))
+		if f.whole[t] {
+			continue
+		}
+		for k, r := range f.tables[t].packable() {
+			x.Rows = append(x.Rows, &wire.RowRev{Table: uint32(t), Key: k, Rev: uint64(r)}) //nolint:gosec // of few tables
+		}
 	}
 	if f.holds != nil {
 		x.Holds = encodeStamp(f.holds.Stamp)
@@ -286,12 +292,13 @@
 	r := &wire.SyncReply{Term: uint64(f.snapshot.Coordinator.Term)}
 	copied, heard := f.ages()
 	r.StoreAgeUs, r.CoordinatorAgeUs = micros(copied), micros(heard)
+	rows := rowRevs(x)
 	for t := range f.tables {
 		var rev store.Rev
 		if t < len(x.GetRevs()) {
 			rev = store.Rev(x.GetRevs()[t])
 		}
-		if y := f.tables[t].since(store.Table(t), rev); y != nil {
+		if y := f.tables[t].since(store.Table(t), rev, rows[t]); y != nil {
 			r.Tables = append(r.Tables, y)
 		}
 	}
@@ -312,6 +319,22 @@
 	return r, f.changed
 }
 
+// rowRevs returns the revisions of rows that a peer states, by table.
+func rowRevs(x *wire.Sync) [store.Tables]map[string]store.Rev {
+	var l [store.Tables]map[string]store.Rev
+	for _, r := range x.GetRows() {
+		if r.GetTable() >= store.Tables {
+			continue
+		}
+		m := &l[r.GetTable()]
+		if *m == nil {
+			*m = map[string]store.Rev{}
+		}
+		(*m)[r.GetKey()] = store.Rev(r.GetRev())
+	}
+	return l
+}
+
 func duration(us uint64) time.Duration {
 	return time.Duration(us) * time.Microsecond //nolint:gosec // a time of seconds
 }
--- a/io/feed/table.go
+++ b/io/feed/table.go
@@ -89,15 +89,25 @@
 	maps.DeleteFunc(t.marks, func(_ string, r store.Rev) bool { return r <= t.floor })
 }
 
-// since returns what a peer lacks whose copy is as of the revision, or nil.
-func (t *table) since(n store.Table, rev store.Rev) *wire.SyncTable {
+// packable returns the revisions of the rows that peers may pack.
+func (t *table) packable() map[string]store.Rev {
+	m := make(map[string]store.Rev, len(t.large))
+	for k := range t.large {
+		m[k] = t.rows[k].Rev
+	}
+	return m
+}
+
+// since returns what a peer lacks whose copy is as of the revision, or nil. The peer has the rows of the revisions in has;
+// others that may be packed, it has not.
+func (t *table) since(n store.Table, rev store.Rev, has map[string]store.Rev) *wire.SyncTable {
 	if rev >= t.rev {
 		return nil
 	}
 	x := &wire.SyncTable{Table: uint32(n), Rev: uint64(t.rev), Whole: rev < t.floor || rev == 0}
 	for _, r := range t.rows {
 		if x.Whole || r.Rev > rev {
-			x.Rows = append(x.Rows, t.packRow(r, rev))
+			x.Rows = append(x.Rows, t.packRow(r, has[r.Key]))
 		}
 	}
 	if !x.Whole {
