--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -145,8 +145,9 @@
 	if err != nil {
 		return err
 	}
-	// While a feed is held back its copy is the newest; an answer without news says so for the time it was made.
-	f.applied(t, p, false, f.o.Clock.Now(), fromStore)
+	// While a feed is held back its copy is the newest; an answer without news says so for the time it was made, which is
+	// long ago where this process stood still before it read the answer.
+	f.applied(t, p, false, min(f.o.Clock.Now(), asked.Add(wait)), fromStore)
 	if t == store.Control {
 		f.Confirm(boot)
 		f.wakeAtStart()
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -268,6 +268,31 @@
 	require.Eventually(t, func() bool { return version(f) == 2 }, 1900*time.Millisecond, 10*time.Millisecond)
 }
 
+// lateStore hands answers to feeds over only some time after they were made.
+type lateStore struct {
+	*memory
+	late time.Duration
+}
+
+func (s lateStore) Follow(c context.Context, t store.Table, after store.Rev, wait time.Duration) (store.Page, error) {
+	p, err := s.memory.Follow(c, t, after, wait)
+	time.Sleep(s.late)
+	return p, err
+}
+
+// Guards against a daemon that stood still and takes an answer of the store from before for new, and tells its peers so.
+func TestAnswerReadLateIsOld(t *testing.T) {
+	m := newMemory()
+	m.put(store.Orders, "config", []byte("1"), false)
+	control(t, m, "lead", "lead")
+	f := newFeed(lateStore{memory: m, late: 2 * time.Second}, "lead")
+	require.NoError(t, f.askOnce(t.Context(), store.Orders))
+	require.NoError(t, f.askOnce(t.Context(), store.Orders))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.GreaterOrEqual(t, f.age(store.Orders), 2*time.Second)
+}
+
 // All keys are refused by a daemon for 1.3 s after the whole site has started again. It reads the store while the
 // coordinator's row still names the last life of its daemon, which answers nobody; the next coordinator writes itself down
 // a moment later, and nobody tells. A daemon whose coordinator doesn't answer must learn it from the store at once.
