Don't let the store hold an answer until peers take the copy for old

The hold is bounded by the age at which peers take a copy for old. The model plays the same bound. go test ./core/source ./io/feed pass.

--- a/core/source/model_test.go
+++ b/core/source/model_test.go
@@ -204,10 +204,7 @@
 		return
 	}
 	n.failGap[t] = 0
-	n.answer[t] = m.now.Add(modelStep)
-	if m.now.Sub(n.asOf[t]) < OldCopy {
-		n.answer[t] = m.now.Add(FeedWait)
-	}
+	n.answer[t] = m.now.Add(modelStep + Hold(m.now.Sub(n.asOf[t])))
 }
 
 func (m *modelSite) storeAnswer(n *modelNode, t int) {
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -262,6 +262,12 @@
 	return at
 }
 
+// Hold returns how long the store may hold an answer without news for a copy of the age back: no longer than until peers
+// would take the copy for old, though the store answers.
+func Hold(age time.Duration) time.Duration {
+	return min(FeedWait, max(0, OldCopy-AnswerTime-age))
+}
+
 // outage reports whether the store seems to be out for all, and until when that may be relied on.
 func (t *Tracker) outage(now mono.Time, s *site.Snapshot) (bool, mono.Time) {
 	var l []mono.Time
--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -129,13 +129,7 @@
 	if !read {
 		return f.list(c, t, asked)
 	}
-	wait := feedWait
-	if t == store.Control {
-		wait = controlWait
-	}
-	if !f.fresh(t) || t == store.Control && f.Snapshot().Coordinator.Term == 0 {
-		wait = 0 // the answer tells at once whether the copy is the newest
-	}
+	wait := f.holdTime(t)
 	p, err := f.o.Store.Follow(c, t, rev, wait)
 	defer func() { f.pauseAfter(c, t, len(p.Rows)) }()
 	if errors.Is(err, store.ErrHistoryGone) {
@@ -180,11 +174,18 @@
 	return source.Stale(f.snapshot, f.o.Self)
 }
 
-// fresh reports whether peers take the copy for new. An old one is confirmed by an answer that isn't held back.
-func (f *Feed) fresh(t store.Table) bool {
+// holdTime returns how long the store may hold an answer for the table back.
+func (f *Feed) holdTime(t store.Table) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.age(t) < source.OldCopy
+	switch {
+	case t != store.Control:
+		return source.Hold(f.age(t))
+	case f.snapshot.Coordinator.Term == 0 || f.age(t) >= source.OldCopy:
+		return 0 // the answer tells at once whether the copy is the newest
+	default:
+		return controlWait
+	}
 }
 
 func (f *Feed) list(c context.Context, t store.Table, asked mono.Time) error {
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -153,14 +153,14 @@
 func (f *Feed) notAnswered(k source.Call, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	silent, relay := f.sources.Silent(), f.sources.Relay()
+	silent := f.sources.Silent()
 	f.sources.Failed(f.o.Clock.Now(), f.snapshot, k)
-	if !silent && f.sources.Silent() {
+	switch {
+	case !silent && f.sources.Silent():
 		f.o.Log.Info().Err(err).Str("peer", string(k.Peer)).Dur("copy-age", f.age(store.Orders)).Msg("coordinator doesn't answer")
 		f.wake()
-	}
-	if relay == k.Peer {
-		f.o.Log.Info().Err(err).Str("peer", string(k.Peer)).Msg("voter doesn't answer")
+	case k.Peer != f.snapshot.Coordinator.Daemon:
+		f.o.Log.Info().Err(err).Str("peer", string(k.Peer)).Dur("copy-age", f.age(store.Orders)).Msg("peer doesn't answer")
 	}
 }
 
