Draw the voter that replaces a lost coordinator by its capacity

Followers of a lost coordinator connect to voters all at once; 13 of 21 voters there have a sixth of a core, and calls to them failed with 'not sent to peer: context deadline exceeded' (the handshake took over 0.3 s).

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -140,7 +140,7 @@
 			fresh = l
 		}
 		if len(fresh) > 0 {
-			return fresh[t.draw(len(fresh))], true
+			return t.drawAble(s, fresh), true
 		}
 	}
 	l := t.peers(s, slices.Sorted(maps.Keys(s.Daemons)))
@@ -150,6 +150,23 @@
 	return l[t.draw(len(l))], true
 }
 
+// drawAble draws one of the daemons, by their capacity: when the coordinator is lost all daemons connect to voters at once,
+// and the small ones among them take longer for a handshake than a call may.
+func (t *Tracker) drawAble(s *site.Snapshot, l []ident.Daemon) ident.Daemon {
+	capacity := func(d ident.Daemon) int { return max(1, s.Daemons[d].Capacity) }
+	sum := 0
+	for _, d := range l {
+		sum += capacity(d)
+	}
+	n := t.draw(sum)
+	for _, d := range l {
+		if n -= capacity(d); n < 0 {
+			return d
+		}
+	}
+	return l[len(l)-1]
+}
+
 // peers returns those of the daemons that are known, neither this one nor the coordinator.
 func (t *Tracker) peers(s *site.Snapshot, l []ident.Daemon) []ident.Daemon {
 	return slices.DeleteFunc(slices.Clone(l), func(d ident.Daemon) bool {
