Stop a daemon's duties before the transport that they call with

A data race of the peers' wait group, Add against Wait, at the end of a test: the transport stopped while the feed still made calls.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -381,8 +381,8 @@
 func (n *Node) Stop() {
 	n.front.Close()
 	_ = n.pages.Shutdown() // fails only when closed before
+	n.group.Stop()         // before the peers, which its duties call
 	n.peers.Stop()
-	n.group.Stop()
 }
 
 // quotaClient connects the feed to the limiter, which is created after it.
