Keep requests that crash their servers from servers, over all daemons

What callers saw: a request (tabeliparing) that had ended three servers was sent to servers four times more, one every 3.6 s, each attempt under a new id through another daemon; keys of each server unserved for up to 4 s.

Cause: a run that ended with a broken connection was an unknown end of one attempt and nothing else; no daemon connected it with another attempt, its own or another's.

Change: core/crash counts lives of servers that ended under a fingerprint of caller and content; io/guard finds out by one dial whether a server whose run broke off is down, and shares what it finds by rows of the store; io/send refuses (503, not run, crashes-servers) from the third on, also right before a send, and makes no second send of an attempt under which a server crashed before. An answer below 500 clears a request. Log lines, heatherrouter_server_crashes_total, /state, operators' page.

--- /dev/null
+++ b/core/crash/crash_test.go
@@ -0,0 +1,220 @@
+package crash
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/mono"
+)
+
+func name(n int) Fingerprint { return Fingerprint{byte(n), byte(n >> 8)} }
+
+// Guards against blame for resets of connections, of a server that lives.
+func TestBrokenRunOfLivingServerIsNoCrash(t *testing.T) {
+	x := NewTracker()
+	require.True(t, x.Broke(1, 7, name(1)))
+	require.False(t, x.Broke(1, 7, name(2)), "the server is looked at already")
+	x.Lives(7)
+	require.Empty(t, x.Crashed(2, 7))
+	require.Zero(t, x.Crashes(nil, name(1)))
+	require.True(t, x.Empty())
+}
+
+// Guards against two attempts at one server that count for two crashes.
+func TestOneLifeCountsOnce(t *testing.T) {
+	x := NewTracker()
+	for range 2 {
+		x.Broke(1, 7, name(1))
+		require.Equal(t, []Fingerprint{name(1)}, x.Crashed(2, 7))
+	}
+	require.Equal(t, 1, x.Crashes(nil, name(1)))
+	require.Equal(t, 2, x.Crashes(Records{name(1): {8}}, name(1)))
+	require.Equal(t, 1, x.Crashes(Records{name(1): {7}}, name(1)))
+}
+
+// Guards against a proper request that is refused for three crashes of its neighbours long apart.
+func TestAnswerClearsRequest(t *testing.T) {
+	x := NewTracker()
+	r := Records{name(1): {5, 6}}
+	x.Answered(3, r, name(1))
+	require.Equal(t, []Change{{Fingerprint: name(1)}}, x.Changes(4, r, 10))
+	require.Empty(t, x.Changes(5, Records{}, 10), "dropped")
+	r = Records{name(1): {5, 6, 7}}
+	x.Answered(6, r, name(1))
+	require.Empty(t, x.Changes(7, r, 10), "one that is refused stays so")
+}
+
+// Guards against memory and rows that grow with the crashes of a whole site.
+func TestBoundsOfCrashes(t *testing.T) {
+	x := NewTracker()
+	for l := range Life(1000) {
+		x.Broke(1, l, name(int(l)))
+	}
+	require.Len(t, x.broken, maxBroken)
+	for n := range 40 {
+		x.Broke(1, 0, name(n))
+	}
+	require.Len(t, x.Crashed(2, 0), maxBlamed)
+	for l := Life(1); l < 1000; l++ {
+		x.Broke(3, l, name(int(l)+100))
+		x.Crashed(3, l)
+	}
+	require.Len(t, x.own, maxOwn)
+	require.Len(t, x.Changes(4, nil, 50), 50)
+	full := Records{}
+	for n := range MaxRecords {
+		full[name(n+5000)] = []Life{1}
+	}
+	require.Empty(t, x.Changes(4, full, 50), "no new fingerprint beyond the bound")
+	x.Changes(mono.Time(10*time.Minute), nil, 50)
+	require.True(t, x.Empty())
+}
+
+// Guards against records that stay for good, and against ages that begin anew with each look.
+func TestOldRecordsExpire(t *testing.T) {
+	a := NewAging()
+	r := Records{name(1): {1}, name(2): {1, 2}}
+	require.Empty(t, a.Expired(0, r))
+	require.Empty(t, a.Expired(mono.Time(singleFor)-1, r))
+	require.Equal(t, []Fingerprint{name(1)}, a.Expired(mono.Time(singleFor), r))
+	r[name(1)] = []Life{1, 2}
+	require.Empty(t, a.Expired(mono.Time(singleFor)+1, r), "another crash")
+	require.Len(t, a.Expired(mono.Time(singleFor+repeatedFor)+1, r), 2)
+}
+
+// world plays daemons that share records, with servers that crash under some requests. Copies of the records come late,
+// transactions fail or end unknown, daemons start again, all at once now and then.
+type world struct {
+	rng     *rand.Rand
+	now     mono.Time
+	store   Records
+	daemons []*daemon
+	life    Life
+}
+
+type daemon struct {
+	x     *Tracker
+	rows  Records // as it knows them
+	stale mono.Time
+	cut   mono.Time // until when it neither reads nor writes the store
+}
+
+func copyOf(r Records) Records {
+	c := Records{}
+	for f, l := range r {
+		c[f] = slices.Clone(l)
+	}
+	return c
+}
+
+// sync plays the exchanges of a daemon with the store.
+func (w *world) sync(d *daemon) {
+	if w.now < d.cut {
+		return
+	}
+	for _, c := range d.x.Changes(w.now, d.rows, 50) {
+		if fmt.Sprint(d.rows[c.Fingerprint]) != fmt.Sprint(w.store[c.Fingerprint]) {
+			continue // the condition on the row's revision doesn't hold
+		}
+		end := w.rng.IntN(10)
+		if end == 0 {
+			continue // not done
+		}
+		if len(c.Lives) == 0 {
+			delete(w.store, c.Fingerprint)
+		} else {
+			w.store[c.Fingerprint] = c.Lives
+		}
+		if end > 1 && len(c.Lives) > 0 {
+			d.rows[c.Fingerprint] = c.Lives // else its end is unknown
+		}
+	}
+	if w.now >= d.stale {
+		d.rows, d.stale = copyOf(w.store), w.now.Add(time.Duration(w.rng.Int64N(int64(500*time.Millisecond))))
+	}
+}
+
+// run plays an attempt at a daemon; it reports whether it reached a server.
+func (w *world) run(d *daemon, f Fingerprint, deadly bool, beside []Fingerprint) bool {
+	if d.x.Crashes(d.rows, f) >= RefusedFrom {
+		return false
+	}
+	if !deadly {
+		d.x.Answered(w.now, d.rows, f)
+		return true
+	}
+	w.life++
+	for _, b := range append(slices.Clone(beside), f) {
+		if d.x.Crashes(d.rows, b) < RefusedFrom {
+			d.x.Broke(w.now, w.life, b)
+		}
+	}
+	d.x.Crashed(w.now, w.life)
+	return true
+}
+
+func (w *world) step(d time.Duration) {
+	for end := w.now.Add(d); w.now < end; {
+		w.now = w.now.Add(50 * time.Millisecond)
+		for _, x := range w.daemons {
+			w.sync(x)
+		}
+	}
+}
+
+// Guards against a request that crashes servers beyond the third, whichever daemons its caller tries, and against proper
+// requests that are refused since they ran beside it.
+func TestCrashingRequestIsRefusedEverywhere(t *testing.T) {
+	const window = 3 * time.Second
+	for seed := range uint64(400) {
+		w := &world{rng: rand.New(rand.NewPCG(seed, 28)), store: Records{}} //nolint:gosec // a schedule by its seed
+		for range 2 + w.rng.IntN(30) {
+			w.daemons = append(w.daemons, &daemon{x: NewTracker(), rows: Records{}})
+		}
+		deadly, reached, late := name(1), 0, 0
+		third := mono.Never
+		for range 30 {
+			d := w.daemons[w.rng.IntN(len(w.daemons))]
+			beside := []Fingerprint{name(100 + w.rng.IntN(20)), name(100 + w.rng.IntN(20))}
+			if w.now >= d.cut && w.run(d, deadly, true, beside) {
+				reached++
+				if w.now > third.Add(window) {
+					late++
+				}
+				if reached == RefusedFrom {
+					third = w.now
+				}
+			}
+			for _, b := range beside { // their callers come back
+				x := w.daemons[w.rng.IntN(len(w.daemons))]
+				if w.now >= x.cut {
+					require.True(t, w.run(x, b, false, nil), "seed %d: a proper request is refused", seed)
+				}
+			}
+			w.disturb()
+			w.step(time.Duration(w.rng.Int64N(int64(4 * time.Second))))
+		}
+		require.LessOrEqual(t, late, RefusedFrom, "seed %d", seed)
+		require.LessOrEqual(t, reached, 2*RefusedFrom, "seed %d", seed)
+	}
+}
+
+// disturb cuts a daemon off from the store, or starts some or all again: they read the records before they take callers.
+func (w *world) disturb() {
+	switch w.rng.IntN(8) {
+	case 0:
+		w.daemons[w.rng.IntN(len(w.daemons))].cut = w.now.Add(time.Duration(w.rng.Int64N(int64(5 * time.Second))))
+	case 1:
+		w.step(time.Second) // what was seen last is written; lost with its daemon, it would count for nothing
+		for _, d := range w.daemons {
+			if w.rng.IntN(2) == 0 && w.now >= d.cut {
+				d.x, d.rows = NewTracker(), copyOf(w.store)
+			}
+		}
+	}
+}
--- a/core/site/site.go
+++ b/core/site/site.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"heatherrouter/core/crash"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 )
@@ -108,6 +109,7 @@
 	Daemons     map[ident.Daemon]*Daemon
 	Coordinator Coordinator
 	Voters      []ident.Daemon // whose majority the coordinator needs; none where its row names none
+	Crashes     crash.Records  // requests under which servers crashed
 
 	services map[ident.Service][]*Server
 }
--- a/io/feed/draft.go
+++ b/io/feed/draft.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"heatherrouter/core/crash"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/site"
@@ -21,6 +22,7 @@
 	CoordinatorRow = "coordinator"
 	daemonPrefix   = "daemon/"
 	keysPrefix     = "keys/"
+	crashPrefix    = "crash/"
 )
 
 // DaemonRow returns the key of a daemon's row.
@@ -29,6 +31,9 @@
 // KeysRow returns the key of the row with the assignment of a service's keys.
 func KeysRow(s ident.Service) string { return keysPrefix + string(s) }
 
+// CrashRow returns the key of the row with the crashes under a request.
+func CrashRow(f crash.Fingerprint) string { return crashPrefix + f.String() }
+
 // draft is a snapshot in the making. A row that can't be read changes nothing and is logged, once for each time that
 // it is written.
 type draft struct {
@@ -68,6 +73,7 @@
 	return &draft{o: o, from: from, s: &site.Snapshot{
 		Config: s.Config, Servers: maps.Clone(s.Servers), Evacuated: maps.Clone(s.Evacuated),
 		Daemons: maps.Clone(s.Daemons), Coordinator: s.Coordinator, Voters: s.Voters,
+		Crashes: s.Crashes,
 	}}
 }
 
@@ -148,6 +154,9 @@
 	if n, ok := strings.CutPrefix(r.Key, daemonPrefix); ok {
 		return d.daemon(ident.Daemon(n), r)
 	}
+	if n, ok := strings.CutPrefix(r.Key, crashPrefix); ok {
+		return d.crash(n, r)
+	}
 	if r.Key != CoordinatorRow {
 		return nil // the coordinator reads the rows of keys itself
 	}
@@ -168,6 +177,37 @@
 	return nil
 }
 
+// crash takes in the record of a request under which servers crashed.
+func (d *draft) crash(name string, r store.Row) error {
+	f, ok := crash.ParseFingerprint(name)
+	if !ok {
+		return trace.BadParameter("%q is no fingerprint of a request", name)
+	}
+	x := &wire.CrashRow{}
+	if err := proto.Unmarshal(r.Value, x); err != nil {
+		return trace.Wrap(err)
+	}
+	was := len(d.s.Crashes[f])
+	d.s.Crashes = maps.Clone(d.s.Crashes)
+	if r.Gone {
+		delete(d.s.Crashes, f)
+		return nil
+	}
+	if d.s.Crashes == nil {
+		d.s.Crashes = crash.Records{}
+	}
+	lives := make([]crash.Life, 0, len(x.GetLives()))
+	for _, l := range x.GetLives() {
+		lives = append(lives, crash.Life(l))
+	}
+	d.s.Crashes[f] = lives
+	if was < crash.RefusedFrom && len(lives) >= crash.RefusedFrom {
+		d.o.Log.Warn().Str("fingerprint", name).Int("crashes", len(lives)).Uint64("rev", uint64(r.Rev)).
+			Msg("request is kept from servers")
+	}
+	return nil
+}
+
 func (d *draft) daemon(n ident.Daemon, r store.Row) error {
 	if r.Gone {
 		delete(d.s.Daemons, n)
--- /dev/null
+++ b/io/guard/guard.go
@@ -0,0 +1,330 @@
+// Package guard keeps requests that crash backend servers from them. It looks at servers whose runs broke off, shares the
+// crashes that it finds with all daemons by rows of the store, and tells which requests are refused.
+package guard
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"heatherrouter/core/crash"
+	"heatherrouter/core/ident"
+	"heatherrouter/core/site"
+	"heatherrouter/io/clock"
+	"heatherrouter/io/feed"
+	"heatherrouter/io/group"
+	"heatherrouter/io/store"
+	"heatherrouter/io/wire"
+)
+
+// View is what the daemon knows.
+type View interface {
+	Snapshot() *site.Snapshot
+	Changed() <-chan struct{}
+	Leads() bool
+	Row(key string) (store.Row, bool)
+	Learn(rows []store.Row)
+}
+
+// Counter counts crashes of servers.
+type Counter interface {
+	Crashed(s ident.Service)
+}
+
+// Options are what a Guard needs.
+type Options struct {
+	View    View
+	Store   store.Store
+	Clock   *clock.Clock
+	Counter Counter
+	Log     *log.Logger
+	Dial    func(c context.Context, a netip.AddrPort) error // connects to a server, to find out whether it is there
+}
+
+const (
+	// lookAfter is how long after a run broke off its server is looked at: the system closes a process's connections one by
+	// one, and its listener may go last.
+	lookAfter = 30 * time.Millisecond
+
+	// lookLimit is how long a server may take to accept a connection. One that doesn't answer isn't taken for crashed.
+	lookLimit = time.Second
+
+	// looks is how many servers are looked at at once.
+	looks = 8
+
+	// writePause is between two transactions, and spread for each daemon of the site the most that is added at random: a
+	// crash is seen by many daemons at once.
+	writePause = 250 * time.Millisecond
+	spread     = 3 * time.Millisecond
+
+	// maxWritten bounds the rows of one transaction.
+	maxWritten = 50
+
+	// dropEvery is how often the coordinator looks for old records.
+	dropEvery = time.Second
+)
+
+// Guard is one daemon's part.
+type Guard struct {
+	o      Options
+	broken chan *site.Server
+	found  chan struct{} // something is to be written
+
+	mu      sync.Mutex
+	tracker *crash.Tracker
+}
+
+// New returns a guard; Run starts it.
+func New(o Options) *Guard {
+	return &Guard{o: o, broken: make(chan *site.Server, looks), found: make(chan struct{}, 1), tracker: crash.NewTracker()}
+}
+
+// Run starts looking at servers and sharing what is found.
+func (g *Guard) Run(r *group.Group) {
+	for range looks {
+		r.Go(g.look)
+	}
+	r.Go(g.share)
+	r.Go(g.drop)
+}
+
+// Dial connects to a server and closes the connection again.
+func Dial(c context.Context, a netip.AddrPort) error {
+	var d net.Dialer
+	x, err := d.DialContext(c, "tcp", a.String())
+	if err != nil {
+		return err
+	}
+	return x.Close()
+}
+
+// Watches reports whether any request is suspected, so that requests need a fingerprint.
+func (g *Guard) Watches() bool {
+	if len(g.o.View.Snapshot().Crashes) > 0 {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.tracker.Empty()
+}
+
+// Crashes returns how many servers crashed under the request.
+func (g *Guard) Crashes(f crash.Fingerprint) int {
+	r := g.o.View.Snapshot().Crashes
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Crashes(r, f)
+}
+
+// Answered takes in that a server ran the request to an end.
+func (g *Guard) Answered(f crash.Fingerprint) {
+	r := g.o.View.Snapshot().Crashes
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.Answered(g.o.Clock.Now(), r, f)
+}
+
+// Broke takes in that a run of the request at the server broke off.
+func (g *Guard) Broke(x *site.Server, f crash.Fingerprint) {
+	if s := g.o.View.Snapshot().Servers[x.ID]; s == nil || s.Draining {
+		return // it leaves, or has left
+	}
+	g.mu.Lock()
+	first := g.tracker.Broke(g.o.Clock.Now(), lifeOf(x), f)
+	g.mu.Unlock()
+	if !first {
+		return
+	}
+	select {
+	case g.broken <- x:
+	default:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.tracker.Lives(lifeOf(x)) // too many at once to look at
+	}
+}
+
+// lifeOf returns the digest of a server's life.
+func lifeOf(x *site.Server) crash.Life {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(string(x.ID) + " " + strconv.FormatInt(x.Born, 10))) // never fails
+	return crash.Life(h.Sum64())
+}
+
+// look finds out whether servers whose runs broke off have crashed.
+func (g *Guard) look(c context.Context) error {
+	for {
+		select {
+		case <-c.Done():
+			return nil
+		case x := <-g.broken:
+			clock.Sleep(c, lookAfter)
+			y, cancel := context.WithTimeout(c, lookLimit)
+			err := g.o.Dial(y, x.Addr)
+			cancel()
+			g.looked(x, err)
+		}
+	}
+}
+
+// looked takes in how a connection to the server ended. Only a refusal tells that nobody listens there.
+func (g *Guard) looked(x *site.Server, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		g.tracker.Lives(lifeOf(x))
+		return
+	}
+	blamed := g.tracker.Crashed(g.o.Clock.Now(), lifeOf(x))
+	if len(blamed) == 0 {
+		return
+	}
+	names := make([]string, 0, len(blamed))
+	for _, f := range blamed {
+		names = append(names, f.String())
+	}
+	g.o.Counter.Crashed(x.Service)
+	g.o.Log.Warn().Str("server", string(x.ID)).Str("service", string(x.Service)).Int64("born", x.Born).
+		Strs("fingerprints", names).Msg("server crashed under requests")
+	select {
+	case g.found <- struct{}{}:
+	default:
+	}
+}
+
+// share writes what this daemon has seen until the records have it.
+func (g *Guard) share(c context.Context) error {
+	for c.Err() == nil {
+		changed := g.o.View.Changed()
+		l := g.changes()
+		if len(l) == 0 {
+			select {
+			case <-c.Done():
+			case <-g.found:
+			case <-g.cleared(changed):
+			}
+			continue
+		}
+		if err := g.write(c, l); err != nil {
+			g.o.Log.Info().Err(err).Int("rows", len(l)).Msg("crashes not shared")
+		}
+		clock.Sleep(c, writePause+rand.N(spread*time.Duration(max(1, len(g.o.View.Snapshot().Daemons)))))
+	}
+	return nil
+}
+
+// cleared returns the channel to wait on for records that are to be dropped; nil while there are none.
+func (g *Guard) cleared(changed <-chan struct{}) <-chan struct{} {
+	if len(g.o.View.Snapshot().Crashes) == 0 {
+		return nil
+	}
+	return changed
+}
+
+func (g *Guard) changes() []crash.Change {
+	r := g.o.View.Snapshot().Crashes
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Changes(g.o.Clock.Now(), r, maxWritten)
+}
+
+// write makes the changes in one transaction, as of the rows known here. What it did, the next copy of the rows tells.
+func (g *Guard) write(c context.Context, l []crash.Change) error {
+	var x store.Txn
+	for _, n := range l {
+		key := feed.CrashRow(n.Fingerprint)
+		row, _ := g.o.View.Row(key)
+		x.Expect = append(x.Expect, store.Expect{Key: key, Rev: row.Rev})
+		if len(n.Lives) == 0 {
+			x.Drop = append(x.Drop, key)
+			continue
+		}
+		w := &wire.CrashRow{}
+		for _, y := range n.Lives {
+			w.Lives = append(w.Lives, uint64(y))
+		}
+		v, err := proto.Marshal(w)
+		if err != nil {
+			return err
+		}
+		x.Put = append(x.Put, store.Row{Key: key, Value: v})
+	}
+	return g.commit(c, x)
+}
+
+// commit makes a transaction and takes its rows in.
+func (g *Guard) commit(c context.Context, x store.Txn) error {
+	rev, err := g.o.Store.Commit(c, x)
+	if err != nil {
+		return err
+	}
+	rows := slices.Clone(x.Put)
+	for i := range rows {
+		rows[i].Rev = rev
+	}
+	for _, k := range x.Drop {
+		rows = append(rows, store.Row{Key: k, Rev: rev, Gone: true})
+	}
+	g.o.View.Learn(rows)
+	return nil
+}
+
+// drop drops old records while this daemon is the coordinator.
+func (g *Guard) drop(c context.Context) error {
+	t := time.NewTicker(dropEvery)
+	defer t.Stop()
+	aging := crash.NewAging()
+	for {
+		select {
+		case <-c.Done():
+			return nil
+		case <-t.C:
+		}
+		old := aging.Expired(g.o.Clock.Now(), g.o.View.Snapshot().Crashes)
+		if !g.o.View.Leads() || len(old) == 0 {
+			continue
+		}
+		var x store.Txn
+		for _, f := range old[:min(len(old), maxWritten)] {
+			row, _ := g.o.View.Row(feed.CrashRow(f))
+			x.Expect = append(x.Expect, store.Expect{Key: row.Key, Rev: row.Rev})
+			x.Drop = append(x.Drop, row.Key)
+		}
+		if err := g.commit(c, x); err != nil {
+			g.o.Log.Info().Err(err).Int("rows", len(x.Drop)).Msg("old records of crashes not dropped")
+			continue
+		}
+		g.o.Log.Info().Int("rows", len(x.Drop)).Msg("old records of crashes dropped")
+	}
+}
+
+// State is one record, for the state page.
+type State struct {
+	Fingerprint string `json:"fingerprint"`
+	Crashes     int    `json:"crashes"`
+	Refused     bool   `json:"refused"`
+}
+
+// States returns the records, those of most crashes first.
+func (g *Guard) States() []State {
+	var l []State
+	for f, lives := range g.o.View.Snapshot().Crashes {
+		l = append(l, State{Fingerprint: f.String(), Crashes: len(lives), Refused: len(lives) >= crash.RefusedFrom})
+	}
+	slices.SortFunc(l, func(a, b State) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return l
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -25,6 +25,7 @@
 	meter    metric.Meter
 	answers  metric.Int64Counter
 	took     metric.Float64Histogram
+	crashes  metric.Int64Counter
 	page     fasthttp.RequestHandler
 	options  sync.Map // answerKey -> metric.MeasurementOption
 }
@@ -52,6 +53,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	m.crashes, err = m.meter.Int64Counter("heatherrouter.server.crashes",
+		metric.WithDescription("backend servers found down right after runs at them broke off"))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	m.took, err = m.meter.Float64Histogram("heatherrouter.answer.time", metric.WithUnit("s"),
 		metric.WithDescription("from a request's arrival to the head of its final answer"),
 		metric.WithExplicitBucketBoundaries(0.0005, 0.001, 0.002, 0.004, 0.009, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 3, 10))
@@ -78,6 +84,11 @@
 	m.took.Record(context.Background(), took.Seconds(), x)
 }
 
+// Crashed counts one crash of a backend server as this daemon saw it.
+func (m *Meter) Crashed(s ident.Service) {
+	m.crashes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", string(s))))
+}
+
 // Gauge shows a value that is read whenever the page is.
 func (m *Meter) Gauge(name, unit, what string, read func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(what),
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -30,6 +30,7 @@
 	"heatherrouter/io/front"
 	"heatherrouter/io/grant"
 	"heatherrouter/io/group"
+	"heatherrouter/io/guard"
 	"heatherrouter/io/limit"
 	"heatherrouter/io/meter"
 	"heatherrouter/io/peer"
@@ -66,6 +67,7 @@
 	granter *grant.Granter
 	sender  *send.Sender
 	limiter *limit.Limiter
+	guard   *guard.Guard
 	peers   *peer.Transport
 	front   *front.Front
 	pages   *fasthttp.Server
@@ -110,11 +112,14 @@
 		Self: s.Name, Life: n.life, Feed: n.feed, Store: n.o.Platform.Store, Speaker: n.o.Platform.Speaker,
 		Terms: hold.DefaultTerms(s.Limits.MaxHold), Clock: n.clock, Log: n.o.Log,
 	})
+	n.guard = guard.New(guard.Options{
+		View: n.feed, Store: n.o.Platform.Store, Clock: n.clock, Counter: n.meter, Log: n.o.Log, Dial: guard.Dial,
+	})
 	n.sender = send.New(send.Options{
 		Self: s.Name, Domain: s.Domain, View: n.feed, Dialect: n.o.Platform.Dialect,
 		Cold:   pace.ColdLimit{Factor: s.Limits.ColdFactor, Slack: s.Limits.ColdSlack},
 		Budget: pace.BudgetLimit{Ratio: s.Limits.RetryRatio, Slack: s.Limits.RetrySlack, Window: s.Limits.RetryWindow},
-		Clock:  n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, MaxCopyAge: s.Limits.MaxCopyAge,
+		Clock:  n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Guard: n.guard, MaxCopyAge: s.Limits.MaxCopyAge,
 	})
 	if n.id, err = newIdentity(s.Name, n.feed.Snapshot); err != nil {
 		return err
@@ -135,6 +140,7 @@
 	n.feed.Run(n.group, n.peers)
 	n.granter.Run(n.group, n.peers)
 	n.limiter.Run(n.group, n.peers)
+	n.guard.Run(n.group)
 	n.group.Go(n.follow)
 	return nil
 }
--- a/io/node/state.go
+++ b/io/node/state.go
@@ -10,6 +10,7 @@
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/site"
+	"heatherrouter/io/guard"
 	"heatherrouter/io/limit"
 )
 
@@ -28,6 +29,7 @@
 	Servers      map[ident.Server]site.Server  `json:"servers"`
 	Holds        map[ident.Service][]hold.Hold `json:"holds"`
 	Limits       []limit.State                 `json:"organisations"`
+	Crashes      []guard.State                 `json:"crashes"` // requests under which servers crashed
 	OpenRequests int                           `json:"open-requests"`
 	Waiting      int                           `json:"waiting-requests"`
 	Connections  int                           `json:"caller-connections"`
@@ -40,7 +42,7 @@
 		Daemon: n.o.Settings.Name, Domain: n.o.Settings.Domain, Ready: n.Ready(), Coordinator: s.Coordinator, Voters: s.Voters,
 		CopyAgeMS: copied.Milliseconds(), HeardAgeMS: heard.Milliseconds(), Evacuated: slices.Sorted(maps.Keys(s.Evacuated)),
 		Daemons: slices.Sorted(maps.Keys(s.Daemons)), Servers: map[ident.Server]site.Server{},
-		Limits: n.limiter.States(), OpenRequests: n.front.Open(), Waiting: n.sender.Waiting(), Connections: n.front.Conns(),
+		Limits: n.limiter.States(), Crashes: n.guard.States(), OpenRequests: n.front.Open(), Waiting: n.sender.Waiting(), Connections: n.front.Conns(),
 	}
 	if s.Config != nil {
 		d.Version = s.Config.Version
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -44,6 +44,7 @@
 	}
 	took := s.o.Clock.Now().Sub(now)
 	s.observe(r, b, x, resp, took)
+	s.guard(r, b, x, resp)
 	if x.Outcome == retry.Answered && !s.whole(resp) {
 		x.Outcome, x.Err = retry.Unknown, errUnsigned
 	}
@@ -62,7 +63,7 @@
 	if r.caller.Err() != nil {
 		return &final{outcome: left, reason: "caller-left"}
 	}
-	if !r.route.Idempotent {
+	if !r.route.Idempotent || x.End == admit.EndReset && s.suspected(r) {
 		return &final{status: unknownStatus(x), outcome: unknown, reason: x.End.String()}
 	}
 	return nil
@@ -177,7 +178,7 @@
 		return false
 	}
 	route := snap.Config.Route(r.host, r.path)
-	if route == nil || !route.Sends(r.service.Name) || !r.stillAuthorised(route, snap.Config) {
+	if route == nil || !route.Sends(r.service.Name) || !r.stillAuthorised(route, snap.Config) || s.deadly(r) {
 		return false
 	}
 	if r.service.Keyed {
--- a/io/send/choose.go
+++ b/io/send/choose.go
@@ -27,6 +27,7 @@
 	reasonTried    reason = "all-tried"
 	reasonAttempts reason = "no-attempts-left"
 	reasonBudget   reason = "no-retry-budget"
+	reasonDeadly   reason = "crashes-servers" // too many servers crashed under it
 )
 
 // near returns how much longer a request on the route may take in the own failure domain.
--- a/io/send/final.go
+++ b/io/send/final.go
@@ -73,6 +73,8 @@
 		after = retryLost
 	case reasonBudget:
 		after = retryFailing
+	case reasonDeadly:
+		after = retryDeadly
 	}
 	return final{status: fasthttp.StatusServiceUnavailable, outcome: notRun, reason: string(why), retryAfter: after}
 }
@@ -143,6 +145,9 @@
 	if f.status == fasthttp.StatusUnauthorized || f.status == fasthttp.StatusTooManyRequests {
 		s.logCaller(r, e)
 	}
+	if r.named {
+		e.Str("fingerprint", r.name.String())
+	}
 	if n := len(r.tried); n > 0 {
 		e.Str("last-server", string(r.tried[n-1]))
 	}
--- /dev/null
+++ b/io/send/guard.go
@@ -0,0 +1,86 @@
+package send
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/admit"
+	"heatherrouter/core/crash"
+	"heatherrouter/core/retry"
+	"heatherrouter/core/site"
+	"heatherrouter/io/conns"
+)
+
+// Guard tells which requests crash backend servers.
+type Guard interface {
+	Watches() bool                             // some request is suspected
+	Crashes(f crash.Fingerprint) int           // servers that crashed under the request
+	Answered(f crash.Fingerprint)              // a server ran it to an end
+	Broke(x *site.Server, f crash.Fingerprint) // a run of it broke off
+}
+
+const (
+	// fingerprintBody bounds the part of a body that goes into a fingerprint, in bytes.
+	fingerprintBody = 64 << 10
+
+	// retryDeadly is for callers of a request that is kept from servers: it is for as long as no server is to crash.
+	retryDeadly = 30 * time.Second
+)
+
+// fingerprint returns what names the request among those of the same caller and content.
+func (r *request) fingerprint() crash.Fingerprint {
+	if r.named {
+		return r.name
+	}
+	h := sha256.New()
+	add := func(b []byte) {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(b)))
+		_, _ = h.Write(n[:]) // never fails
+		_, _ = h.Write(b)
+	}
+	if r.credential.state == credentialPresent {
+		add(r.credential.digest[:])
+	} else {
+		add(r.from.AsSlice())
+	}
+	add(r.req.Header.Method())
+	add([]byte(site.HostName(r.host)))
+	add(r.req.Header.RequestURI())
+	if r.hasKey {
+		add([]byte{byte(r.key >> 8), byte(r.key)})
+	}
+	body := r.req.Body()
+	add(body[:min(len(body), fingerprintBody)])
+	var n [8]byte
+	binary.BigEndian.PutUint64(n[:], uint64(len(body)))
+	_, _ = h.Write(n[:])
+	copy(r.name[:], h.Sum(nil))
+	r.named = true
+	return r.name
+}
+
+// deadly reports whether the request is kept from servers.
+func (s *Sender) deadly(r *request) bool {
+	return s.o.Guard.Watches() && s.o.Guard.Crashes(r.fingerprint()) >= crash.RefusedFrom
+}
+
+// guard takes in what an exchange tells of the request as one that may crash servers.
+func (s *Sender) guard(r *request, b *back, x conns.Result, resp *fasthttp.Response) {
+	switch {
+	case x.Outcome == retry.Unknown && x.End == admit.EndReset && !x.Over:
+		r.broke++
+		s.o.Guard.Broke(b.server, r.fingerprint())
+	case x.Outcome == retry.Answered && resp.StatusCode() < fasthttp.StatusInternalServerError && s.o.Guard.Watches():
+		s.o.Guard.Answered(r.fingerprint())
+	}
+}
+
+// suspected reports whether no further server is risked for an attempt whose run broke off: it was not the first, or a server
+// has crashed under the request before.
+func (s *Sender) suspected(r *request) bool {
+	return r.broke > 1 || s.o.Guard.Watches() && s.o.Guard.Crashes(r.fingerprint()) > 0
+}
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/choice"
+	"heatherrouter/core/crash"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -76,6 +78,7 @@
 	Clock   *clock.Clock
 	Counter Counter
 	Limiter Limiter
+	Guard   Guard
 	Log     *log.Logger
 
 	// MaxCopyAge is the maximum CopyAge at which keys are accepted. Beyond it, a key may have been revoked without this daemon
@@ -135,6 +138,7 @@
 // request is one attempt of a caller on its way.
 type request struct {
 	id       ident.Request
+	from     netip.Addr // of the caller
 	req      *fasthttp.Request
 	host     string
 	path     string
@@ -157,15 +161,19 @@
 	failed []ident.Server // couldn't be reached
 	again  mono.Time      // not to be sent before
 	maybe  bool           // some send may have run
+	broke  int            // sends whose runs broke off
 	back   bool           // its caller was refused before, as far as can be told
 	lot    int            // drawn once, below 100: whether it is among the share of a busy key's requests that is sent
 	answer *fasthttp.Response
+
+	name  crash.Fingerprint // once it was needed
+	named bool
 }
 
-// Handle answers one request.
-func (s *Sender) Handle(c context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
+// Handle answers one request of the caller at the address.
+func (s *Sender) Handle(c context.Context, from netip.Addr, req *fasthttp.Request, resp *fasthttp.Response) {
 	r := &request{
-		id: ident.Request(req.Header.Peek(s.o.Dialect.RequestID)), req: req, host: string(req.Header.Host()),
+		from: from, id: ident.Request(req.Header.Peek(s.o.Dialect.RequestID)), req: req, host: string(req.Header.Host()),
 		path: pathOf(req.Header.RequestURI()), arrived: s.o.Clock.Now(), caller: c, lot: rand.IntN(100),
 	}
 	var end context.CancelFunc
@@ -297,6 +305,9 @@
 		if f := s.match(r, snap); f != nil {
 			return *f
 		}
+		if s.deadly(r) {
+			return s.refuse(r, reasonDeadly)
+		}
 		if f := s.acquireToken(r); f != nil {
 			return *f
 		}
