Look at a server also when a run broke off on a new connection

A run that broke off on a new connection while others to the server seemed open was taken for one of too many connections, and its request not blamed. All connections break at a crash, in any order; the dial tells the two apart. Found by reading.

--- a/io/send/guard.go
+++ b/io/send/guard.go
@@ -71,7 +71,7 @@
 // guard takes in what an exchange tells of the request as one that may crash servers.
 func (s *Sender) guard(r *request, b *back, x conns.Result, resp *fasthttp.Response) {
 	switch {
-	case x.Outcome == retry.Unknown && x.End == admit.EndReset && !x.Over:
+	case x.Outcome == retry.Unknown && x.End == admit.EndReset:
 		r.broke++
 		s.o.Guard.Broke(b.server, r.fingerprint())
 	case x.Outcome == retry.Answered && resp.StatusCode() < fasthttp.StatusInternalServerError && s.o.Guard.Watches():
