Give the answer that a server gave before a run broke off

An idempotent request that got a failure of one server, and whose next run broke off under suspicion, ended with 502 though there was an answer to pass on. Found by reading the change.

--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -63,9 +63,13 @@
 	if r.caller.Err() != nil {
 		return &final{outcome: left, reason: "caller-left"}
 	}
-	if !r.route.Idempotent || x.End == admit.EndReset && s.suspected(r) {
+	if !r.route.Idempotent {
 		return &final{status: unknownStatus(x), outcome: unknown, reason: x.End.String()}
 	}
+	if x.End == admit.EndReset && s.suspected(r) {
+		f := s.refuse(r, reasonDeadly)
+		return &f
+	}
 	return nil
 }
 
