--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -84,11 +84,12 @@
 
 	mu      sync.Mutex
 	tracker *crash.Tracker
+	looking map[crash.Life]chan struct{} // closed once it is known whether the server has crashed
 }
 
 // New returns a guard; Run starts it.
 func New(o Options) *Guard {
-	return &Guard{o: o, broken: make(chan *site.Server, looks), found: make(chan struct{}, 1), tracker: crash.NewTracker()}
+	return &Guard{o: o, broken: make(chan *site.Server, looks), found: make(chan struct{}, 1), tracker: crash.NewTracker(), looking: map[crash.Life]chan struct{}{}}
 }
 
 // Run starts looking at servers and sharing what is found.
@@ -136,23 +137,25 @@
 	g.tracker.Answered(g.o.Clock.Now(), r, f)
 }
 
-// Broke takes in that a run of the request at the server broke off.
-func (g *Guard) Broke(x *site.Server, f crash.Fingerprint) {
+// Broke takes in that a run of the request at the server broke off. The channel is closed once it is known whether the server
+// has crashed; nil where it isn't looked at.
+func (g *Guard) Broke(x *site.Server, f crash.Fingerprint) <-chan struct{} {
 	if s := g.o.View.Snapshot().Servers[x.ID]; s == nil || s.Draining {
-		return // it leaves, or has left
+		return nil // it leaves, or has left
 	}
 	g.mu.Lock()
-	first := g.tracker.Broke(g.o.Clock.Now(), lifeOf(x), f)
-	g.mu.Unlock()
-	if !first {
-		return
+	defer g.mu.Unlock()
+	l := lifeOf(x)
+	if !g.tracker.Broke(g.o.Clock.Now(), l, f) {
+		return g.looking[l]
 	}
 	select {
 	case g.broken <- x:
+		g.looking[l] = make(chan struct{})
+		return g.looking[l]
 	default:
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.tracker.Lives(lifeOf(x)) // too many at once to look at
+		g.tracker.Lives(l) // too many at once to look at
+		return nil
 	}
 }
 
@@ -183,11 +186,16 @@
 func (g *Guard) looked(x *site.Server, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	l := lifeOf(x)
+	if c := g.looking[l]; c != nil {
+		defer close(c)
+		delete(g.looking, l)
+	}
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		g.tracker.Lives(lifeOf(x))
+		g.tracker.Lives(l)
 		return
 	}
-	blamed := g.tracker.Crashed(g.o.Clock.Now(), lifeOf(x))
+	blamed := g.tracker.Crashed(g.o.Clock.Now(), l)
 	if len(blamed) == 0 {
 		return
 	}
--- a/io/send/guard.go
+++ b/io/send/guard.go
@@ -16,10 +16,13 @@
 
 // Guard tells which requests crash backend servers.
 type Guard interface {
-	Watches() bool                             // some request is suspected
-	Crashes(f crash.Fingerprint) int           // servers that crashed under the request
-	Answered(f crash.Fingerprint)              // a server ran it to an end
-	Broke(x *site.Server, f crash.Fingerprint) // a run of it broke off
+	Watches() bool                   // some request is suspected
+	Crashes(f crash.Fingerprint) int // servers that crashed under the request
+	Answered(f crash.Fingerprint)    // a server ran it to an end
+
+	// Broke takes in that a run of the request broke off; the channel, which may be nil, is closed once it is known whether
+	// the server has crashed.
+	Broke(x *site.Server, f crash.Fingerprint) <-chan struct{}
 }
 
 const (
@@ -73,14 +76,23 @@
 	switch {
 	case x.Outcome == retry.Unknown && x.End == admit.EndReset:
 		r.broke++
-		s.o.Guard.Broke(b.server, r.fingerprint())
+		r.looked = s.o.Guard.Broke(b.server, r.fingerprint())
 	case x.Outcome == retry.Answered && resp.StatusCode() < fasthttp.StatusInternalServerError && s.o.Guard.Watches():
 		s.o.Guard.Answered(r.fingerprint())
 	}
 }
 
-// suspected reports whether no further server is risked for an attempt whose run broke off: it was not the first, or a server
-// has crashed under the request before.
+// suspected reports whether no further server is risked for an attempt whose run broke off: one has crashed under the request
+// before. After its second such run the attempt waits until that is known.
 func (s *Sender) suspected(r *request) bool {
-	return r.broke > 1 || s.o.Guard.Watches() && s.o.Guard.Crashes(r.fingerprint()) > 0
+	if r.broke > 1 && r.looked != nil {
+		t := time.NewTimer(r.deadline.Sub(s.o.Clock.Now()))
+		defer t.Stop()
+		select {
+		case <-r.looked:
+		case <-t.C:
+		case <-r.ctx.Done():
+		}
+	}
+	return s.o.Guard.Watches() && s.o.Guard.Crashes(r.fingerprint()) > 0
 }
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -157,13 +157,14 @@
 	token        ident.Organisation // organisation whose token the request holds; empty for none
 	authEnabled  bool               // organisations are configured
 
-	tried  []ident.Server // sent to, whatever came of it
-	failed []ident.Server // couldn't be reached
-	again  mono.Time      // not to be sent before
-	maybe  bool           // some send may have run
-	broke  int            // sends whose runs broke off
-	back   bool           // its caller was refused before, as far as can be told
-	lot    int            // drawn once, below 100: whether it is among the share of a busy key's requests that is sent
+	tried  []ident.Server  // sent to, whatever came of it
+	failed []ident.Server  // couldn't be reached
+	again  mono.Time       // not to be sent before
+	maybe  bool            // some send may have run
+	broke  int             // sends whose runs broke off
+	looked <-chan struct{} // see Guard
+	back   bool            // its caller was refused before, as far as can be told
+	lot    int             // drawn once, below 100: whether it is among the share of a busy key's requests that is sent
 	answer *fasthttp.Response
 
 	name  crash.Fingerprint // once it was needed
