Give voters more time to hear a slow coordinator

TestSlowCoordinatorKeepsItsVoters. The model passes with the longer calls, go test ./core/source ./io/feed too.

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -103,8 +103,7 @@
 			return call(now, c, wait), true
 		}
 		if !now.Before(t.probeAt) {
-			t.probeAt = now.Add(wait)
-			return call(now, c, 0), true // whether it is of use again is all that is asked
+			return t.probe(now, s, c), true
 		}
 	}
 	if t.relay != "" && s.Daemons[t.relay] != nil {
@@ -118,6 +117,18 @@
 	return call(now, d, 0), ok
 }
 
+// probe returns a call to a coordinator that was of no use: whether it is again is all that is asked. A voter gives it more
+// time. While the coordinator is only slow, voters that don't hear it would have another take over, which is no quicker.
+func (t *Tracker) probe(now mono.Time, s *site.Snapshot, c ident.Daemon) Call {
+	wait := elect.SyncWait(s, t.self)
+	t.probeAt = now.Add(wait)
+	x := call(now, c, 0)
+	if votes(s, t.self) {
+		x.Until = x.Until.Add(wait)
+	}
+	return x
+}
+
 // trusts reports whether the coordinator, or the candidate in its place, may be relied on for news.
 func (t *Tracker) trusts(s *site.Snapshot, c ident.Daemon) bool {
 	if c != s.Coordinator.Daemon {
@@ -218,6 +229,8 @@
 		t.silent = true
 		if now.Before(x.Until) {
 			t.probeAt = min(t.probeAt, now.Add(elect.SyncWait(s, t.self)/2)) // it failed at once, and cost no time
+		} else {
+			t.probeAt = max(t.probeAt, now.Add(AnswerTime)) // others are asked in between
 		}
 	}
 	t.drop(x.Peer)
--- a/core/source/source_test.go
+++ b/core/source/source_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"heatherrouter/core/elect"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/site"
@@ -64,3 +65,23 @@
 	require.True(t, x.Answered(now, s, "v3", 0))
 	require.Equal(t, own, x.StoreAt(now, s, c))
 }
+
+// Guards against voters that give a slow coordinator up, so that another takes over, and against daemons that ask nobody else.
+func TestSlowCoordinatorKeepsItsVoters(t *testing.T) {
+	s := newSite("self", "v1", "v2")
+	x, now := loseCoordinator(t, s, 0)
+	others := 0
+	for range 10 {
+		c, ok := x.Next(now, s)
+		require.True(t, ok)
+		if c.Peer == "lead" {
+			require.GreaterOrEqual(t, c.Until.Sub(now), elect.SyncWait(s, "self")+AnswerTime)
+		} else {
+			others++
+		}
+		now = c.Until
+		x.Failed(now, s, c)
+	}
+	require.GreaterOrEqual(t, others, 4)
+	require.LessOrEqual(t, others, 7)
+}
