--- a/core/source/source.go
+++ b/core/source/source.go
@@ -70,6 +70,7 @@
 	relay   ident.Daemon // the voter whose copy was new when the coordinator gave none
 	failed  int          // calls in a row
 	probeAt mono.Time    // when a coordinator that is of no use is asked again
+	probes  int          // of the coordinator since it was of use
 	heard   mono.Time    // when the coordinator or a voter last answered
 
 	useless map[ident.Daemon]bool      // voters that gave nothing since one was of use
@@ -117,16 +118,18 @@
 	return call(now, d, 0), ok
 }
 
-// probe returns a call to a coordinator that was of no use: whether it is again is all that is asked. A voter gives it more
-// time. While the coordinator is only slow, voters that don't hear it would have another take over, which is no quicker.
+// probe returns a call to a coordinator that was of no use: whether it is again is all that is asked. Each has twice the time
+// of the one before, up to that of a regular call: one that is lost costs little until another takes over, one that is only
+// slow is heard again. Voters give it all the time at once, as without them another would take over.
 func (t *Tracker) probe(now mono.Time, s *site.Snapshot, c ident.Daemon) Call {
 	wait := elect.SyncWait(s, t.self)
-	t.probeAt = now.Add(wait)
-	x := call(now, c, 0)
-	if votes(s, t.self) {
-		x.Until = x.Until.Add(wait)
+	limit := wait + AnswerTime
+	if !votes(s, t.self) {
+		limit = min(limit, AnswerTime<<min(t.probes, maxDoubled))
 	}
-	return x
+	t.probes++
+	t.probeAt = now.Add(wait)
+	return Call{Peer: c, Until: now.Add(limit)}
 }
 
 // trusts reports whether the coordinator, or the candidate in its place, may be relied on for news.
@@ -214,7 +217,7 @@
 	t.failed = 0
 	switch {
 	case leads:
-		t.relay = ""
+		t.relay, t.probes = "", 0
 		clear(t.useless)
 	case votes:
 		t.relay = d // others don't renew their copies either
@@ -249,7 +252,7 @@
 
 // NewCoordinator takes in that there is another coordinator, or none: it is asked at once.
 func (t *Tracker) NewCoordinator() {
-	t.relay, t.behind, t.probeAt = "", false, 0
+	t.relay, t.behind, t.probes, t.probeAt = "", false, 0, 0
 }
 
 // Stale returns the age of a copy from which the daemon asks the store itself.
--- a/core/source/source_test.go
+++ b/core/source/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -85,3 +86,22 @@
 	require.GreaterOrEqual(t, others, 4)
 	require.LessOrEqual(t, others, 7)
 }
+
+// Guards against daemons that never hear a coordinator again which has become slow.
+func TestSlowCoordinatorIsHeardAgain(t *testing.T) {
+	s := newSite("v1", "v2")
+	x, now := loseCoordinator(t, s, 0)
+	full := elect.SyncWait(s, "self") + AnswerTime
+	var limits []time.Duration
+	for range 20 {
+		c, ok := x.Next(now, s)
+		require.True(t, ok)
+		if c.Peer == "lead" {
+			limits = append(limits, c.Until.Sub(now))
+		}
+		now = c.Until
+		x.Failed(now, s, c)
+	}
+	require.Equal(t, AnswerTime, limits[0])
+	require.Contains(t, limits[:4], full)
+}
