Name requests that crash servers by organisation and content, not by address

Suspected cause: the fingerprint held the caller's address.

TestAttemptsFromSeveralAddressesAreOneRequest: 6 crashes with the address, 3 without. TestFingerprintIsOfCallerAndContent asked for the address: it is replaced by TestFingerprintIsOfOrganisationAndContent, which asks that each part of the content and the organisation count, and that headers don't.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -12,7 +12,7 @@
 	"heatherrouter/core/mono"
 )
 
-// Fingerprint names requests of the same caller and content.
+// Fingerprint names requests of the same organisation and content.
 type Fingerprint [16]byte
 
 // String returns the fingerprint in hexadecimal.
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/netip"
 	"os"
 	"sync"
 	"time"
@@ -36,7 +35,6 @@
 type conn struct {
 	front  *Front
 	net    net.Conn
-	from   netip.Addr
 	br     *bufio.Reader
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -59,20 +57,11 @@
 var errLeft = errors.New("the caller has left")
 
 func newConn(f *Front, n net.Conn) *conn {
-	c := &conn{front: f, net: n, from: addrOf(n), br: bufio.NewReaderSize(n, f.o.Limits().HeaderBytes), ahead: make(chan struct{}, maxAhead)}
+	c := &conn{front: f, net: n, br: bufio.NewReaderSize(n, f.o.Limits().HeaderBytes), ahead: make(chan struct{}, maxAhead)}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
 }
 
-// addrOf returns the address of the other end, without its port.
-func addrOf(n net.Conn) netip.Addr {
-	a, err := netip.ParseAddrPort(n.RemoteAddr().String())
-	if err != nil {
-		return netip.Addr{} // no network in between
-	}
-	return a.Addr().Unmap()
-}
-
 // serve reads requests until the caller leaves or an answer closes the connection. It goes on reading while requests
 // are under way, since only so it learns that the caller has left.
 func (c *conn) serve() {
@@ -213,7 +202,7 @@
 }
 
 func (c *conn) run(x *exchange) {
-	c.front.o.Handler(c.ctx, c.from, x.req, x.resp)
+	c.front.o.Handler(c.ctx, x.req, x.resp)
 	c.finish(x)
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,8 +20,8 @@
 	"heatherrouter/io/group"
 )
 
-// Handler answers one request of the caller at the address. The context ends when the caller has left.
-type Handler func(c context.Context, from netip.Addr, req *fasthttp.Request, resp *fasthttp.Response)
+// Handler answers one request. The context ends when the caller has left.
+type Handler func(c context.Context, req *fasthttp.Request, resp *fasthttp.Response)
 
 // Options are what a Front needs.
 type Options struct {
--- a/io/send/guard.go
+++ b/io/send/guard.go
@@ -33,7 +33,8 @@
 	retryDeadly = 30 * time.Second
 )
 
-// fingerprint returns what names the request among those of the same caller and content.
+// fingerprint returns what names the request among those of the same organisation and content. Addresses aren't part of it:
+// attempts of one caller may come by different ways.
 func (r *request) fingerprint() crash.Fingerprint {
 	if r.named {
 		return r.name
@@ -45,10 +46,8 @@
 		_, _ = h.Write(n[:]) // never fails
 		_, _ = h.Write(b)
 	}
-	if r.credential.state == credentialPresent {
-		add(r.credential.digest[:])
-	} else {
-		add(r.from.AsSlice())
+	if r.organisation != nil {
+		add([]byte(r.organisation.Name))
 	}
 	add(r.req.Header.Method())
 	add([]byte(site.HostName(r.host)))
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -138,7 +137,6 @@
 // request is one attempt of a caller on its way.
 type request struct {
 	id       ident.Request
-	from     netip.Addr // of the caller
 	req      *fasthttp.Request
 	host     string
 	path     string
@@ -171,10 +169,10 @@
 	named bool
 }
 
-// Handle answers one request of the caller at the address.
-func (s *Sender) Handle(c context.Context, from netip.Addr, req *fasthttp.Request, resp *fasthttp.Response) {
+// Handle answers one request.
+func (s *Sender) Handle(c context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
 	r := &request{
-		from: from, id: ident.Request(req.Header.Peek(s.o.Dialect.RequestID)), req: req, host: string(req.Header.Host()),
+		id: ident.Request(req.Header.Peek(s.o.Dialect.RequestID)), req: req, host: string(req.Header.Host()),
 		path: pathOf(req.Header.RequestURI()), arrived: s.o.Clock.Now(), caller: c, lot: rand.IntN(100),
 	}
 	var end context.CancelFunc
