Drop the record of an answered request at once

The duty that shares crashes learned of an answered request only at the next change of the daemon's copy, and looked for something to write at each of those.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -158,16 +158,18 @@
 	return n
 }
 
-// Answered takes in that a server ran the request to an end. A request that is refused by now stays so: an attempt that was
-// sent before may have met a server that was just about to crash.
-func (t *Tracker) Answered(now mono.Time, r Records, f Fingerprint) {
+// Answered takes in that a server ran the request to an end; it reports whether there is a record to drop. A request that is
+// refused by now stays so: an attempt that was sent before may have met a server that was just about to crash.
+func (t *Tracker) Answered(now mono.Time, r Records, f Fingerprint) bool {
 	if n := t.Crashes(r, f); n == 0 || n >= RefusedFrom {
-		return
+		return false
 	}
 	delete(t.own, f)
-	if len(r[f]) > 0 && len(t.cleared) < maxOwn {
-		t.cleared[f] = now
+	if len(r[f]) == 0 || len(t.cleared) >= maxOwn {
+		return false
 	}
+	t.cleared[f] = now
+	return true
 }
 
 // Change is what a daemon wants changed of one record: the lives that it is to have, or none to drop it.
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -32,7 +32,6 @@
 // View is what the daemon knows.
 type View interface {
 	Snapshot() *site.Snapshot
-	Changed() <-chan struct{}
 	Leads() bool
 	Row(key string) (store.Row, bool)
 	Learn(rows []store.Row)
@@ -134,7 +133,17 @@
 	r := g.o.View.Snapshot().Crashes
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tracker.Answered(g.o.Clock.Now(), r, f)
+	if g.tracker.Answered(g.o.Clock.Now(), r, f) {
+		g.wake()
+	}
+}
+
+// wake tells the duty that shares crashes that there is something to write.
+func (g *Guard) wake() {
+	select {
+	case g.found <- struct{}{}:
+	default:
+	}
 }
 
 // Broke takes in that a run of the request at the server broke off. The channel is closed once it is known whether the server
@@ -206,22 +215,17 @@
 	g.o.Counter.Crashed(x.Service)
 	g.o.Log.Warn().Str("server", string(x.ID)).Str("service", string(x.Service)).Int64("born", x.Born).
 		Strs("fingerprints", names).Msg("server crashed under requests")
-	select {
-	case g.found <- struct{}{}:
-	default:
-	}
+	g.wake()
 }
 
 // share writes what this daemon has seen until the records have it.
 func (g *Guard) share(c context.Context) error {
 	for c.Err() == nil {
-		changed := g.o.View.Changed()
 		l := g.changes()
 		if len(l) == 0 {
 			select {
 			case <-c.Done():
 			case <-g.found:
-			case <-g.cleared(changed):
 			}
 			continue
 		}
@@ -233,14 +237,6 @@
 	return nil
 }
 
-// cleared returns the channel to wait on for records that are to be dropped; nil while there are none.
-func (g *Guard) cleared(changed <-chan struct{}) <-chan struct{} {
-	if len(g.o.View.Snapshot().Crashes) == 0 {
-		return nil
-	}
-	return changed
-}
-
 func (g *Guard) changes() []crash.Change {
 	r := g.o.View.Snapshot().Crashes
 	g.mu.Lock()
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -34,7 +34,6 @@
 	fail    []error // of the next transactions; one is carried out all the same where it is errUnknown
 	leads   bool
 	server  *site.Server
-	changed chan struct{}
 	crashes int
 }
 
@@ -42,7 +41,7 @@
 
 func newSite() *memorySite {
 	return &memorySite{
-		rows: map[string]store.Row{}, changed: make(chan struct{}),
+		rows:   map[string]store.Row{},
 		server: &site.Server{ID: "i-1", Service: "x", Born: 7, Addr: netip.MustParseAddrPort("127.0.0.1:1")},
 	}
 }
@@ -64,12 +63,6 @@
 	return x
 }
 
-func (s *memorySite) Changed() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changed
-}
-
 func (s *memorySite) Leads() bool { return s.leads }
 
 func (s *memorySite) Row(key string) (store.Row, bool) {
@@ -79,12 +72,7 @@
 	return r, ok
 }
 
-func (s *memorySite) Learn([]store.Row) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
+func (s *memorySite) Learn([]store.Row) {}
 
 func (s *memorySite) Commit(_ context.Context, x store.Txn) (store.Rev, error) {
 	s.mu.Lock()
@@ -187,6 +175,7 @@
 	require.NoError(t, err)
 	s.rows[feed.CrashRow(f)] = store.Row{Key: feed.CrashRow(f), Value: v, Rev: 5}
 	require.True(t, g.Watches())
+	time.Sleep(50 * time.Millisecond) // the duty waits
 	g.Answered(f)
 	require.Eventually(t, func() bool { return s.lives(f) == 0 }, 2*time.Second, 10*time.Millisecond)
 	require.Zero(t, g.Crashes(f))
