Daemons of a first start wait for the coordinator before they read the store whole

Cause: a daemon that had found no coordinator waited for one, but as soon as it read the coordinator's row from the store it took itself for a daemon that starts on a running site and read all tables, though the coordinator answers within milliseconds. Whether that happens hangs on whether the row is there before the daemon's second look at the control table: on a busy machine, or where hosts start some tenths of a second apart. At hundreds of hosts each reads the whole store.

Change: a daemon whose first look found no coordinator reads a table whole only when the coordinator hasn't answered within source.AnswerTime, or is silent.

--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -72,7 +72,7 @@
 		return f.askAtStart(t, now)
 	}
 	if !f.read[t] {
-		return 0
+		return f.firstReadIn(now)
 	}
 	c := source.Copy{AsOf: f.asOf[t], Asked: f.asked[t], Control: t == store.Control}
 	return f.sources.StoreAt(now, f.snapshot, c).Sub(now)
@@ -96,6 +96,15 @@
 	}
 }
 
+// firstReadIn returns how long a table that was never read needn't be. At the first start of a site the coordinator has read
+// all tables by the time that it is known: hundreds of daemons get them from it.
+func (f *Feed) firstReadIn(now mono.Time) time.Duration {
+	if !f.firstStart || f.sources.Silent() {
+		return 0
+	}
+	return min(f.heard.Add(source.AnswerTime), f.started.Add(startLimit)).Sub(now)
+}
+
 // askedTwice reports whether the control table was read when most daemons had written their rows; the caller holds the lock.
 func (f *Feed) askedTwice() bool {
 	return f.read[store.Control] && f.asked[store.Control].Sub(f.started) >= startGap
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -101,8 +101,9 @@
 	asked    [store.Tables]mono.Time
 	reached  mono.Time // of the rest of the site: of the coordinator, able or not, or of a daemon of another domain
 
-	started   mono.Time
-	announced store.Rev // of this life's row; 0 before it is written
+	started    mono.Time
+	firstStart bool      // of the site: there was no coordinator yet when the control table was first read
+	announced  store.Rev // of this life's row; 0 before it is written
 
 	promise elect.Promise // to the coordinator
 	support elect.Support // of others, while this daemon is the coordinator
@@ -404,6 +405,9 @@
 	if !f.take(t, news, origin{from: from, age: age}) && first {
 		f.wake()
 	}
+	if first && t == store.Control {
+		f.firstStart = f.snapshot.Coordinator.Term == 0
+	}
 }
 
 // take builds the next snapshot from rows that are news; it reports whether there is one.
--- a/io/feed/fleet_test.go
+++ b/io/feed/fleet_test.go
@@ -126,6 +126,15 @@
 
 // Guards against a start at which each daemon reads the whole store, and again until it hears of a coordinator.
 func TestFirstStartOfFleet(t *testing.T) {
+	t.Run("all at once", func(t *testing.T) { firstStart(t, 0) })
+
+	// The others find the coordinator's row in the store before they have heard of it.
+	t.Run("coordinator ahead", func(t *testing.T) { firstStart(t, startGap/2) })
+}
+
+// firstStart starts a fleet whose first candidate is ahead of the others for so long, and counts the calls to the store.
+func firstStart(t *testing.T, ahead time.Duration) {
+	t.Helper()
 	const n = 40
 	m, peers := newMemory(), pair{}
 	m.put(store.Orders, "config", []byte("1"), false)
@@ -136,13 +145,20 @@
 		feeds = append(feeds, newFeed(&access{memory: m, calls: &calls}, d))
 		peers[d] = feeds[i]
 	}
-	for i, f := range feeds {
+	start := func(i int) {
+		f := feeds[i]
 		v, err := proto.Marshal(&wire.DaemonRow{Domain: "a", Peer: "127.0.0.1:1", Incarnation: 1, Capacity: uint32(i)}) //nolint:gosec // small
 		require.NoError(t, err)
 		runFeed(t, f, end{pair: peers, self: f.o.Self})
 		m.put(store.Control, DaemonRow(f.o.Self), v, false)
 	}
 	first := feeds[n-1]
+	start(n - 1)
+	time.Sleep(ahead)
+	for i := range n - 1 {
+		feeds[i].started = feeds[i].o.Clock.Now()
+		start(i)
+	}
 	require.Eventually(t, first.Known, 2*time.Second, 10*time.Millisecond)
 	v, err := proto.Marshal(&wire.CoordinatorRow{Daemon: string(first.o.Self), Incarnation: 1, Term: 1})
 	require.NoError(t, err)
