Stand-in server: work that a restart ends has failed, not been cancelled

Cause: Restart breaks the connections, then ends the life of the server. Work that looked in between found its caller gone.

Change: a broken connection of a server that is down, or whose life has ended, ends the work as failed. Large bodies had the same order.

--- a/io/fakes/server/conns.go
+++ b/io/fakes/server/conns.go
@@ -115,6 +115,12 @@
 	}
 }
 
+func (l *listener) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down
+}
+
 func (l *listener) closeAll() {
 	for _, c := range l.all() {
 		reset(c.Conn)
--- a/io/fakes/server/volume.go
+++ b/io/fakes/server/volume.go
@@ -157,7 +157,7 @@
 		b.server.finish(b.job, fakes.AnsweredOutcome)
 	case b.late:
 		b.server.finish(b.job, fakes.ExpiredOutcome)
-	case b.next == b.cut, b.job.over():
+	case b.next == b.cut, b.server.ended(&b.job):
 		b.server.finish(b.job, fakes.FailedOutcome)
 	default:
 		b.server.finish(b.job, fakes.CancelledOutcome)
--- a/io/fakes/server/work.go
+++ b/io/fakes/server/work.go
@@ -89,6 +89,9 @@
 	}
 }
 
+// ended reports whether the incarnation that took the job has ended, or is about to: its connections break first.
+func (s *Server) ended(j *job) bool { return s.conns.isDown() || j.over() }
+
 // admit decides about a request, which is the n-th inside.
 func (s *Server) admit(c *fasthttp.RequestCtx, n int) job {
 	h := &c.Request.Header
@@ -222,6 +225,9 @@
 			return fakes.ExpiredOutcome
 		}
 		if x != nil && x.gone() {
+			if s.ended(&j) {
+				return fakes.FailedOutcome
+			}
 			return fakes.CancelledOutcome
 		}
 	}
