--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -33,7 +33,7 @@
 // RefusedFrom is after how many crashes, one after the other, a request is kept from servers.
 const RefusedFrom = 3
 
-// Records are how many servers crashed under requests, one after the other, as all daemons know of them.
+// Records tell how many servers crashed under each request, one after the other, as all daemons know of them.
 type Records map[Fingerprint]int
 
 const (
@@ -92,7 +92,7 @@
 type own struct {
 	crashes  int
 	answered bool // the request was: only the crashes since count
-	over     int  // what the record said when the last crash was counted
+	base     int  // crashes in the record when the last one was counted
 	at       mono.Time
 }
 
@@ -101,7 +101,7 @@
 	switch {
 	case o.answered && record < RefusedFrom:
 		return o.crashes
-	case record < o.over:
+	case record < o.base:
 		return record // the request was answered elsewhere
 	}
 	return max(record, o.crashes)
@@ -112,7 +112,8 @@
 	return &Tracker{broken: map[Life]*broken{}, own: map[Fingerprint]own{}}
 }
 
-// Broke takes in that a run at a server broke off. It reports whether the server is to be probed: not already for another run.
+// Broke takes in that a run at a server broke off. It reports whether the server is to be probed: it isn't where it is being
+// probed for another run.
 func (t *Tracker) Broke(now mono.Time, l Life, r Run) bool {
 	b := t.broken[l]
 	if b != nil {
@@ -154,7 +155,7 @@
 	if x.Known < n {
 		return // the run began before the last one counted was known
 	}
-	t.set(f, own{crashes: n + 1, answered: o.answered, over: r[f], at: now})
+	t.set(f, own{crashes: n + 1, answered: o.answered, base: r[f], at: now})
 }
 
 // set keeps what the record of a request is to say, unless too many are kept.
