--- a/io/grant/write.go
+++ b/io/grant/write.go
@@ -86,7 +86,7 @@
 		x.table.Committed(g.o.Clock.Now(), w.pieces, w.reserved)
 		return
 	}
-	g.o.Log.Warn().Err(w.err).Str("service", string(w.service)).Msg("assignment not written")
+	g.o.Log.Warn().Err(w.err).Str("service", string(w.service)).Int("ranges", len(w.pieces)).Int("bytes", len(w.value)).Msg("assignment not written")
 	g.o.Feed.Learn(w.rows)
 	for _, r := range w.rows {
 		if r.Key == key && r.Rev != x.rev {
--- /dev/null
+++ b/io/grant/write_test.go
@@ -0,0 +1,56 @@
+package grant
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/hold"
+	"heatherrouter/core/ident"
+	"heatherrouter/io/store"
+)
+
+// boundedStore takes values of at most so many bytes.
+type boundedStore struct {
+	store.Store
+	limit int
+}
+
+func (s boundedStore) Commit(_ context.Context, x store.Txn) (store.Rev, error) {
+	for _, r := range x.Put {
+		if len(r.Value) > s.limit {
+			return 0, store.ErrNotDone
+		}
+	}
+	return 1, nil
+}
+
+// Guards against an assignment of many servers that the store refuses, so that no key changes hands any more.
+func TestAssignmentOfManyServersIsWritten(t *testing.T) {
+	const servers, ranges, rowLimit = 1600, 3200, 64 << 10
+	rng := rand.New(rand.NewPCG(1, 28)) //nolint:gosec // drawn by a seed
+	var lives []hold.Life
+	for range servers {
+		lives = append(lives, hold.Life{
+			Server: ident.Server(fmt.Sprintf("i-%010x", rng.Uint64()>>24)), Born: 1_790_000_000_000 + rng.Int64N(60_000),
+		})
+	}
+	var pieces []hold.Piece
+	for i := range ranges {
+		p := hold.Piece{
+			Range: hold.Range{First: hold.Key(i * 20), Last: hold.Key(i*20 + 19)}, //nolint:gosec // below 65536
+			Owner: lives[rng.IntN(servers)],
+		}
+		if rng.IntN(10) == 0 {
+			p.Previous = lives[rng.IntN(servers)]
+		}
+		pieces = append(pieces, p)
+	}
+	v, err := encodeKeys(pieces, 1<<40)
+	require.NoError(t, err)
+	_, err = boundedStore{limit: rowLimit}.Commit(t.Context(), store.Txn{Put: []store.Row{{Key: "keys/x", Value: v}}})
+	require.NoError(t, err, "%d bytes", len(v))
+}
