--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// firstReadIn returns how long a table that was never read needn't be. At the first start of a site the coordinator has read
-// all tables by the time that it is known: hundreds of daemons get them from it.
+// firstReadIn returns how long a table that was never read needn't be; the caller holds the lock. At the first start of a
+// site the coordinator has read all tables by the time that it is known: hundreds of daemons get them from it.
 func (f *Feed) firstReadIn(now mono.Time) time.Duration {
 	if !f.firstStart || f.sources.Silent() {
 		return 0
