Stand-in server: a restart drops requests that it has read and not begun

Cause: in the stand-in, not in the router. A handler that had read its request before the restart, and got the processor only after it, was admitted by the new incarnation. It ran until its next look at its connection (every 5 ms), which the restart had broken, and was logged as a failure of the new life. A server that falls over of too much work fails at once (0 ms), so the 5.2 ms tell the two apart. Change: connections that a restart breaks are marked; work and grants read from one are dropped. The mark is read under the lock that the new incarnation is taken under, so each request belongs to one life or the other. The check of TestColdRestart is unchanged. Ruled out: an overfed server (see above; at most one was inside, and the daemon's own log has its third send refused for no room).

--- a/io/fakes/server/conns.go
+++ b/io/fakes/server/conns.go
@@ -123,6 +123,7 @@
 
 func (l *listener) closeAll() {
 	for _, c := range l.all() {
+		c.broken.Store(true)
 		reset(c.Conn)
 	}
 }
@@ -169,6 +170,7 @@
 	from   *listener
 	cost   time.Duration // still to be paid before the first read
 	silent atomic.Bool
+	broken atomic.Bool // ended by the server, with what it has read
 }
 
 // Read implements net.Conn.
--- a/io/fakes/server/pages.go
+++ b/io/fakes/server/pages.go
@@ -52,17 +52,17 @@
 		c.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	a, ok := s.take(g)
+	a, ok := s.take(c, g)
 	if !ok {
 		c.SetStatusCode(fasthttp.StatusConflict)
 	}
 	writeJSON(c, a)
 }
 
-func (s *Server) take(g Grant) (Granted, bool) {
+func (s *Server) take(c *fasthttp.RequestCtx, g Grant) (Granted, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ok := g.Epoch >= s.highest
+	ok := g.Epoch >= s.highest && !broken(c)
 	if ok {
 		s.highest, s.grantEnds = g.Epoch, time.Time{}
 		if g.LeaseMS > 0 {
--- a/io/fakes/server/server_test.go
+++ b/io/fakes/server/server_test.go
@@ -404,6 +404,27 @@
 	require.Equal(t, fakes.FailedOutcome, s.Log()[0].Outcome)
 }
 
+// A request that the former life has read and not begun never runs: the next life would answer for a sender it hasn't.
+func TestRestartDropsUnbegunWork(t *testing.T) {
+	s := start(t, server.Options{ServiceTime: server.Fixed(20 * time.Millisecond)})
+	c := newClient(t, 5*time.Second)
+	get(t, c, s.URL()+"/x")
+	s.Update(func(f *server.Faults) { f.Freeze = true })
+	done := make(chan error)
+	go func() {
+		_, err := ask(t, c, http.MethodPost, s.URL()+"/x", "")
+		done <- err
+	}()
+	time.Sleep(100 * time.Millisecond) // until it waits at the gate
+	s.Restart(0, false)
+	s.Update(func(f *server.Faults) { f.Freeze = false })
+	require.Error(t, <-done)
+	get(t, newClient(t, time.Second), s.URL()+"/x")
+	l := s.Log()
+	require.Len(t, l, 2, "%+v", l)
+	require.Equal(t, fakes.AnsweredOutcome, l[1].Outcome)
+}
+
 // An overloaded server fails in both ways that callers meet: a 500 and a reset.
 func TestFallsOverInBothWays(t *testing.T) {
 	s := start(t, server.Options{ColdWork: 1000, Slots: 1, ServiceTime: server.Fixed(200 * time.Millisecond)})
--- a/io/fakes/server/work.go
+++ b/io/fakes/server/work.go
@@ -39,7 +39,12 @@
 		return
 	}
 	n := int(s.inFlight.Add(1))
-	j := s.admit(c, n)
+	j, ok := s.admit(c, n)
+	if !ok {
+		s.inFlight.Add(-1)
+		c.SetConnectionClose()
+		return
+	}
 	c.Response.Header.Set(IncarnationHeader, j.tag)
 	if j.refused != "" {
 		s.inFlight.Add(-1)
@@ -92,8 +97,16 @@
 // ended reports whether the incarnation that took the job has ended, or is about to: its connections break first.
 func (s *Server) ended(j *job) bool { return s.conns.isDown() || j.over() }
 
-// admit decides about a request, which is the n-th inside.
-func (s *Server) admit(c *fasthttp.RequestCtx, n int) job {
+// broken reports whether the server has reset the request's connection. Under s.mu the answer holds for the
+// incarnation in force: a restart breaks all connections before it takes a new one.
+func broken(c *fasthttp.RequestCtx) bool {
+	x, ok := c.Conn().(*conn)
+	return ok && x.broken.Load()
+}
+
+// admit decides about a request, which is the n-th inside. It reports false for one that ended with the incarnation
+// that read it.
+func (s *Server) admit(c *fasthttp.RequestCtx, n int) (job, bool) {
 	h := &c.Request.Header
 	now := time.Now()
 	j := job{cutAt: -1}
@@ -104,6 +117,9 @@
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if broken(c) {
+		return job{}, false
+	}
 	j.tag, j.life = s.tag, s.life
 	j.refused = s.refusal(now, j.deadline, epoch, n)
 	if s.work.on {
@@ -115,7 +131,7 @@
 		})
 	}
 	if j.refused != "" {
-		return j
+		return j, true
 	}
 	if s.opts.ChecksGrants && epoch > s.highest {
 		s.highest, s.grantEnds = epoch, time.Time{}
@@ -131,7 +147,7 @@
 			j.cutAt = s.faults.CutAt
 		}
 	}
-	return j
+	return j, true
 }
 
 // refusal returns why a request must not run, or nothing; it needs s.mu.
