Stand: no port is given to two daemons of a process

Seen in a run of TestColdRestart beside load: daemon h01 ended with "admin address 127.0.0.1:31711: bind: address already in use", and the test failed before its load began.

Cause: ports were drawn at random and free only at that moment, so two daemons, of one stand or of two that run at once, could draw the same one before either listened on it: for five daemons 55 pairs of 20,000 a stand. Change: ports are counted up from a start by process, as the platform's stages do.

Not shown: that this was the cause in that run; three copies of the tests ran, and copies can still meet.

--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -5,13 +5,13 @@
 	"bytes"
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"text/template"
 
@@ -136,13 +136,17 @@
 const (
 	firstPort = 12000
 	lastPort  = 32000
-	portTries = 100
 )
 
-// freePort returns a port that nobody uses, neither for TCP nor for UDP.
+// given counts the ports that stands of this process have looked at.
+var given atomic.Int64
+
+// freePort returns a port that nobody uses, neither for TCP nor for UDP, and that no other daemon of this process is
+// about to use.
 func freePort() (netip.AddrPort, error) {
-	for range portTries {
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+	for range lastPort - firstPort {
+		port := firstPort + (int64(os.Getpid())*100+given.Add(1))%(lastPort-firstPort)
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port)) //nolint:gosec // below 32,000
 		l, err := net.Listen("tcp", a.String())
 		if err != nil {
 			continue
@@ -155,7 +159,7 @@
 		u.Close()
 		return a, nil
 	}
-	return netip.AddrPort{}, trace.LimitExceeded("no free port found")
+	return netip.AddrPort{}, trace.LimitExceeded("no free port from %d to %d", firstPort, lastPort)
 }
 
 // List replaces the platform's host list.
