Stand-in server: unfinished work gets no answer

This is the form of TestSilentServerConns in KNOWN-RED.txt (a write answered with an empty body).

Cause: the stand-in ended work whose sender had gone, or whose incarnation had ended, with an empty 200, and counted on a connection that no longer delivers it. Change: such work ends with a reset and no answer, whatever the connection; the mark follows the reset. Before: the new TestUnfinishedWorkIsNotAnswered fails 3 of 3 ("HTTP/1.1 200 OK"). After: passes 3 of 3. Not shown: that this is what TestSilentServerConns met once; it stays in KNOWN-RED.txt until it has run more often.

--- a/io/fakes/server/conns.go
+++ b/io/fakes/server/conns.go
@@ -123,8 +123,8 @@
 
 func (l *listener) closeAll() {
 	for _, c := range l.all() {
-		c.broken.Store(true)
 		reset(c.Conn)
+		c.broken.Store(true)
 	}
 }
 
--- a/io/fakes/server/server_test.go
+++ b/io/fakes/server/server_test.go
@@ -425,6 +425,21 @@
 	require.Equal(t, fakes.AnsweredOutcome, l[1].Outcome)
 }
 
+// A sender that has closed its side gets no empty answer, which would pass for that of finished work.
+func TestUnfinishedWorkIsNotAnswered(t *testing.T) {
+	s := start(t, server.Options{ServiceTime: server.Fixed(time.Second)})
+	c, err := net.Dial("tcp", s.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.InFlight() == 1 }, time.Second, time.Millisecond)
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	b, _ := io.ReadAll(c) // ends with a reset
+	require.Empty(t, string(b))
+	require.Equal(t, fakes.CancelledOutcome, s.Log()[0].Outcome)
+}
+
 // An overloaded server fails in both ways that callers meet: a 500 and a reset.
 func TestFallsOverInBothWays(t *testing.T) {
 	s := start(t, server.Options{ColdWork: 1000, Slots: 1, ServiceTime: server.Fixed(200 * time.Millisecond)})
--- a/io/fakes/server/work.go
+++ b/io/fakes/server/work.go
@@ -42,7 +42,7 @@
 	j, ok := s.admit(c, n)
 	if !ok {
 		s.inFlight.Add(-1)
-		c.SetConnectionClose()
+		leaveUnanswered(c)
 		return
 	}
 	c.Response.Header.Set(IncarnationHeader, j.tag)
@@ -184,8 +184,7 @@
 		c.SetConnectionClose()
 		c.SetStatusCode(fasthttp.StatusInternalServerError)
 		if j.resets {
-			c.HijackSetNoResponse(true)
-			c.Hijack(resetAny)
+			leaveUnanswered(c)
 		}
 		return fakes.FailedOutcome, false
 	}
@@ -195,7 +194,7 @@
 		c.SetStatusCode(fasthttp.StatusGatewayTimeout)
 		return o, false
 	default:
-		c.SetConnectionClose()
+		leaveUnanswered(c)
 		return o, false
 	}
 	if j.volume != nil {
@@ -205,6 +204,13 @@
 	return fakes.AnsweredOutcome, false
 }
 
+// leaveUnanswered ends the connection without an answer: an empty one would pass for that of finished work.
+func leaveUnanswered(c *fasthttp.RequestCtx) {
+	c.SetConnectionClose()
+	c.HijackSetNoResponse(true)
+	c.Hijack(resetAny)
+}
+
 func readBody(c *fasthttp.RequestCtx) (size int64, sum uint64, err error) {
 	r := c.RequestBodyStream()
 	if r == nil {
