Stand-in server: the answer to work that ran out of its deadline tells what was asked

Cause: in the stand-in and the test, not in the router. The stand-in then answers 504 by itself, with no body, and the daemon hands that on as the server's answer, as it should. The check takes any answer for one that names the request. Change: the stand-in's 504 names the request as its other answers do, and the check, as strict as before, prints the status. Not seen: the status of that answer, which the check didn't print; 504 is the only answer without a body that was left.

Before: TestDeadlineInTheMiddle with the new line fails.

--- a/io/fakes/server/server_test.go
+++ b/io/fakes/server/server_test.go
@@ -153,8 +153,9 @@
 func TestDeadlineInTheMiddle(t *testing.T) {
 	s := start(t, server.Options{ServiceTime: server.Fixed(time.Second)})
 	d := strconv.FormatInt(time.Now().Add(50*time.Millisecond).UnixMilli(), 10)
-	a := get(t, newClient(t, 2*time.Second), s.URL()+"/x", server.DeadlineHeader, d)
+	a := get(t, newClient(t, 2*time.Second), s.URL()+"/x", server.DeadlineHeader, d, server.RequestHeader, "id-1")
 	require.Equal(t, http.StatusGatewayTimeout, a.status)
+	require.Contains(t, string(a.body), `"request-id":"id-1"`, "it is the answer to this request")
 	require.Empty(t, a.header.Get(server.NotRunHeader))
 	require.Equal(t, fakes.ExpiredOutcome, s.Log()[0].Outcome)
 }
--- a/io/fakes/server/work.go
+++ b/io/fakes/server/work.go
@@ -192,6 +192,7 @@
 	case fakes.AnsweredOutcome:
 	case fakes.ExpiredOutcome:
 		c.SetStatusCode(fasthttp.StatusGatewayTimeout)
+		s.answer(c, size, sum)
 		return o, false
 	default:
 		leaveUnanswered(c)
--- a/io/stand/load_test.go
+++ b/io/stand/load_test.go
@@ -168,7 +168,7 @@
 	full := ident.Request(service + "/" + id)
 	l.ids[full] = o
 	if o == answered && !bytes.Contains(r.body, []byte(`"request-id":"`+string(full)+`"`)) {
-		l.wrong = append(l.wrong, fmt.Sprintf("answer to %s: %s", full, r.body))
+		l.wrong = append(l.wrong, fmt.Sprintf("answer to %s: status %d, %s", full, r.status, r.body))
 	}
 }
 
