core/hold: the row says less only when earlier coordinators have ended as well

A coordinator that took over without a clean end of its predecessor let the row say 3 s again 10.8 s later, while that predecessor may go on for 30 s with grants of 10 s. A third coordinator would have counted on 3 s. Change: the row says less only once what earlier coordinators may have sent has lapsed, too. Before: the new TestRowStatesLongestHoldOfEarlierCoordinators fails. After: it passes, as do the other tests of core/hold that concern holds.

--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -106,7 +106,7 @@
 	case h >= t.reserved.Hold:
 		t.shortened = 0
 	case t.shortened == 0:
-		t.hold, t.shortened = h, now.Add(t.terms.Lapse(t.reserved.Hold))
+		t.hold, t.shortened = h, max(t.inherited, now.Add(t.terms.Lapse(t.reserved.Hold)))
 		h = t.reserved.Hold
 	case now.Before(t.shortened):
 		h = t.reserved.Hold
--- a/core/hold/terms_test.go
+++ b/core/hold/terms_test.go
@@ -64,3 +64,16 @@
 	}
 	require.Equal(t, 3*time.Second, write(manyRanges))
 }
+
+// Guards against the same where an earlier coordinator may go on for a while.
+func TestRowStatesLongestHoldOfEarlierCoordinators(t *testing.T) {
+	now := mono.Time(time.Hour)
+	lapsed := now.Add(40 * time.Second)
+	x := New(now, DefaultTerms(10*time.Second), narrow(1), Reserved{Hold: 10 * time.Second}, lapsed)
+	for ; now.Before(lapsed); now = now.Add(time.Second) {
+		r := x.Reserve(now, 1)
+		x.Committed(now, narrow(1), r)
+		require.Equal(t, 10*time.Second, r.Hold)
+	}
+	require.Equal(t, 3*time.Second, x.Reserve(now, 1).Hold)
+}
