--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -176,8 +176,8 @@
 	return t.fence
 }
 
-// Reserved reports whether there are fences left that the store knows of.
-func (t *Table) Reserved() bool {
+// HasFences reports whether there are fences left that the store knows of.
+func (t *Table) HasFences() bool {
 	return t.fence < t.reserved.Fence
 }
 
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -96,7 +96,7 @@
 	if x.rev == 0 {
 		return now.Add(planEvery)
 	}
-	if !x.reserved || !x.table.Reserved() {
+	if !x.reserved || !x.table.HasFences() {
 		if !x.writing {
 			g.write(x, x.table.Pieces())
 		}
