io/ports: one place that finds ports for daemons of tests and demos

io/stand, platform's stages and platform/procs each had a copy. Joining them and asking for pairs and single ports in turn showed a fault in the copy of platform/procs (soak, demo): pairs were counted over a room of another size than single ports, so a pair could be given ports that were given singly before, to a daemon that hadn't started yet.

--- a/io/stand/port_test.go
+++ b/io/ports/ports_test.go
@@ -1,4 +1,4 @@
-package stand
+package ports
 
 import (
 	"net/netip"
@@ -10,10 +10,14 @@
 // Two daemons that were given the same port would not both start.
 func TestPortsAreGivenOnce(t *testing.T) {
 	seen := map[netip.AddrPort]bool{}
-	for range 1000 {
-		a, err := freePort()
+	for i := range 1000 {
+		n := 1 + i%2
+		p, err := Free(n)
 		require.NoError(t, err)
-		require.False(t, seen[a], "%v", a)
-		seen[a] = true
+		for k := range n {
+			a := addr(p + uint16(k)) //nolint:gosec // 0 or 1
+			require.False(t, seen[a], "%v", a)
+			seen[a] = true
+		}
 	}
 }
--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -5,13 +5,11 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"text/template"
 
@@ -23,6 +21,7 @@
 	"heatherrouter/io/hosts"
 	"heatherrouter/io/keys"
 	"heatherrouter/io/keys/keytest"
+	"heatherrouter/io/ports"
 )
 
 const (
@@ -111,7 +110,7 @@
 func (s *Stand) add(i int) error {
 	d := &Daemon{Name: ident.Daemon(fmt.Sprintf("h%02d", i+1)), Domain: s.o.Names[i%s.o.Domains], stand: s}
 	for _, a := range []*netip.AddrPort{&d.Entry, &d.Peer, &d.Admin} {
-		x, err := freePort()
+		x, err := ports.Addr()
 		if err != nil {
 			return err
 		}
@@ -131,37 +130,6 @@
 	return nil
 }
 
-// Ports of daemons lie below those that the kernel hands out by itself: a port that was free a moment ago would
-// otherwise be taken by any outgoing connection before the daemon listens on it.
-const (
-	firstPort = 12000
-	lastPort  = 32000
-)
-
-// given counts the ports that stands of this process have looked at.
-var given atomic.Int64
-
-// freePort returns a port that nobody uses, neither for TCP nor for UDP, and that no other daemon of this process is
-// about to use.
-func freePort() (netip.AddrPort, error) {
-	for range lastPort - firstPort {
-		port := firstPort + (int64(os.Getpid())*100+given.Add(1))%(lastPort-firstPort)
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port)) //nolint:gosec // below 32,000
-		l, err := net.Listen("tcp", a.String())
-		if err != nil {
-			continue
-		}
-		l.Close()
-		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
-		if err != nil {
-			continue
-		}
-		u.Close()
-		return a, nil
-	}
-	return netip.AddrPort{}, trace.LimitExceeded("no free port from %d to %d", firstPort, lastPort)
-}
-
 // List replaces the platform's host list.
 func (s *Stand) List(l ...hosts.Host) {
 	s.mu.Lock()
