--- a/cmd/heatherrouter/organisation/organisation.go
+++ b/cmd/heatherrouter/organisation/organisation.go
@@ -3,15 +3,12 @@
 
 import (
 	"cmp"
-	"encoding/json"
-	"errors"
 	"slices"
 
 	"github.com/gravitational/trace"
 
 	"heatherrouter/cmd/heatherrouter/cli"
 	"heatherrouter/core/ident"
-	"heatherrouter/io/admin"
 	"heatherrouter/io/limit"
 )
 
@@ -44,27 +41,11 @@
 
 // Read queries the daemons at all --admin addresses. It skips those that don't answer and fails if none does.
 func Read(e *cli.Env) ([]Organisation, error) {
-	c, err := e.Client()
+	l, err := cli.ReadStates[daemonState](e)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	var failed []error
-	var states []daemonState
-	for _, a := range c.Addrs() {
-		b, err := c.State(e.Context, a)
-		if err == nil {
-			var d daemonState
-			err = json.Unmarshal(b, &d)
-			states = append(states, d)
-		}
-		if err != nil {
-			failed = append(failed, trace.Wrap(err, "%s", a))
-		}
-	}
-	if len(failed) == len(c.Addrs()) {
-		return nil, &admin.UnavailableError{Cause: errors.Join(failed...).Error()}
-	}
-	return merge(states), nil
+	return merge(l), nil
 }
 
 func merge(states []daemonState) []Organisation {
--- a/cmd/heatherrouter/root/root.go
+++ b/cmd/heatherrouter/root/root.go
@@ -16,6 +16,7 @@
 	"heatherrouter/cmd/heatherrouter/completion"
 	configcheck "heatherrouter/cmd/heatherrouter/config/check"
 	configpublish "heatherrouter/cmd/heatherrouter/config/publish"
+	crashlist "heatherrouter/cmd/heatherrouter/crash/list"
 	daemondrain "heatherrouter/cmd/heatherrouter/daemon/drain"
 	daemonlist "heatherrouter/cmd/heatherrouter/daemon/list"
 	daemonrestore "heatherrouter/cmd/heatherrouter/daemon/restore"
@@ -92,6 +93,10 @@
 		Show organisationshow.Options `cmd:"" help:"Show one organisation."`
 	} `cmd:"" help:"Organisations of callers."`
 
+	Crash struct {
+		List crashlist.Options `cmd:"" help:"List the requests that crash backend servers."`
+	} `cmd:"" help:"Requests that crash backend servers."`
+
 	Request struct {
 		Explain requestexplain.Options `cmd:"" help:"Tell from logs what happened to a request."`
 	} `cmd:"" help:"Requests of callers."`
