Record which backend servers a daemon can reach

No log line, metric or state said whether a daemon reaches a server, so the hypotheses of the incident could not be told apart. Each daemon now keeps a record of its own paths: from the results of requests and orders, and from connections that it opens to servers in doubt. It logs a path that is lost or back, exports heatherrouter_servers_unreachable, and lists the servers in /state. Decisions don't use it yet.

--- /dev/null
+++ b/core/reach/paths.go
@@ -0,0 +1,207 @@
+// Package reach tracks which backend servers a daemon can reach over its own connections, and which of its peers reach those
+// that it can't.
+//
+// A lost path says nothing about the server: other daemons may still reach it. So nothing here is used as the state of a
+// server for the whole fleet.
+package reach
+
+import (
+	"slices"
+	"time"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+)
+
+// Target identifies one incarnation of a backend server at its address.
+type Target struct {
+	Service ident.Service
+	Server  ident.Server
+	Born    int64
+	Addr    string
+}
+
+// Failure is how a server could not be reached.
+type Failure uint8
+
+// Failures of a path.
+const (
+	Refused Failure = iota + 1 // new connections are refused; open ones may still work
+	Silent                     // nothing is acknowledged, also on open connections
+)
+
+var failureNames = [...]string{"none", "refused", "silent"}
+
+// String returns the failure in kebab case.
+func (f Failure) String() string {
+	if int(f) < len(failureNames) {
+		return failureNames[f]
+	}
+	return "unknown"
+}
+
+// State is what is known of the path to a server.
+type State uint8
+
+// States of a path.
+const (
+	Reachable   State = iota
+	Unverified        // no failure of its own, but the other servers of its service have become unreachable
+	Unreachable       // the last attempt to reach it failed
+)
+
+// suspectServers is the number of servers of a service that must fail without an answer from any other before all its
+// servers are suspected. A single one has more likely crashed.
+const suspectServers = 2
+
+// Bounds of the time between two probes of an unreachable server, which doubles with each failure.
+const (
+	minProbeInterval = 250 * time.Millisecond
+	maxProbeInterval = time.Second
+)
+
+// Paths tracks the paths from one daemon to backend servers.
+type Paths struct {
+	paths    map[Target]*path
+	services map[ident.Service]*service
+}
+
+// path is the state of the path to one server. Servers that never failed have none.
+type path struct {
+	failure    Failure   // 0 after a success
+	failures   int       // consecutive failures
+	lostAt     mono.Time // first of the consecutive failures
+	answeredAt mono.Time // last success
+	probeAt    mono.Time // earliest time of the next probe
+}
+
+// service is what the failures of a service's servers have in common.
+type service struct {
+	answeredAt mono.Time // last success with any server
+	failed     []Target  // servers that failed since then
+	suspectAt  mono.Time // when all servers were suspected; 0 for never since then
+}
+
+// NewPaths returns a Paths without failures.
+func NewPaths() *Paths {
+	return &Paths{paths: map[Target]*path{}, services: map[ident.Service]*service{}}
+}
+
+// Answered records that the server sent something or accepted a connection. It returns how long the server was unreachable, or 0
+// if it was not.
+func (p *Paths) Answered(now mono.Time, t Target) time.Duration {
+	s := p.service(t.Service)
+	s.answeredAt, s.suspectAt, s.failed = now, 0, s.failed[:0]
+	x := p.path(t)
+	lost := time.Duration(0)
+	if x.failure != 0 {
+		lost = max(1, now.Sub(x.lostAt))
+	}
+	*x = path{answeredAt: now}
+	return lost
+}
+
+// Failed records an attempt to reach the server that began at the given time. It reports whether the server has become
+// unreachable, and whether all servers of its service are suspected from now on. An attempt counts for nothing if the server has
+// answered since it began: a busy server may not accept a connection for seconds and still answer on others.
+func (p *Paths) Failed(began, now mono.Time, t Target, f Failure) (lost, suspected bool) {
+	x := p.path(t)
+	if x.answeredAt > began {
+		return false, false
+	}
+	lost = x.failure == 0
+	if lost {
+		x.lostAt = now
+	}
+	x.failure, x.failures = max(x.failure, f), x.failures+1
+	x.probeAt = now.Add(min(maxProbeInterval, minProbeInterval<<min(x.failures-1, 8)))
+	s := p.service(t.Service)
+	if s.answeredAt > began || slices.Contains(s.failed, t) {
+		return lost, false
+	}
+	s.failed = append(s.failed, t)
+	if len(s.failed) < suspectServers || s.suspectAt != 0 {
+		return lost, false
+	}
+	s.suspectAt = now
+	return lost, true
+}
+
+// State returns the state of the path to the server.
+func (p *Paths) State(t Target) State {
+	if x := p.paths[t]; x != nil && x.failure != 0 {
+		return Unreachable
+	}
+	if p.Suspected(t.Service) {
+		return Unverified
+	}
+	return Reachable
+}
+
+// Failure returns how the server could last not be reached; 0 if it is not unreachable.
+func (p *Paths) Failure(t Target) Failure {
+	if x := p.paths[t]; x != nil {
+		return x.failure
+	}
+	return 0
+}
+
+// Suspected reports whether all servers of the service are suspected to be unreachable.
+func (p *Paths) Suspected(n ident.Service) bool {
+	s := p.services[n]
+	return s != nil && s.suspectAt != 0
+}
+
+// TakeProbe reports whether a probe of the server is due, and counts it as started.
+func (p *Paths) TakeProbe(now mono.Time, t Target) bool {
+	x := p.path(t)
+	if now.Before(x.probeAt) {
+		return false
+	}
+	x.probeAt = now.Add(maxProbeInterval)
+	return true
+}
+
+// Unreachable returns the servers that are unreachable, by how long.
+func (p *Paths) Unreachable(now mono.Time) map[Target]time.Duration {
+	l := map[Target]time.Duration{}
+	for t, x := range p.paths {
+		if x.failure != 0 {
+			l[t] = now.Sub(x.lostAt)
+		}
+	}
+	return l
+}
+
+// Retain discards the state of servers for which keep returns false.
+func (p *Paths) Retain(keep func(Target) bool) {
+	for t := range p.paths {
+		if !keep(t) {
+			delete(p.paths, t)
+		}
+	}
+	for _, s := range p.services {
+		s.failed = slices.DeleteFunc(s.failed, func(t Target) bool { return !keep(t) })
+		if len(s.failed) == 0 {
+			s.suspectAt = 0
+		}
+	}
+}
+
+func (p *Paths) path(t Target) *path {
+	x := p.paths[t]
+	if x == nil {
+		x = &path{}
+		p.paths[t] = x
+	}
+	return x
+}
+
+func (p *Paths) service(n ident.Service) *service {
+	s := p.services[n]
+	if s == nil {
+		s = &service{}
+		p.services[n] = s
+	}
+	return s
+}
--- /dev/null
+++ b/core/reach/paths_test.go
@@ -0,0 +1,78 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+)
+
+const begin = mono.Time(time.Hour)
+
+func target(id string) Target {
+	return Target{Service: "s", Server: ident.Server(id), Addr: id}
+}
+
+func TestOneLostServerSuspectsNoOther(t *testing.T) {
+	p := NewPaths()
+	p.Answered(begin, target("b"))
+	lost, suspected := p.Failed(begin.Add(1), begin.Add(2), target("a"), Refused)
+	require.True(t, lost)
+	require.False(t, suspected)
+	require.Equal(t, Unreachable, p.State(target("a")))
+	require.Equal(t, Reachable, p.State(target("b")))
+}
+
+func TestTwoLostServersSuspectAllOfTheirService(t *testing.T) {
+	p := NewPaths()
+	p.Failed(begin, begin.Add(1), target("a"), Silent)
+	_, suspected := p.Failed(begin, begin.Add(2), target("b"), Silent)
+	require.True(t, suspected)
+	require.Equal(t, Unverified, p.State(target("c")))
+	require.Equal(t, Reachable, p.State(Target{Service: "other"}))
+	p.Answered(begin.Add(3), target("c"))
+	require.Equal(t, Reachable, p.State(target("d")), "one server answers, so the others are not suspected")
+	require.Equal(t, Unreachable, p.State(target("a")))
+}
+
+// Guards against servers that count as unreachable because they were too busy to accept one connection.
+func TestFailureBeforeAnswerIsIgnored(t *testing.T) {
+	p := NewPaths()
+	p.Answered(begin.Add(10), target("a"))
+	lost, _ := p.Failed(begin, begin.Add(20), target("a"), Silent)
+	require.False(t, lost)
+	require.Equal(t, Reachable, p.State(target("a")))
+}
+
+func TestRecoveryIsReportedOnce(t *testing.T) {
+	p := NewPaths()
+	p.Failed(begin, begin.Add(time.Second), target("a"), Refused)
+	p.Failed(begin, begin.Add(2*time.Second), target("a"), Refused)
+	require.Equal(t, 4*time.Second, p.Answered(begin.Add(5*time.Second), target("a")))
+	require.Zero(t, p.Answered(begin.Add(6*time.Second), target("a")))
+}
+
+func TestProbesOfUnreachableServerSlowDown(t *testing.T) {
+	p := NewPaths()
+	probes := 0
+	for now := begin; now < begin.Add(10*time.Second); now = now.Add(10 * time.Millisecond) {
+		if p.TakeProbe(now, target("a")) {
+			probes++
+			p.Failed(now, now, target("a"), Refused)
+		}
+	}
+	require.Greater(t, probes, 9)
+	require.Less(t, probes, 14)
+}
+
+func TestRetainDropsStateOfServersThatAreGone(t *testing.T) {
+	p := NewPaths()
+	p.Failed(begin, begin, target("a"), Refused)
+	p.Failed(begin, begin, target("b"), Refused)
+	p.Retain(func(t Target) bool { return t.Server == "c" })
+	require.Empty(t, p.Unreachable(begin))
+	require.False(t, p.Suspected("s"))
+}
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -15,6 +15,7 @@
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
+	"heatherrouter/core/reach"
 	"heatherrouter/core/site"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/feed"
@@ -43,9 +44,17 @@
 	OrderCodec  OrderCodec
 	Timing      hold.Timing
 	Clock       *clock.Clock
+	Paths       Paths
 	Log         *log.Logger
 }
 
+// Paths is the daemon's record of which servers it can reach.
+type Paths interface {
+	Answered(x *site.Server)
+	Failed(began mono.Time, x *site.Server, f reach.Failure)
+	Verify(x *site.Server) // checks the server in the background
+}
+
 const (
 	// authorityTTL is how long a coordinator may send orders after the store last confirmed its role, however many daemons
 	// support it. It bounds how long grants outlast an outage of the store. It also bounds how long a successor waits for a
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -15,6 +15,7 @@
 	"heatherrouter/core/retry"
 	"heatherrouter/core/site"
 	"heatherrouter/io/conns"
+	"heatherrouter/io/paths"
 )
 
 const (
@@ -152,6 +153,7 @@
 		return g.maySendOrder(d.term) && time.Now().Before(call.Deadline)
 	}
 	var r conns.Result
+	began := g.o.Clock.Now()
 	switch x := d.order.(type) {
 	case hold.Grant:
 		g.o.OrderCodec.Grant(req, x)
@@ -165,6 +167,21 @@
 		r = l.releases.Do(c, call, req, resp)
 	}
 	d.result, d.err, d.status = g.result(d.order, r, resp), r.Err, resp.StatusCode()
+	g.observePath(l, r, began)
+}
+
+// observePath records what an order says about the path to its server.
+func (g *Granter) observePath(l *link, r conns.Result, began mono.Time) {
+	switch {
+	case r.Err == nil:
+		g.o.Paths.Answered(l.server)
+	case r.End == admit.EndDialFailed:
+		if f := paths.FailureOf(r.Err, g.o.Clock.Now().Sub(began), orderDialTimeout); f != 0 {
+			g.o.Paths.Failed(began, l.server, f)
+		}
+	case r.End == admit.EndTimeout || r.End == admit.EndReset:
+		g.o.Paths.Verify(l.server)
+	}
 }
 
 func (g *Granter) releaseDeadline(until mono.Time) time.Time {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -33,6 +33,7 @@
 	"heatherrouter/io/guard"
 	"heatherrouter/io/limit"
 	"heatherrouter/io/meter"
+	"heatherrouter/io/paths"
 	"heatherrouter/io/peer"
 	"heatherrouter/io/send"
 	"heatherrouter/io/store"
@@ -68,6 +69,7 @@
 	sender       *send.Sender
 	limiter      *limit.Limiter
 	guard        *guard.Guard
+	paths        *paths.Tracker
 	peers        *peer.Transport
 	front        *front.Frontend
 	statusServer *fasthttp.Server
@@ -111,9 +113,14 @@
 		Self: s.Name, Incarnation: n.incarnation, View: n.feed, Clock: n.clock, Log: n.o.Log,
 		Policy: quota.Policy{Window: s.Limits.QuotaWindow, Overshoot: s.Limits.QuotaOvershoot, Slack: s.Limits.QuotaSlack},
 	})
+	n.paths = paths.New(n.group, paths.Options{View: n.feed, Clock: n.clock, Log: n.o.Log, Dial: guard.Dial})
+	if err := n.meter.Gauge("heatherrouter.servers.unreachable", "{server}", "announced backend servers that this daemon can't reach",
+		func() float64 { return float64(n.paths.Count()) }); err != nil {
+		return err
+	}
 	n.granter = grant.New(grant.Options{
 		Self: s.Name, Incarnation: n.incarnation, Feed: n.feed, Store: n.o.Platform.Store, OrderCodec: n.o.Platform.OrderCodec,
-		Timing: hold.DefaultTiming(s.Limits.MaxGrantTTL), Clock: n.clock, Log: n.o.Log,
+		Timing: hold.DefaultTiming(s.Limits.MaxGrantTTL), Clock: n.clock, Paths: n.paths, Log: n.o.Log,
 	})
 	n.guard = guard.New(guard.Options{
 		View: n.feed, Store: n.o.Platform.Store, Clock: n.clock, Counter: n.meter, Log: n.o.Log, Dial: guard.Dial,
@@ -122,7 +129,7 @@
 		Self: s.Name, Domain: s.Domain, View: n.feed, Dialect: n.o.Platform.Dialect,
 		ColdLimit:  pace.ColdLimit{Factor: s.Limits.ColdFactor, Slack: s.Limits.ColdSlack},
 		RetryLimit: pace.RetryLimit{Ratio: s.Limits.RetryRatio, Slack: s.Limits.RetrySlack, Window: s.Limits.RetryWindow},
-		Clock:      n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Guard: n.guard, MaxCopyAge: s.Limits.MaxCopyAge,
+		Clock:      n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Guard: n.guard, Paths: n.paths, MaxCopyAge: s.Limits.MaxCopyAge,
 	})
 	if n.id, err = newIdentity(s.Name, n.feed.Snapshot); err != nil {
 		return err
@@ -144,6 +151,7 @@
 	n.granter.Run(n.group, n.peers)
 	n.limiter.Run(n.group, n.peers)
 	n.guard.Run(n.group)
+	n.sender.Run(n.group)
 	n.group.Go(n.maintain)
 	return nil
 }
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -143,7 +143,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	s.buildRequest(req, r, b)
 	b.mu.Lock()
-	b.load.OwnInFlight++
+	b.requestSent(s.o.Clock.Now())
 	b.mu.Unlock()
 	defer func() {
 		b.mu.Lock()
@@ -211,6 +211,7 @@
 	if x.Outcome == retry.Answered {
 		s.observeSize(r.route.Name, len(r.req.Body())+len(resp.Body()))
 	}
+	s.observePath(b, x, now.Add(-took), took)
 	if d := b.observe(now, x, resp, took, s.o.Dialect); d > 0 {
 		s.observeServiceTime(b.server.Service, d)
 	}
@@ -223,6 +224,7 @@
 	defer b.mu.Unlock()
 	var serviceTime time.Duration
 	if x.Outcome == retry.Answered || x.End == admit.EndRefused {
+		b.waitingSince = now
 		if rep, ok := d.ParseLoad(resp.Header.Peek(d.Load)); ok {
 			b.observeLoad(now, rep)
 			if x.End == admit.EndAnswered && rep.Waiting == 0 && b.load.AtBaseline() {
--- /dev/null
+++ b/io/send/path.go
@@ -0,0 +1,99 @@
+package send
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"heatherrouter/core/admit"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/reach"
+	"heatherrouter/core/retry"
+	"heatherrouter/io/conns"
+	"heatherrouter/io/group"
+	"heatherrouter/io/paths"
+)
+
+const (
+	// unansweredCheckInterval is the time between checks for servers that leave requests unanswered.
+	unansweredCheckInterval = 100 * time.Millisecond
+
+	// minUnanswered is the time without an answer after which the path to a server is checked, and unansweredFactor the same as
+	// a multiple of the service time. Most requests of a service with longer service times take longer than the minimum.
+	minUnanswered    = 250 * time.Millisecond
+	unansweredFactor = 3
+)
+
+// observePath records what an exchange says about the path to its server.
+func (s *Sender) observePath(b *backend, x conns.Result, began mono.Time, took time.Duration) {
+	switch {
+	case x.Outcome == retry.Answered || x.End == admit.EndRefused || x.ConnLimitReached:
+		s.o.Paths.Answered(b.server)
+	case x.End == admit.EndDialFailed:
+		if f := paths.FailureOf(x.Err, took, dialTimeout); f != 0 {
+			s.o.Paths.Failed(began, b.server, f)
+		}
+	case x.End == admit.EndTimeout && errors.Is(x.Err, syscall.ETIMEDOUT):
+		s.o.Paths.Failed(began, b.server, reach.Silent)
+	case x.End == admit.EndReset || x.End == admit.EndTimeout:
+		s.o.Paths.Verify(b.server)
+	}
+}
+
+// Run starts the sender's background work.
+func (s *Sender) Run(g *group.Group) {
+	g.Go(s.checkUnanswered)
+}
+
+// checkUnanswered checks the paths to servers that leave requests unanswered: on a silent path, the first sign is that nothing
+// comes back.
+func (s *Sender) checkUnanswered(c context.Context) error {
+	t := time.NewTicker(unansweredCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.Done():
+			return nil
+		case <-t.C:
+		}
+		for _, b := range s.unansweredBackends(s.o.Clock.Now()) {
+			s.o.Paths.Verify(b.server)
+		}
+	}
+}
+
+// unansweredBackends returns the servers that have requests of this daemon and have sent nothing for longer than usual.
+func (s *Sender) unansweredBackends(now mono.Time) []*backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var l []*backend
+	for _, b := range s.backends {
+		limit := minUnanswered
+		if q := s.serviceTimes[b.server.Service]; q != nil {
+			limit = max(limit, unansweredFactor*time.Duration(q.Estimate))
+		}
+		if b.unansweredFor(now) >= limit {
+			l = append(l, b)
+		}
+	}
+	return l
+}
+
+// unansweredFor returns for how long the server has had requests of this daemon without sending anything; 0 if it has none.
+func (b *backend) unansweredFor(now mono.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.load.OwnInFlight == 0 {
+		return 0
+	}
+	return now.Sub(b.waitingSince)
+}
+
+// requestSent records that a request was sent. The caller holds b.mu.
+func (b *backend) requestSent(now mono.Time) {
+	if b.load.OwnInFlight == 0 {
+		b.waitingSince = now
+	}
+	b.load.OwnInFlight++
+}
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -23,6 +23,7 @@
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/pace"
+	"heatherrouter/core/reach"
 	"heatherrouter/core/site"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/conns"
@@ -78,6 +79,7 @@
 	Counter    Counter
 	Limiter    Limiter
 	Guard      Guard
+	Paths      Paths
 	Log        *log.Logger
 
 	// MaxCopyAge is the maximum CopyAge at which keys are accepted. Beyond it, a key may have been revoked without this daemon
@@ -91,6 +93,14 @@
 	Return(n ident.Organisation)
 }
 
+// Paths is the daemon's record of which servers it can reach.
+type Paths interface {
+	State(x *site.Server) reach.State
+	Answered(x *site.Server)
+	Failed(began mono.Time, x *site.Server, f reach.Failure)
+	Verify(x *site.Server) // checks the server in the background
+}
+
 // Sender forwards requests to backend servers. It is safe for concurrent use.
 type Sender struct {
 	o       Options
