--- /dev/null
+++ b/io/fakes/cut/block.go
@@ -0,0 +1,102 @@
+package cut
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"syscall"
+
+	"github.com/gravitational/trace"
+)
+
+// Block is what a relay does with new connections.
+type Block int
+
+// Blocks of new connections. Open ones are not affected.
+const (
+	Accept Block = iota
+	Refuse       // connections are refused
+	Hang         // connections are neither accepted nor refused
+)
+
+// Block sets what the relay does with new connections.
+func (r *TCP) Block(b Block) error {
+	r.blocking.Lock()
+	defer r.blocking.Unlock()
+	if r.block == b {
+		return nil
+	}
+	_ = r.l.Close()
+	r.fill.close()
+	r.fill = nil
+	r.block = b
+	switch b {
+	case Accept:
+		l, err := net.Listen("tcp", r.addr)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		r.l = l
+		r.wg.Go(func() { r.accept(l) })
+	case Hang:
+		f, err := newFullListener(r.addr)
+		if err != nil {
+			return err
+		}
+		r.fill = f
+	case Refuse:
+	}
+	return nil
+}
+
+// ResetOpen resets the open connections.
+func (r *TCP) ResetOpen() {
+	r.pairs.Lock()
+	defer r.pairs.Unlock()
+	for p := range r.live {
+		reset(p.from)
+		reset(p.to)
+	}
+}
+
+// fullListener listens with a full queue of connections, so that the kernel drops further attempts to connect.
+type fullListener struct {
+	file *os.File
+	conn net.Conn
+}
+
+func newFullListener(addr string) (*fullListener, error) {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	f := &fullListener{file: os.NewFile(uintptr(fd), "full-listener")} //nolint:gosec // a descriptor
+	if err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()})
+	}
+	if err == nil {
+		err = syscall.Listen(fd, 0)
+	}
+	if err == nil {
+		f.conn, err = net.Dial("tcp", addr) // stays in the queue, which has one place
+	}
+	if err != nil {
+		f.close()
+		return nil, trace.ConvertSystemError(err)
+	}
+	return f, nil
+}
+
+func (f *fullListener) close() {
+	if f == nil {
+		return
+	}
+	if f.conn != nil {
+		reset(f.conn)
+	}
+	_ = f.file.Close()
+}
--- a/io/fakes/cut/tcp.go
+++ b/io/fakes/cut/tcp.go
@@ -20,7 +20,12 @@
 type TCP struct {
 	control
 	target string
-	l      net.Listener
+	addr   string
+
+	blocking sync.Mutex
+	l        net.Listener
+	block    Block
+	fill     *fullListener // set while the block is Hang
 
 	pairs sync.Mutex
 	live  map[*pair]struct{}
@@ -39,14 +44,14 @@
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	r := &TCP{target: target, l: l, live: map[*pair]struct{}{}}
+	r := &TCP{target: target, addr: l.Addr().String(), l: l, live: map[*pair]struct{}{}}
 	r.init()
-	r.wg.Go(r.accept)
+	r.wg.Go(func() { r.accept(l) })
 	return r, nil
 }
 
 // Addr implements Relay.
-func (r *TCP) Addr() string { return r.l.Addr().String() }
+func (r *TCP) Addr() string { return r.addr }
 
 // Silence implements Relay.
 func (r *TCP) Silence() {
@@ -62,19 +67,17 @@
 	if !r.end() {
 		return
 	}
+	r.blocking.Lock()
 	_ = r.l.Close()
-	r.pairs.Lock()
-	for p := range r.live {
-		reset(p.from)
-		reset(p.to)
-	}
-	r.pairs.Unlock()
+	r.fill.close()
+	r.blocking.Unlock()
+	r.ResetOpen()
 	r.wg.Wait()
 }
 
-func (r *TCP) accept() {
+func (r *TCP) accept(l net.Listener) {
 	for {
-		c, err := r.l.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
