Hand requests to peers that reach the servers

What callers saw: a daemon that lost its links to the servers refused its callers (503 all-tried after some refused dials) or kept them until their deadline (silent links): 0 of 1480 and 0 of 80 first tries served, though its peers reached all servers.

Cause: a daemon had no way to serve but its own links. Evidence: the lines 'server unreachable' begin with the cut at exactly the daemons that refuse, and requests of the same seconds are served by their peers.

Change: a daemon knows which servers it can't reach (refused or unacknowledged connections; when two servers of a service fail without an answer from any, the others are checked before they are used) and hands requests for them to a peer: of its own failure domain first, in its region only, the one with fewer requests pending of two. The peer runs the request by its own copy, with the checks of any other request, and never hands it on. It needs the sender's configuration or a newer one, gets the remaining time and the servers already tried, and is told when the caller leaves. A peer that can't reach the server either answers at once and is avoided for a while. Open connections to servers that refuse new ones stay in use.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -6,6 +6,7 @@
 package reach
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -18,7 +19,7 @@
 	Service ident.Service
 	Server  ident.Server
 	Born    int64
-	Addr    string
+	Addr    netip.AddrPort
 }
 
 // Failure is how a server could not be reached.
@@ -80,6 +81,7 @@
 	answeredAt mono.Time // last success with any server
 	failed     []Target  // servers that failed since then
 	suspectAt  mono.Time // when all servers were suspected; 0 for never since then
+	failure    Failure   // of the failed servers
 }
 
 // NewPaths returns a Paths without failures.
@@ -91,7 +93,7 @@
 // if it was not.
 func (p *Paths) Answered(now mono.Time, t Target) time.Duration {
 	s := p.service(t.Service)
-	s.answeredAt, s.suspectAt, s.failed = now, 0, s.failed[:0]
+	s.answeredAt, s.suspectAt, s.failure, s.failed = now, 0, 0, s.failed[:0]
 	x := p.path(t)
 	lost := time.Duration(0)
 	if x.failure != 0 {
@@ -119,7 +121,7 @@
 	if s.answeredAt > began || slices.Contains(s.failed, t) {
 		return lost, false
 	}
-	s.failed = append(s.failed, t)
+	s.failed, s.failure = append(s.failed, t), max(s.failure, f)
 	if len(s.failed) < suspectServers || s.suspectAt != 0 {
 		return lost, false
 	}
@@ -138,11 +140,15 @@
 	return Reachable
 }
 
-// Failure returns how the server could last not be reached; 0 if it is not unreachable.
+// Failure returns how the server could not be reached or, if it is unverified, how the other servers of its service could not.
+// It is 0 for a reachable server.
 func (p *Paths) Failure(t Target) Failure {
-	if x := p.paths[t]; x != nil {
+	if x := p.paths[t]; x != nil && x.failure != 0 {
 		return x.failure
 	}
+	if p.Suspected(t.Service) {
+		return p.services[t.Service].failure
+	}
 	return 0
 }
 
@@ -162,6 +168,21 @@
 	return true
 }
 
+// AllReachable reports whether no server is unreachable and no service suspected.
+func (p *Paths) AllReachable() bool {
+	for _, x := range p.paths {
+		if x.failure != 0 {
+			return false
+		}
+	}
+	for _, s := range p.services {
+		if s.suspectAt != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Unreachable returns the servers that are unreachable, by how long.
 func (p *Paths) Unreachable(now mono.Time) map[Target]time.Duration {
 	l := map[Target]time.Duration{}
@@ -183,7 +204,7 @@
 	for _, s := range p.services {
 		s.failed = slices.DeleteFunc(s.failed, func(t Target) bool { return !keep(t) })
 		if len(s.failed) == 0 {
-			s.suspectAt = 0
+			s.suspectAt, s.failure = 0, 0
 		}
 	}
 }
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -13,7 +13,7 @@
 const begin = mono.Time(time.Hour)
 
 func target(id string) Target {
-	return Target{Service: "s", Server: ident.Server(id), Addr: id}
+	return Target{Service: "s", Server: ident.Server(id)}
 }
 
 func TestOneLostServerSuspectsNoOther(t *testing.T) {
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -329,6 +329,16 @@
 	p.mu.Unlock()
 }
 
+// HasIdle reports whether an idle connection is open, as far as this side knows.
+func (p *Pool) HasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0 && p.idle[len(p.idle)-1].alive()
+}
+
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() { p.closeIdle() }
+
 func (p *Pool) closeIdle() {
 	p.mu.Lock()
 	l := p.idle
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -24,6 +24,7 @@
 	"heatherrouter/core/mono"
 	"heatherrouter/core/pace"
 	"heatherrouter/core/quota"
+	"heatherrouter/core/reach"
 	"heatherrouter/core/site"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/feed"
@@ -35,6 +36,7 @@
 	"heatherrouter/io/meter"
 	"heatherrouter/io/paths"
 	"heatherrouter/io/peer"
+	"heatherrouter/io/relay"
 	"heatherrouter/io/send"
 	"heatherrouter/io/store"
 	"heatherrouter/io/wire"
@@ -129,7 +131,8 @@
 		Self: s.Name, Domain: s.Domain, View: n.feed, Dialect: n.o.Platform.Dialect,
 		ColdLimit:  pace.ColdLimit{Factor: s.Limits.ColdFactor, Slack: s.Limits.ColdSlack},
 		RetryLimit: pace.RetryLimit{Ratio: s.Limits.RetryRatio, Slack: s.Limits.RetrySlack, Window: s.Limits.RetryWindow},
-		Clock:      n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Guard: n.guard, Paths: n.paths, MaxCopyAge: s.Limits.MaxCopyAge,
+		Clock:      n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Guard: n.guard, Paths: n.paths,
+		Relays: reach.NewRelays(s.Name, s.Regions, rand.IntN), Relay: relay.NewClient(n.clock, exchanger{n}), MaxCopyAge: s.Limits.MaxCopyAge,
 	})
 	if n.id, err = newIdentity(s.Name, n.feed.Snapshot); err != nil {
 		return err
@@ -139,7 +142,8 @@
 		return err
 	}
 	n.peers, err = peer.New(n.group.Context(), peer.Options{
-		Self: s.Name, Listen: s.Peer, Resolver: addressBook{n.feed.Snapshot}, TLS: n.id, Handler: peerHandler{n.feed, n.limiter}, Log: n.o.Log,
+		Self: s.Name, Listen: s.Peer, Resolver: addressBook{n.feed.Snapshot}, TLS: n.id, Log: n.o.Log,
+		Handler: peerHandler{n.feed, n.limiter, relay.NewServer(n.clock, n.sender)},
 	})
 	if err != nil {
 		l.close()
@@ -419,6 +423,7 @@
 type peerHandler struct {
 	feed    *feed.Feed
 	limiter *limit.Limiter
+	relay   *relay.Server
 }
 
 // Call implements peer.Handler.
@@ -449,7 +454,17 @@
 }
 
 // Exchange implements peer.Handler.
-func (peerHandler) Exchange(_ context.Context, _ ident.Daemon, x *peer.Exchange) { x.Abort() }
+func (h peerHandler) Exchange(c context.Context, _ ident.Daemon, x *peer.Exchange) {
+	h.relay.Serve(c, x)
+}
+
+// exchanger opens exchanges over the transport, which is created after the sender.
+type exchanger struct{ n *Node }
+
+// OpenExchange implements relay.Exchanger.
+func (e exchanger) OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange) (*peer.Exchange, error) {
+	return e.n.peers.OpenExchange(c, to, head)
+}
 
 // IsCoordinator reports whether the daemon is the coordinator of its site, as far as it knows.
 func (n *Node) IsCoordinator() bool { return n.feed.IsCoordinator() }
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -12,13 +12,14 @@
 	Name     ident.Daemon
 	Domain   ident.Domain
 	Region   ident.Region
-	Entry    netip.AddrPort // address for callers
-	Ready    netip.AddrPort // address for the balancer's readiness check
-	Peer     netip.AddrPort // address for other daemons
-	Admin    netip.AddrPort // address for operators: state and metrics
-	Store    netip.AddrPort // address of the platform's store
-	Capacity int            // processor capacity in thousandths of a core; 0 if unknown
-	Memory   int64          // memory limit of the process in bytes; 0 for no limit
+	Regions  map[ident.Domain]ident.Region // region of each failure domain
+	Entry    netip.AddrPort                // address for callers
+	Ready    netip.AddrPort                // address for the balancer's readiness check
+	Peer     netip.AddrPort                // address for other daemons
+	Admin    netip.AddrPort                // address for operators: state and metrics
+	Store    netip.AddrPort                // address of the platform's store
+	Capacity int                           // processor capacity in thousandths of a core; 0 if unknown
+	Memory   int64                         // memory limit of the process in bytes; 0 for no limit
 	Limits   Limits
 }
 
--- a/io/paths/paths.go
+++ b/io/paths/paths.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,6 +54,8 @@
 	o      Options
 	probes chan *site.Server
 
+	failures atomic.Bool // whether any server is unreachable or suspected
+
 	mu    sync.Mutex
 	paths *reach.Paths
 }
@@ -69,13 +72,16 @@
 
 // TargetOf returns the target that identifies the server's incarnation.
 func TargetOf(x *site.Server) reach.Target {
-	return reach.Target{Service: x.Service, Server: x.ID, Born: x.Born, Addr: x.Addr.String()}
+	return reach.Target{Service: x.Service, Server: x.ID, Born: x.Born, Addr: x.Addr}
 }
 
 // Answered records that the server sent something on a connection of this daemon.
 func (t *Tracker) Answered(x *site.Server) {
 	t.mu.Lock()
 	d := t.paths.Answered(t.o.Clock.Now(), TargetOf(x))
+	if t.failures.Load() {
+		t.failures.Store(!t.paths.AllReachable())
+	}
 	t.mu.Unlock()
 	if d > 0 {
 		t.o.Log.Info().Str("server", string(x.ID)).Str("service", string(x.Service)).Dur("unreachable-for", d).Msg("server reachable again")
@@ -86,6 +92,7 @@
 func (t *Tracker) Failed(began mono.Time, x *site.Server, f reach.Failure) {
 	t.mu.Lock()
 	lost, suspected := t.paths.Failed(began, t.o.Clock.Now(), TargetOf(x), f)
+	t.failures.Store(!t.paths.AllReachable())
 	t.mu.Unlock()
 	if lost {
 		t.o.Log.Info().Str("server", string(x.ID)).Str("service", string(x.Service)).Str("failure", f.String()).Msg("server unreachable")
@@ -110,11 +117,27 @@
 	return 0
 }
 
-// State returns the state of the path to the server.
-func (t *Tracker) State(x *site.Server) reach.State {
+// State returns the state of the path to the server and how the server could last not be reached. Asking for an unverified server
+// makes the tracker check it.
+func (t *Tracker) State(x *site.Server) (reach.State, reach.Failure) {
+	if !t.failures.Load() {
+		return reach.Reachable, 0
+	}
+	k := TargetOf(x)
+	t.mu.Lock()
+	s, f := t.paths.State(k), t.paths.Failure(k)
+	t.mu.Unlock()
+	if s == reach.Unverified {
+		t.Verify(x)
+	}
+	return s, f
+}
+
+// Suspected reports whether all servers of the service are suspected to be unreachable.
+func (t *Tracker) Suspected(n ident.Service) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.paths.State(TargetOf(x))
+	return t.paths.Suspected(n)
 }
 
 // Verify probes the server in the background, unless a probe was made lately.
@@ -184,6 +207,7 @@
 		x := s.Servers[k.Server]
 		return x != nil && TargetOf(x) == k
 	})
+	t.failures.Store(!t.paths.AllReachable())
 	var l []ident.Server
 	for k := range t.paths.Unreachable(t.o.Clock.Now()) {
 		l = append(l, k.Server)
--- /dev/null
+++ b/io/relay/client.go
@@ -0,0 +1,110 @@
+// Package relay carries requests between daemons: a daemon that can't reach the servers of a request hands it to a peer that can.
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/retry"
+	"heatherrouter/io/clock"
+	"heatherrouter/io/peer"
+	"heatherrouter/io/send"
+	"heatherrouter/io/wire"
+)
+
+// Exchanger opens exchanges with peers.
+type Exchanger interface {
+	OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange) (*peer.Exchange, error)
+}
+
+// Client hands requests to peers. It implements send.Relay.
+type Client struct {
+	clock *clock.Clock
+	peers Exchanger
+}
+
+// NewClient returns a Client.
+func NewClient(c *clock.Clock, p Exchanger) *Client { return &Client{clock: c, peers: p} }
+
+// Reasons of results without an answer of the peer, in kebab case.
+const (
+	reasonPeerFailed = "peer-failed" // the peer did not take the request
+	reasonPeerLost   = "peer-lost"   // the peer may have sent the request to a server
+)
+
+// Send implements send.Relay.
+func (k *Client) Send(c context.Context, to ident.Daemon, x *send.Relayed, resp *fasthttp.Response) send.RelayResult {
+	c, cancel := context.WithDeadline(c, k.clock.StdTime(x.Deadline))
+	defer cancel()
+	e, err := k.peers.OpenExchange(c, to, k.encode(x))
+	if err != nil {
+		return failure(err)
+	}
+	defer context.AfterFunc(c, e.Abort)() // the peer then cancels the request
+	if err := writeBody(e, x.Request.Body()); err != nil {
+		e.Abort()
+		return send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed} // the peer sends nothing before it has the whole body
+	}
+	r, err := read(e, resp)
+	if err != nil {
+		e.Abort()
+		return failure(err)
+	}
+	return r
+}
+
+// failure returns the result of an exchange that failed.
+func failure(err error) send.RelayResult {
+	if peer.MaybeSent(err) {
+		return send.RelayResult{Outcome: retry.Unknown, Reason: reasonPeerLost}
+	}
+	return send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}
+}
+
+func (k *Client) encode(x *send.Relayed) *wire.Exchange {
+	h := &x.Request.Header
+	m := &wire.Exchange{
+		RequestId: string(x.ID), Service: string(x.Service), Configuration: uint64(x.Config), Method: string(h.Method()),
+		Uri: append([]byte(nil), h.RequestURI()...), RemainingUs: uint64(max(0, x.Deadline.Sub(k.clock.Now()).Microseconds())),
+		BodyFollows: true, BodySize: int64(len(x.Request.Body())), Forwarded: true,
+	}
+	for _, s := range x.SentTo {
+		m.SentTo = append(m.SentTo, string(s))
+	}
+	for n, v := range h.All() {
+		m.Headers = append(m.Headers, encodeHeader(n, v))
+	}
+	return m
+}
+
+// read reads the peer's answer, and into resp the response that it has received from a server.
+func read(e *peer.Exchange, resp *fasthttp.Response) (send.RelayResult, error) {
+	a, err := e.ReadResponse()
+	if err != nil {
+		return send.RelayResult{}, err
+	}
+	r := send.RelayResult{Outcome: retry.Unknown, Reason: a.GetReason(), RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond}
+	switch a.GetOutcome() {
+	case wire.Outcome_OUTCOME_ANSWERED:
+		r.Outcome = retry.Answered
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		r.Outcome = retry.NotRun
+		return r, nil
+	default:
+		return r, nil
+	}
+	b, err := readBody(e, a.GetBodySize())
+	if err != nil {
+		return send.RelayResult{}, err
+	}
+	resp.Header.SetNoDefaultContentType(true)
+	resp.SetStatusCode(int(a.GetStatus()))
+	for _, h := range a.GetHeaders() {
+		resp.Header.AddBytesKV(h.GetName(), h.GetValue())
+	}
+	resp.SwapBody(b)
+	return r, nil
+}
--- /dev/null
+++ b/io/relay/server.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/retry"
+	"heatherrouter/core/site"
+	"heatherrouter/io/clock"
+	"heatherrouter/io/peer"
+	"heatherrouter/io/send"
+	"heatherrouter/io/wire"
+)
+
+// Handler serves requests that peers hand to this daemon.
+type Handler interface {
+	HandleRelayed(c context.Context, x *send.Relayed, resp *fasthttp.Response) send.RelayResult
+}
+
+// Server serves the requests of peers.
+type Server struct {
+	clock   *clock.Clock
+	handler Handler
+}
+
+// NewServer returns a Server.
+func NewServer(c *clock.Clock, h Handler) *Server { return &Server{clock: c, handler: h} }
+
+// Serve serves one exchange.
+func (s *Server) Serve(c context.Context, e *peer.Exchange) {
+	arrived := s.clock.Now()
+	body, err := readBody(e, e.Head.GetBodySize())
+	if err != nil {
+		e.Abort() // the peer has given the request up
+		return
+	}
+	c, cancel := context.WithCancel(c)
+	defer cancel()
+	go func() {
+		select {
+		case <-e.Done():
+			cancel() // the peer has given the request up, or has the whole response
+		case <-c.Done():
+		}
+	}()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	r := s.handler.HandleRelayed(c, decode(e.Head, body, req, arrived), resp)
+	err = e.WriteResponse(encodeAnswer(r, resp))
+	if err == nil {
+		err = writeBody(e, resp.Body())
+	}
+	if err != nil {
+		e.Abort()
+	}
+}
+
+// decode fills req with the request as its caller sent it.
+func decode(m *wire.Exchange, body []byte, req *fasthttp.Request, arrived mono.Time) *send.Relayed {
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetMethod(m.GetMethod())
+	for _, h := range m.GetHeaders() {
+		req.Header.AddBytesKV(h.GetName(), h.GetValue())
+	}
+	req.Header.SetRequestURIBytes(m.GetUri())
+	req.SetBodyRaw(body)
+	x := &send.Relayed{
+		Request: req, ID: ident.Request(m.GetRequestId()), Service: ident.Service(m.GetService()), Config: site.Version(m.GetConfiguration()),
+		Deadline: arrived.Add(time.Duration(m.GetRemainingUs()) * time.Microsecond), //nolint:gosec // seconds
+	}
+	for _, s := range m.GetSentTo() {
+		x.SentTo = append(x.SentTo, ident.Server(s))
+	}
+	return x
+}
+
+func encodeAnswer(r send.RelayResult, resp *fasthttp.Response) *wire.ExchangeAnswer {
+	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: r.Reason, RetryAfterMs: uint32(r.RetryAfter.Milliseconds())} //nolint:gosec // seconds
+	switch r.Outcome {
+	case retry.Answered:
+		a.Outcome, a.Status = wire.Outcome_OUTCOME_ANSWERED, uint32(resp.StatusCode()) //nolint:gosec // a status
+		a.BodyFollows, a.BodySize = true, int64(len(resp.Body()))
+		for n, v := range resp.Header.All() {
+			a.Headers = append(a.Headers, encodeHeader(n, v))
+		}
+	case retry.NotRun:
+		a.Outcome = wire.Outcome_OUTCOME_NOT_RUN
+	case retry.Unknown, retry.Moved:
+	}
+	return a
+}
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -78,6 +78,7 @@
 	snap := s.o.View.Snapshot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.relays.Retain(snap)
 	maps.DeleteFunc(s.backends, func(k backendKey, b *backend) bool {
 		x := snap.Servers[k.id]
 		if x != nil && backendKeyOf(x) == k {
--- a/io/send/caller.go
+++ b/io/send/caller.go
@@ -173,7 +173,7 @@
 // acquireToken counts the request against its organisation's limit, once regardless of retries.
 func (s *Sender) acquireToken(r *request) *result {
 	o := r.organisation
-	if o == nil || !o.Limit.Limited() || r.token == o.Name {
+	if r.relayed || o == nil || !o.Limit.Limited() || r.token == o.Name { // the daemon that relays a request has counted it
 		return nil
 	}
 	x := s.o.Limiter.Acquire(r.caller, o)
--- a/io/send/choose.go
+++ b/io/send/choose.go
@@ -28,6 +28,9 @@
 	reasonAttempts reason = "no-attempts-left"
 	reasonBudget   reason = "no-retry-budget"
 	reasonCrashing reason = "crashes-servers" // too many servers crashed while running the request
+
+	// reasonUnreachable means that neither this daemon nor the peers that it has asked can reach the servers.
+	reasonUnreachable reason = "servers-unreachable"
 )
 
 // localityBonus returns how much longer a request on the route may take at a server in the daemon's own failure domain.
@@ -60,16 +63,24 @@
 	var l []choice.Candidate
 	var backends []*backend
 	subset := s.subset(snap, r.service.Name)
-	why := reasonNoServer
+	why, unreachable := reasonNoServer, false
 	for _, x := range snap.ServersOf(r.service.Name) {
 		if !snap.Accepts(x) {
 			continue
 		}
-		if slices.Contains(r.sentTo, x.ID) || slices.Contains(r.unreachable, x.ID) {
+		if slices.Contains(r.sentTo, x.ID) {
 			why = reasonAllTried
 			continue
 		}
+		if slices.Contains(r.unreachable, x.ID) {
+			why, unreachable = reasonAllTried, true
+			continue
+		}
 		b := s.backend(x)
+		if !s.canReach(b) {
+			unreachable = true
+			continue
+		}
 		if !s.allowsSend(b, x, snap, r.service, now) {
 			why = reasonCold
 			continue
@@ -81,10 +92,13 @@
 		backends = append(backends, b)
 	}
 	i, ok := choice.Pick(now, l, s.serviceTime(r.service.Name), s.localityBonus(r.route), rand.IntN)
-	if !ok {
-		return nil, why
+	switch {
+	case ok:
+		return backends[i], ""
+	case unreachable && why != reasonCold:
+		return nil, reasonUnreachable
 	}
-	return backends[i], ""
+	return nil, why
 }
 
 // subset returns the servers of a service that this daemon normally sends to: a subset of the servers in its own failure
@@ -151,6 +165,10 @@
 		return nil, reasonAttempts
 	}
 	b := s.backend(x)
+	if !s.canReach(b) || slices.Contains(r.unreachable, id) {
+		r.target = id
+		return nil, reasonUnreachable
+	}
 	if !s.allowsSend(b, x, snap, r.service, now) {
 		return nil, reasonCold
 	}
--- a/io/send/path.go
+++ b/io/send/path.go
@@ -97,3 +97,23 @@
 	}
 	b.load.OwnInFlight++
 }
+
+// canReach reports whether requests can be sent to the server: it is reachable, or it refuses new connections while an earlier one is
+// still open.
+func (s *Sender) canReach(b *backend) bool {
+	x, f := s.o.Paths.State(b.server)
+	if x == reach.Reachable {
+		return true
+	}
+	if f == reach.Silent {
+		b.pool.CloseIdle() // nothing sent on them would arrive
+		return false
+	}
+	return b.pool.HasIdle()
+}
+
+// reusesOnly reports whether requests to the server are sent on open connections only.
+func (s *Sender) reusesOnly(b *backend) bool {
+	x, _ := s.o.Paths.State(b.server)
+	return x != reach.Reachable
+}
--- /dev/null
+++ b/io/send/relay.go
@@ -0,0 +1,174 @@
+package send
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/reach"
+	"heatherrouter/core/retry"
+	"heatherrouter/core/site"
+)
+
+// Relay hands requests to peers.
+type Relay interface {
+	// Send hands the request to the peer and writes the response that the peer received from a server to resp. It returns
+	// at the deadline, or when the context ends.
+	Send(c context.Context, to ident.Daemon, x *Relayed, resp *fasthttp.Response) RelayResult
+}
+
+// Relayed is a request that one daemon hands to another, which reaches servers that the first can't reach.
+type Relayed struct {
+	Request  *fasthttp.Request // as the caller sent it
+	ID       ident.Request
+	Service  ident.Service
+	Config   site.Version // the receiver needs this configuration or a newer one
+	SentTo   []ident.Server
+	Deadline mono.Time
+}
+
+// RelayResult is what a peer answers to a Relayed.
+type RelayResult struct {
+	Outcome    retry.Outcome
+	Reason     string // why there is no response of a server; in kebab case
+	RetryAfter time.Duration
+	Failed     bool // the peer did not take the request
+}
+
+// Reasons in a RelayResult, in addition to those of callers' requests. After these another peer may run the request.
+const (
+	reasonServerUnreachable  = "server-unreachable"  // from the peer
+	reasonServiceUnreachable = "service-unreachable" // all servers of the service, from the peer
+	reasonOlderConfig        = "older-configuration" // at the peer
+)
+
+// maxRelays bounds the peers that a request is handed to. Peers that can't reach the server answer at once.
+const maxRelays = 4
+
+// relay hands a request to a peer because this daemon can't reach the servers that may run it. It returns the final result, or
+// whether to choose again.
+func (s *Sender) relay(r *request, now mono.Time) (f *result, again bool) {
+	if r.relayed || len(r.relayedTo) >= maxRelays {
+		return nil, false
+	}
+	snap := s.o.View.Snapshot()
+	s.mu.Lock()
+	to, ok := s.relays.Pick(now, snap, r.service.Name, r.target, r.relayedTo)
+	if ok {
+		s.relays.Started(to)
+	}
+	s.mu.Unlock()
+	if !ok {
+		return nil, false
+	}
+	r.relayedTo = append(r.relayedTo, to)
+	resp := fasthttp.AcquireResponse()
+	x := s.o.Relay.Send(r.ctx, to, &Relayed{
+		Request: r.req, ID: r.id, Service: r.service.Name, Config: snap.Config.Version, SentTo: r.sentTo, Deadline: r.deadline,
+	}, resp)
+	s.mu.Lock()
+	s.relays.Ended(s.o.Clock.Now(), to, r.service.Name, r.target, x.report())
+	s.mu.Unlock()
+	if x.Outcome == retry.Answered {
+		return s.relayAnswered(r, resp), false
+	}
+	fasthttp.ReleaseResponse(resp)
+	s.o.Log.Info().Str("request-id", string(r.id)).Str("peer", string(to)).Str("outcome", x.Outcome.String()).Str("reason", x.Reason).
+		Msg("not served by a peer")
+	return s.relayRefused(r, x)
+}
+
+// relayAnswered returns the response that a peer received from a server.
+func (s *Sender) relayAnswered(r *request, resp *fasthttp.Response) *result {
+	if r.response != nil {
+		fasthttp.ReleaseResponse(r.response)
+		r.response = nil
+	}
+	reason := ""
+	if resp.StatusCode() >= fasthttp.StatusInternalServerError {
+		reason = "failed"
+	}
+	return &result{status: resp.StatusCode(), outcome: outcomeAnswered, reason: reason, response: resp}
+}
+
+// relayRefused returns the result of a request that a peer has not served, or reports whether to choose again.
+func (s *Sender) relayRefused(r *request, x RelayResult) (f *result, again bool) {
+	switch {
+	case r.caller.Err() != nil:
+		return &result{outcome: outcomeCallerLeft, reason: "caller-left"}, false
+	case x.Outcome == retry.Unknown:
+		status := fasthttp.StatusBadGateway
+		if !s.o.Clock.Now().Before(r.deadline) {
+			status = fasthttp.StatusGatewayTimeout
+		}
+		return &result{status: status, outcome: outcomeUnknown, reason: x.Reason}, false
+	case x.mayTryOther():
+		return nil, true
+	}
+	y := s.refuse(r, reason(x.Reason))
+	if x.RetryAfter > 0 {
+		y.retryAfter = x.RetryAfter
+	}
+	return &y, false
+}
+
+// mayTryOther reports whether another peer may serve a request that this one has not run.
+func (x RelayResult) mayTryOther() bool {
+	return x.Failed || slices.Contains([]string{
+		reasonServerUnreachable, reasonServiceUnreachable, reasonOlderConfig, string(reasonStopping), "no-configuration", "no-route",
+	}, x.Reason)
+}
+
+// report returns what the result says about the peer's paths to servers.
+func (x RelayResult) report() reach.Report {
+	switch {
+	case x.Outcome == retry.Answered:
+		return reach.Reached
+	case x.Failed:
+		return reach.PeerFailed
+	case x.Reason == reasonServerUnreachable:
+		return reach.ServerUnreachable
+	case x.Reason == reasonServiceUnreachable:
+		return reach.ServiceUnreachable
+	}
+	return reach.Undecided
+}
+
+// HandleRelayed serves a request that a peer has handed to this daemon, and writes the response of a server to resp. It never hands
+// the request on. The context is cancelled when the peer's caller disconnects.
+func (s *Sender) HandleRelayed(c context.Context, x *Relayed, resp *fasthttp.Response) RelayResult {
+	r := s.newRequest(c, x.Request)
+	r.relayed, r.relayDeadline, r.sentTo = true, x.Deadline, slices.Clone(x.SentTo)
+	snap := s.o.View.Snapshot()
+	if snap.Config != nil && snap.Config.Version < x.Config && s.o.View.Refresh(c) {
+		snap = s.o.View.Snapshot()
+	}
+	if snap.Config == nil || snap.Config.Version < x.Config {
+		return RelayResult{Outcome: retry.NotRun, Reason: reasonOlderConfig}
+	}
+	r.service = snap.Config.Services[x.Service]
+	f := s.runToEnd(r)
+	s.recordOutcome(r, f)
+	y := RelayResult{Reason: f.reason, RetryAfter: f.retryAfter}
+	switch {
+	case f.response != nil:
+		y.Outcome = retry.Answered
+		copyResponse(f.response, resp)
+		fasthttp.ReleaseResponse(f.response)
+	case f.outcome == outcomeNotRun:
+		y.Outcome = retry.NotRun
+	default:
+		y.Outcome = retry.Unknown
+	}
+	if f.reason == string(reasonUnreachable) {
+		y.Reason = reasonServerUnreachable
+		if r.service != nil && s.o.Paths.Suspected(r.service.Name) {
+			y.Reason = reasonServiceUnreachable
+		}
+	}
+	return y
+}
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -80,6 +80,8 @@
 	Limiter    Limiter
 	Guard      Guard
 	Paths      Paths
+	Relays     *reach.Relays
+	Relay      Relay
 	Log        *log.Logger
 
 	// MaxCopyAge is the maximum CopyAge at which keys are accepted. Beyond it, a key may have been revoked without this daemon
@@ -95,10 +97,11 @@
 
 // Paths is the daemon's record of which servers it can reach.
 type Paths interface {
-	State(x *site.Server) reach.State
+	State(x *site.Server) (reach.State, reach.Failure)
 	Answered(x *site.Server)
 	Failed(began mono.Time, x *site.Server, f reach.Failure)
 	Verify(x *site.Server) // checks the server in the background
+	Suspected(n ident.Service) bool
 }
 
 // Sender forwards requests to backend servers. It is safe for concurrent use.
@@ -117,6 +120,7 @@
 	splitters     map[string]*choice.Splitter          // by route
 	subsets       map[ident.Service]map[ident.Server]bool
 	subsetsOf     *site.Snapshot // snapshot that subsets was computed from
+	relays        *reach.Relays
 	unknownKeys   unknownKeys    // unknown keys that recently triggered a refresh
 	daemons       []ident.Daemon // sorted names
 	daemonsOf     *site.Snapshot // snapshot that daemons was listed from
@@ -134,7 +138,7 @@
 		base: base, abort: abort, o: o, started: o.Clock.Now(), names: conns.Names{RequestID: o.Dialect.RequestID, NotRun: o.Dialect.NotRun},
 		backends: map[backendKey]*backend{}, retryBudgets: map[ident.Service]*pace.RetryBudget{}, counts: map[keyBucket]uint32{},
 		serviceTimes: map[ident.Service]*choice.Quantile{}, meanSizes: map[string]float64{},
-		callerRetries: map[string]*pace.CallerRetryDetector{}, splitters: map[string]*choice.Splitter{},
+		callerRetries: map[string]*pace.CallerRetryDetector{}, splitters: map[string]*choice.Splitter{}, relays: o.Relays,
 	}
 }
 
@@ -165,6 +169,11 @@
 	token        ident.Organisation // organisation whose token the request holds; empty for none
 	authEnabled  bool               // organisations are configured
 
+	relayed       bool           // a peer has handed the request to this daemon
+	relayDeadline mono.Time      // the peer's deadline
+	relayedTo     []ident.Daemon // peers that the request was handed to
+	target        ident.Server   // server that alone can run the request and that can't be reached
+
 	sentTo      []ident.Server     // servers that the request was sent to, whatever the result
 	unreachable []ident.Server     // servers that could not be reached
 	notBefore   mono.Time          // time before which the request is not sent again
@@ -182,19 +191,28 @@
 
 // Handle forwards one request and writes the final response. The context is cancelled when the caller disconnects.
 func (s *Sender) Handle(c context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
-	r := &request{
+	r := s.newRequest(c, req)
+	f := s.runToEnd(r)
+	s.respond(r, f, resp)
+	s.recordOutcome(r, f)
+}
+
+func (s *Sender) newRequest(c context.Context, req *fasthttp.Request) *request {
+	return &request{
 		id: ident.Request(req.Header.Peek(s.o.Dialect.RequestID)), req: req, host: string(req.Header.Host()),
 		path: pathOf(req.Header.RequestURI()), arrived: s.o.Clock.Now(), caller: c, admitDraw: rand.IntN(100),
 	}
+}
+
+// runToEnd runs the request and releases what it holds.
+func (s *Sender) runToEnd(r *request) result {
 	var end context.CancelFunc
-	r.ctx, end = context.WithCancel(c)
-	stop := context.AfterFunc(s.base, end)
+	r.ctx, end = context.WithCancel(r.caller)
+	defer end()
+	defer context.AfterFunc(s.base, end)()
 	f := s.run(r)
 	s.releaseToken(r, f)
-	stop()
-	end()
-	s.respond(r, f, resp)
-	s.recordOutcome(r, f)
+	return f
 }
 
 // pathOf returns the path of a URI without its query.
@@ -232,14 +250,21 @@
 	if ms, err := strconv.ParseFloat(string(r.req.Header.Peek(s.o.Dialect.Deadline)), 64); err == nil && ms >= 0 {
 		remaining := time.Duration(ms * float64(time.Millisecond))
 		limit = min(limit, remaining)
-		r.callerRetry = s.isCallerRetry(r.route, remaining)
+		if !r.relayed {
+			r.callerRetry = s.isCallerRetry(r.route, remaining)
+		}
 	}
 	r.deadline = r.arrived.Add(limit)
+	if r.relayed {
+		r.deadline = min(r.deadline, r.relayDeadline)
+	}
 	if !r.route.Idempotent {
 		// A request that must not run twice continues without its caller: if cancelled, it would be unknown whether it ran.
 		r.ctx = s.base
 	}
-	s.recordArrival(r)
+	if !r.relayed {
+		s.recordArrival(r)
+	}
 	return nil
 }
 
@@ -322,6 +347,13 @@
 			return *f
 		}
 		b, why := s.choose(r, snap, now)
+		if why == reasonUnreachable {
+			if f, again := s.relay(r, now); f != nil {
+				return *f
+			} else if again {
+				continue
+			}
+		}
 		if b == nil {
 			if s.waitForChange(r, why, now) {
 				continue
