Count a relayed request for the retry budget of the daemon that sends it

The peers had counted none of these requests, so their budget was that of their own callers, and the budget of the cut daemons was of no use to anybody. A request now counts where it is first sent.

--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -35,6 +35,7 @@
 // attempt sends the request to the server. It returns nil if another server should be chosen.
 func (s *Sender) attempt(r *request, b *backend) *result {
 	now := s.o.Clock.Now()
+	s.countForBudget(r)
 	if len(r.sentTo) > 0 && !s.takeRetry(r, now) {
 		f := s.refuse(r, b.noRetryReason(now))
 		return &f
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -119,11 +119,22 @@
 	index   uint32
 }
 
-// recordArrival counts the request for its service's retry budget and its key.
-func (s *Sender) recordArrival(r *request) {
+// countForBudget counts the request for its service's retry budget, once. A request that is handed to a peer counts for the budget
+// of that peer, which alone can use it.
+func (s *Sender) countForBudget(r *request) {
+	if r.counted || r.service == nil {
+		return
+	}
+	r.counted = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retryBudget(r.service.Name).CountRequest(r.arrived, s.o.RetryLimit)
+}
+
+// recordArrival counts the request for its key.
+func (s *Sender) recordArrival(r *request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if r.service.Keyed && r.hasKey {
 		s.counts[keyBucket{service: r.service.Name, index: uint32(r.key) / hold.BucketKeys}]++
 	}
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -143,6 +143,7 @@
 func (s *Sender) HandleRelayed(c context.Context, x *Relayed, resp *fasthttp.Response) RelayResult {
 	r := s.newRequest(c, x.Request)
 	r.relayed, r.relayDeadline, r.sentTo = true, x.Deadline, slices.Clone(x.SentTo)
+	r.counted = len(x.SentTo) > 0 // by the daemon that sent it
 	snap := s.o.View.Snapshot()
 	if snap.Config != nil && snap.Config.Version < x.Config && s.o.View.Refresh(c) {
 		snap = s.o.View.Snapshot()
