Hand the coordinator role to a daemon whose orders reach the servers

What callers saw: all keyed requests refused, at all daemons, while one daemon of twelve was without servers: the coordinator.

Cause: the election asks who has contact with the coordinator and the store, not whether its orders arrive. A coordinator that had lost its links to the servers kept the support of all voters, and all grants lapsed after 3 s.

Change: when orders fail on the network at several servers, or at one for 0.3 s, the coordinator connects to a few servers and has the voters, and some other daemons, do the same. If one of them reaches more, the coordinator ends its term, after which it sends no order, and writes that daemon as the next coordinator in one transaction. If the transaction fails or its outcome is unknown, it takes a new term before it acts again. The former coordinator follows the store until the others can get the row from its copy, and a new coordinator answers the first request of each daemon at once, so that it is supported within milliseconds.

Not built: handing on single orders by peers. A peer that is paused between receiving and sending an order would send it after its end.

--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -66,7 +66,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.o.Clock.Now()
-	if f.leads() {
+	if f.leads() || f.handedOver(t) {
 		return 0
 	}
 	if f.snapshot.Coordinator.Term == 0 && now.Sub(f.started) < startLimit {
@@ -79,6 +79,12 @@
 	return f.sources.StorePollAt(now, f.snapshot, c).Sub(now)
 }
 
+// handedOver reports whether this daemon has made another one the coordinator and peers can't get that change from it yet: a copy
+// is passed on up to its own revision. The caller must hold f.mu.
+func (f *Feed) handedOver(t store.Table) bool {
+	return t == store.Control && f.roleRev > f.tables[t].rev
+}
+
 // readDelayAtStart is readDelay in a site that has had no coordinator yet. Each daemon reads the control table at once, and
 // again when most have written their rows. All daemons then agree on the first candidate: it reads the other tables, and the
 // others get them from it. The caller must hold f.mu.
@@ -175,8 +181,22 @@
 	case rows == 0:
 	case t == store.Servers:
 		clock.Sleep(c, changesPause)
-	case t == store.Control && f.IsCoordinator():
-		clock.Sleep(c, controlChangesPause)
+	case t == store.Control:
+		f.pauseWhileCoordinator(c, controlChangesPause)
+	}
+}
+
+// pauseWhileCoordinator pauses for the duration, or until this daemon is no longer the coordinator: the others learn of the next one
+// from its copy.
+func (f *Feed) pauseWhileCoordinator(c context.Context, d time.Duration) {
+	until := f.o.Clock.Now().Add(d)
+	for c.Err() == nil {
+		changed := f.Changed()
+		left := until.Sub(f.o.Clock.Now())
+		if left <= 0 || !f.IsCoordinator() {
+			return
+		}
+		awaitChange(c, left, changed)
 	}
 }
 
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -106,6 +106,7 @@
 
 	started      mono.Time
 	firstStart   bool      // the site had no coordinator when the control table was first read
+	roleRev      store.Rev // revision of the coordinator's row that this daemon has written last
 	announcedRev store.Rev // revision of the row of this incarnation; 0 before it is written
 
 	promise elect.Promise // support promised to the coordinator
@@ -115,6 +116,11 @@
 	// snapshot. Nil for none.
 	proposedVoters []ident.Daemon
 
+	// While this daemon is the coordinator: when each daemon last sent a request in its term, and the daemons without a promise that
+	// have been answered at once in the term.
+	syncedAt map[ident.Daemon]mono.Time
+	greeted  map[ident.Daemon]bool
+
 	promiseStamp uint64    // stamp of the last coordinator answer that renewed the promise
 	promiseTerm  site.Term // term of the coordinator that sent promiseStamp
 
@@ -282,6 +288,20 @@
 	return f.support.HasQuorum(f.o.Clock.SinceBoot(), f.o.Self, voters(f.snapshot), f.proposedVoters)
 }
 
+// QuorumInContact reports whether a quorum of the voters has sent requests to this coordinator within the duration, whether or not
+// they support it.
+func (f *Feed) QuorumInContact(d time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, l, n := f.o.Clock.Now(), voters(f.snapshot), 0
+	for _, v := range l {
+		if at, ok := f.syncedAt[v]; v == f.o.Self || ok && now.Sub(at) < d {
+			n++
+		}
+	}
+	return elect.IsQuorum(n, len(l))
+}
+
 // HoldsTerm reports whether this daemon is the coordinator of the term and has the quorum that it needs. A term without quorum
 // needs one as soon as a row that ends this is proposed, because a successor may already rely on that row.
 func (f *Feed) HoldsTerm(t site.Term) bool {
@@ -359,6 +379,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := &f.tables[store.Control]
+	for _, r := range rows {
+		if r.Key == CoordinatorRow {
+			f.roleRev = r.Rev
+		}
+	}
 	// The page keeps the revision of the copy: earlier writes of other daemons may not have arrived yet.
 	f.updateSnapshot(store.Control, t.apply(store.Page{Rows: rows, Rev: t.rev}), rowSource{name: fromSelf})
 }
@@ -440,6 +465,7 @@
 	if c := f.snapshot.Coordinator; c.Term != was.Term || c.Daemon != was.Daemon || c.Incarnation != was.Incarnation {
 		f.coordinatorSeen = f.o.Clock.Now()
 		f.support.Reset()
+		f.syncedAt, f.greeted = map[ident.Daemon]mono.Time{}, map[ident.Daemon]bool{}
 		f.sources.CoordinatorChanged()
 	}
 	f.notifyChanged()
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -257,6 +257,9 @@
 		f.o.OnMeasurements(x.GetCounts(), x.GetWorks())
 	}
 	until := f.o.Clock.Now().Add(duration(x.GetWaitUs()))
+	if f.greet(from, x) {
+		until = 0
+	}
 	for {
 		r, changed := f.reply(x)
 		// Answer before this copy becomes too old, so that the peer can call another daemon in time.
@@ -276,11 +279,26 @@
 	}
 }
 
+// greet reports whether the request is the first of a daemon that has promised nothing in this coordinator's term. The sooner it is
+// answered, the sooner the coordinator may send orders.
+func (f *Feed) greet(from ident.Daemon, x *wire.Sync) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.leads() || x.GetStamp() > 0 || f.greeted[from] || site.Term(x.GetTerm()) != f.snapshot.Coordinator.Term {
+		return false
+	}
+	f.greeted[from] = true
+	return true
+}
+
 // recordRequest records contact with a peer, and the promise that its request confirms.
 func (f *Feed) recordRequest(from ident.Daemon, x *wire.Sync) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.noteContact(from)
+	if f.leads() && site.Term(x.GetTerm()) == f.snapshot.Coordinator.Term {
+		f.syncedAt[from] = f.o.Clock.Now()
+	}
 	if x.GetStamp() > 0 && site.Term(x.GetTerm()) == f.snapshot.Coordinator.Term && f.leads() {
 		// The peer promised the duration in the earlier answer. It differs from the current one only after the site has just grown
 		// or shrunk.
--- a/io/grant/elect.go
+++ b/io/grant/elect.go
@@ -81,19 +81,29 @@
 	if !s.Coordinator.Clean {
 		g.earlierOrdersEnd = now.Add(authorityTTL + authorityTTL/50)
 	}
+	clear(g.unreached)
+	g.nextReachCheck = now.Add(minReachInterval)
 	g.measurements.reset()
 	g.plannedAt = 0
 	g.termStarted, g.supportedAt = g.o.Clock.SinceBoot(), g.o.Clock.Now()
 }
 
+// earlierOrdersEnded reports whether no coordinator before the current or last term of this daemon sends orders any more.
+func (g *Granter) earlierOrdersEnded() bool { return !g.o.Clock.Now().Before(g.earlierOrdersEnd) }
+
 // endTerm closes the connections of the current term, if there is one.
 func (g *Granter) endTerm() {
 	if g.term == 0 {
 		return
 	}
 	g.o.Log.Info().Uint64("term", uint64(g.term)).Msg("no longer the coordinator")
+	g.endedTerm.Store(uint64(g.term))
 	for _, l := range g.links {
-		l.close()
+		// A grant in progress to a server that doesn't answer holds the link until its deadline.
+		g.group.Go(func(context.Context) error {
+			l.close()
+			return nil
+		})
 	}
 	g.term, g.services, g.links = 0, nil, nil
 }
@@ -134,5 +144,5 @@
 // maySendOrder reports whether this daemon may send orders in the term. It is checked right before each order: the process
 // may have been paused, and another daemon may be the coordinator by now.
 func (g *Granter) maySendOrder(term site.Term) bool {
-	return g.o.Feed.HoldsTerm(term) && g.o.Feed.ControlAge() < authorityTTL
+	return uint64(term) > g.endedTerm.Load() && g.o.Feed.HoldsTerm(term) && g.o.Feed.ControlAge() < authorityTTL
 }
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -52,7 +52,8 @@
 type Paths interface {
 	Answered(x *site.Server)
 	Failed(began mono.Time, x *site.Server, f reach.Failure)
-	Verify(x *site.Server) // checks the server in the background
+	Verify(x *site.Server)                                      // checks the server in the background
+	Check(c context.Context, ids []ident.Server) []ident.Server // connects to the servers and returns those that accept
 }
 
 const (
@@ -104,6 +105,13 @@
 	withdrawalsRequestedAt mono.Time
 	nextTakeOver           mono.Time // earliest time of the next attempt to become the coordinator
 	votersRevisedAt        mono.Time // when a replacement of voters was last attempted
+
+	unreached      map[ident.Server]mono.Time // servers that orders of this term don't reach, by when that was first seen
+	reachChecks    chan reachCheck
+	checkingReach  bool
+	nextReachCheck mono.Time
+	surrendered    site.Term     // term that was handed to another daemon, with an outcome that may be unknown
+	endedTerm      atomic.Uint64 // highest term in which this daemon sends no more orders
 }
 
 // orderResult is the outcome of one order.
@@ -114,6 +122,7 @@
 	result   hold.Result
 	connLost bool // the connection for grants to the server is lost
 	server   ident.Server
+	lostPath bool  // the order may not have reached the server because of the network
 	err      error // why there is no response; nil if there is one
 	status   int   // HTTP status of the response
 }
@@ -125,7 +134,7 @@
 func New(o Options) *Granter {
 	return &Granter{
 		o: o, results: make(chan orderResult, resultBuffer), withdrawals: make(chan withdrawal, resultBuffer), writeResults: make(chan writeResult, resultBuffer),
-		stepDownRequests: make(chan chan struct{}), measurements: newMeasurements(),
+		stepDownRequests: make(chan chan struct{}), reachChecks: make(chan reachCheck, 1), unreached: map[ident.Server]mono.Time{}, measurements: newMeasurements(),
 	}
 }
 
@@ -190,6 +199,8 @@
 			next = min(next, g.o.Clock.Now().Add(hold.RenewAfter(g.o.Timing.TTL)))
 		case x := <-g.withdrawals:
 			g.handleWithdrawal(x)
+		case x := <-g.reachChecks:
+			g.handleReachCheck(c, x)
 		case x := <-g.writeResults:
 			g.handleWriteResult(x)
 		case d := <-g.stepDownRequests:
@@ -229,6 +240,12 @@
 	st := elect.State{
 		Self: g.o.Self, Incarnation: g.o.Incarnation, Leaving: g.leaving.Load(), Snapshot: s, CopyAge: copyAge, SinceContact: contactAge, SinceLoaded: now.Sub(g.loadedAt),
 	}
+	if st.IsCoordinator() && s.Coordinator.Term == g.surrendered {
+		// The transaction that hands the role over failed, or may still be applied. It can't be once this daemon has a new term.
+		if !g.takeOver(c, row.Rev, s, elect.TakeOver{Clean: g.earlierOrdersEnded()}) {
+			return now.Add(pollInterval)
+		}
+	}
 	if !st.IsCoordinator() || g.leaving.Load() && g.term == 0 {
 		g.endTerm()
 		if !g.applyDecision(c, row, s, st.Decide()) {
@@ -251,6 +268,7 @@
 	for id, x := range s.Servers {
 		g.servers[id] = x
 	}
+	g.checkReach(s)
 	due := now.Sub(g.plannedAt) >= planInterval
 	if due && !g.updateMembers(c, s) {
 		return now.Add(pollInterval)
@@ -302,6 +320,7 @@
 	}
 	now := g.o.Clock.Now()
 	s.table.Done(now, x.order, x.result)
+	g.recordReach(now, x)
 	if x.connLost {
 		for _, v := range g.services {
 			v.table.ConnectionLost(now, x.server)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -143,7 +143,7 @@
 	}
 	n.peers, err = peer.New(n.group.Context(), peer.Options{
 		Self: s.Name, Listen: s.Peer, Resolver: addressBook{n.feed.Snapshot}, TLS: n.id, Log: n.o.Log,
-		Handler: peerHandler{n.feed, n.limiter, relay.NewServer(n.clock, n.sender)},
+		Handler: peerHandler{n, n.feed, n.limiter, relay.NewServer(n.clock, n.sender)},
 	})
 	if err != nil {
 		l.close()
@@ -421,6 +421,7 @@
 
 // peerHandler answers the calls of peers.
 type peerHandler struct {
+	node    *Node
 	feed    *feed.Feed
 	limiter *limit.Limiter
 	relay   *relay.Server
@@ -435,6 +436,8 @@
 	case *wire.Call_Quota:
 		a := h.limiter.ApplyAsk(from, x.Quota)
 		return &wire.Reply{Body: &wire.Reply_Quota{Quota: h.limiter.Grant(from, a)}}
+	case *wire.Call_Reach:
+		return &wire.Reply{Body: &wire.Reply_Reach{Reach: h.reach(c, x.Reach)}}
 	case *wire.Call_Withdraw:
 		withdrawn := h.feed.Withdraw(site.Term(x.Withdraw.GetTerm()))
 		return &wire.Reply{Body: &wire.Reply_Withdrawn{Withdrawn: &wire.Withdrawn{Given: withdrawn}}}
@@ -442,6 +445,22 @@
 	return nil
 }
 
+// reach answers a ReachAsk.
+func (h peerHandler) reach(c context.Context, x *wire.ReachAsk) *wire.ReachAnswer {
+	if h.node.leaving.Load() {
+		return &wire.ReachAnswer{Leaving: true}
+	}
+	ids := make([]ident.Server, 0, len(x.GetServers()))
+	for _, id := range x.GetServers() {
+		ids = append(ids, ident.Server(id))
+	}
+	a := &wire.ReachAnswer{}
+	for _, id := range h.node.paths.Check(c, ids) {
+		a.Reached = append(a.Reached, string(id))
+	}
+	return a
+}
+
 // sync answers a Sync, with the QuotaAsk that it may carry.
 func (h peerHandler) sync(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
 	if x.GetQuota() == nil {
--- a/io/paths/paths.go
+++ b/io/paths/paths.go
@@ -165,21 +165,48 @@
 	}
 }
 
-func (t *Tracker) connect(c context.Context, x *site.Server) {
+// connect connects to the server, records the result, and reports whether it succeeded.
+func (t *Tracker) connect(c context.Context, x *site.Server) bool {
 	began := t.o.Clock.Now()
 	y, cancel := context.WithTimeout(c, probeTimeout)
 	defer cancel()
 	err := t.o.Dial(y, x.Addr)
 	if c.Err() != nil {
-		return
+		return false
 	}
 	if f := FailureOf(err, t.o.Clock.Now().Sub(began), probeTimeout); f != 0 {
 		t.Failed(began, x, f)
-		return
 	}
 	if err == nil {
 		t.Answered(x)
 	}
+	return err == nil
+}
+
+// maxChecked bounds the servers of one Check.
+const maxChecked = 16
+
+// Check connects to the servers, at most maxChecked, and returns those that accept a connection.
+func (t *Tracker) Check(c context.Context, ids []ident.Server) []ident.Server {
+	s := t.o.View.Snapshot()
+	var w sync.WaitGroup
+	var mu sync.Mutex
+	var reached []ident.Server
+	for _, id := range ids[:min(len(ids), maxChecked)] {
+		x := s.Servers[id]
+		if x == nil {
+			continue
+		}
+		w.Go(func() {
+			if t.connect(c, x) {
+				mu.Lock()
+				defer mu.Unlock()
+				reached = append(reached, id)
+			}
+		})
+	}
+	w.Wait()
+	return reached
 }
 
 // retryUnreachable probes unreachable servers until they are reachable or gone.
