Take a new term when voters have withdrawn their support

Some voters had withdrawn for a candidate that did not take over; a withdrawal holds for the rest of the term, and the others kept their promise. Neither side had a quorum until the takeover without one, after 8 s.

A coordinator without a quorum's support for 1.5 s that has contact with a quorum now ends its term and takes a new one, which earlier withdrawals don't concern. Without that contact it stays, so as not to disturb the election of another.

--- a/core/elect/support.go
+++ b/core/elect/support.go
@@ -55,6 +55,20 @@
 	return 3 * syncWait(voterCount(s))
 }
 
+// ContactTimeout returns how long a voter may be without contact with the coordinator, or the coordinator without contact with a
+// voter.
+func ContactTimeout(s *site.Snapshot) time.Duration { return contactTimeout(s) }
+
+// newTermTimeout is the time without the support of a quorum after which a coordinator takes a new term. It exceeds the time in
+// which voters that have contact support a coordinator.
+const newTermTimeout = 1500 * time.Millisecond
+
+// NeedsNewTerm reports whether a coordinator without the support of a quorum should take a new term. A withdrawal holds for the rest
+// of a term. If voters withdraw for a candidate that doesn't take over, neither gets a quorum, although all daemons have contact.
+func NeedsNewTerm(unsupported time.Duration, quorumInContact bool) bool {
+	return unsupported >= newTermTimeout && quorumInContact
+}
+
 // contactTimeout returns how long a voter may be without contact with the coordinator. One answer may be lost within it.
 // A successor has the support of a quorum 1.5 s after a loss; grants last 3 s and were renewed at most 0.9 s before.
 func contactTimeout(s *site.Snapshot) time.Duration {
--- a/core/elect/support_test.go
+++ b/core/elect/support_test.go
@@ -133,3 +133,10 @@
 	require.Empty(t, s.Unresponsive(at, began, limit, "self", daemons))
 	require.Len(t, s.Unresponsive(at+limit, began, limit, "self", daemons), 2)
 }
+
+// Guards against 8 s without orders after voters withdrew for a candidate that did not take over.
+func TestCoordinatorTakesNewTermWithoutSupport(t *testing.T) {
+	require.False(t, NeedsNewTerm(newTermTimeout-1, true), "voters may still promise")
+	require.True(t, NeedsNewTerm(newTermTimeout, true))
+	require.False(t, NeedsNewTerm(time.Hour, false), "a coordinator without a quorum must not disturb the election of another")
+}
--- a/io/grant/member.go
+++ b/io/grant/member.go
@@ -33,6 +33,12 @@
 		g.deleteGoneDaemons(c)
 		return true
 	}
+	if elect.NeedsNewTerm(now.Sub(g.supportedAt), g.o.Feed.QuorumInContact(elect.ContactTimeout(s))) {
+		g.o.Log.Info().Uint64("term", uint64(g.term)).Msg("voters have withdrawn their support, taking a new term")
+		g.surrendered = g.term
+		g.endTerm()
+		return false
+	}
 	if now.Sub(g.supportedAt) < elect.NoQuorumTimeout {
 		return true
 	}
