Count a crash only if a daemon that reaches other servers is refused as well

Cause: a daemon whose links were reset, and whose new connections were refused, took that for the end of the servers, and wrote it for the whole fleet.

Change: after a refused connection the daemon, and three others of different failure domains, connect to the server and to two others of its service. If one reaches the server it runs; the refusal counts only if one that gets it reaches another server.

--- a/io/grant/reach.go
+++ b/io/grant/reach.go
@@ -14,6 +14,7 @@
 	"heatherrouter/core/mono"
 	"heatherrouter/core/site"
 	"heatherrouter/io/feed"
+	"heatherrouter/io/paths"
 	"heatherrouter/io/store"
 	"heatherrouter/io/wire"
 )
@@ -104,19 +105,15 @@
 	defer cancel()
 	var w sync.WaitGroup
 	var mu sync.Mutex
-	m := &wire.ReachAsk{}
-	for _, id := range ids {
-		m.Servers = append(m.Servers, string(id))
-	}
 	for _, d := range daemons {
 		w.Go(func() {
-			r, err := g.peers.Call(c, d, &wire.Call{Body: &wire.Call_Reach{Reach: m}})
-			if err != nil || r.GetReach().GetLeaving() {
-				return
+			l, err := paths.AskPeer(c, g.peers, d, ids)
+			if err != nil {
+				return // it can't be the successor
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			x.peers = append(x.peers, elect.Reach{Daemon: d, Reached: len(r.GetReach().GetReached())})
+			x.peers = append(x.peers, elect.Reach{Daemon: d, Reached: len(l)})
 		})
 	}
 	w.Go(func() { x.storeAnswers = g.storeAnswers(c) })
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -50,6 +50,10 @@
 	Counter Counter
 	Log     *log.Logger
 	Dial    func(c context.Context, a netip.AddrPort) error // connects to a server to detect whether it is running
+
+	// Observe has this and other daemons connect to a server that has refused a connection, and to others of its service. It
+	// returns what they saw and the number of the other servers.
+	Observe func(c context.Context, x *site.Server) ([]crash.Observation, int)
 }
 
 const (
@@ -193,13 +197,13 @@
 			y, cancel := context.WithTimeout(c, probeTimeout)
 			err := g.o.Dial(y, x.Addr)
 			cancel()
-			g.applyProbe(x, err)
+			g.applyProbe(x, errors.Is(err, syscall.ECONNREFUSED) && crash.HasCrashed(g.o.Observe(c, x)))
 		}
 	}
 }
 
-// applyProbe records the result of a probe. Only a refused connection means that no process listens on the address.
-func (g *Guard) applyProbe(x *site.Server, err error) {
+// applyProbe records whether a server has crashed.
+func (g *Guard) applyProbe(x *site.Server, crashed bool) {
 	r := g.o.View.Snapshot().Crashes
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -208,7 +212,7 @@
 		defer close(c)
 		delete(g.probes, l)
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !crashed {
 		g.tracker.ServerAlive(l)
 		return
 	}
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -35,6 +35,8 @@
 	coordinator bool
 	server      *site.Server
 	crashes     int
+	observed    []crash.Observation
+	others      int
 	contended   string // key of a row that others change faster than the view is updated, so that transactions conflict
 }
 
@@ -111,7 +113,8 @@
 	t.Helper()
 	g := New(Options{
 		View: s, Store: s, Clock: clock.New(), Counter: s, Log: &log.Logger{Writer: &log.IOWriter{Writer: &bytes.Buffer{}}},
-		Dial: func(context.Context, netip.AddrPort) error { return dial },
+		Dial:    func(context.Context, netip.AddrPort) error { return dial },
+		Observe: func(context.Context, *site.Server) ([]crash.Observation, int) { return s.observed, s.others },
 	})
 	r := group.New(t.Context())
 	t.Cleanup(r.Stop)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 
+	"heatherrouter/core/crash"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -115,9 +116,7 @@
 		Self: s.Name, Incarnation: n.incarnation, View: n.feed, Clock: n.clock, Log: n.o.Log,
 		Policy: quota.Policy{Window: s.Limits.QuotaWindow, Overshoot: s.Limits.QuotaOvershoot, Slack: s.Limits.QuotaSlack},
 	})
-	n.paths = paths.New(n.group, paths.Options{View: n.feed, Clock: n.clock, Log: n.o.Log, Dial: guard.Dial})
-	if err := n.meter.Gauge("heatherrouter.servers.unreachable", "{server}", "announced backend servers that this daemon can't reach",
-		func() float64 { return float64(n.paths.Count()) }); err != nil {
+	if err := n.trackPaths(); err != nil {
 		return err
 	}
 	n.granter = grant.New(grant.Options{
@@ -126,6 +125,9 @@
 	})
 	n.guard = guard.New(guard.Options{
 		View: n.feed, Store: n.o.Platform.Store, Clock: n.clock, Counter: n.meter, Log: n.o.Log, Dial: guard.Dial,
+		Observe: func(c context.Context, x *site.Server) ([]crash.Observation, int) {
+			return n.paths.Observe(c, n.peers, s.Name, x)
+		},
 	})
 	n.sender = send.New(send.Options{
 		Self: s.Name, Domain: s.Domain, View: n.feed, Dialect: n.o.Platform.Dialect,
@@ -160,6 +162,13 @@
 	return nil
 }
 
+// trackPaths starts the record of the servers that the daemon can reach.
+func (n *Node) trackPaths() error {
+	n.paths = paths.New(n.group, paths.Options{View: n.feed, Clock: n.clock, Log: n.o.Log, Dial: guard.Dial})
+	return n.meter.Gauge("heatherrouter.servers.unreachable", "{server}", "announced backend servers that this daemon can't reach",
+		func() float64 { return float64(n.paths.Count()) })
+}
+
 // listeners are the open ports for callers (entry) and for the balancer and operators (status).
 type listeners struct {
 	entry  net.Listener
