End silent connections when their keep-alive probes do

Cause: connections to servers and to the store set TCP_USER_TIMEOUT to the limit for stalled bodies, 5 s. While it is set it also decides when keep-alive probes give up, whatever their count, so that an idle connection on a silent path stayed in its pool for 5 s instead of the 4 s that its probes take, and a change of the limit for bodies would have moved it further. Looked for elsewhere: the client of the table service sets keep-alive only, listeners and fasthttp set no user timeout, QUIC runs over UDP with its own idle timeout (1.2 s).

Change: one constant for both, derived from the probes.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -34,6 +34,10 @@
 
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+
+	// userTimeout is the time after which the kernel ends a connection without acknowledgements. While it is set, it also decides when
+	// keep-alive probes give up, whatever their count, so that it must not exceed the time that the probes take.
+	userTimeout = keepAliveInterval + keepAliveCount*keepAliveInterval
 )
 
 // conn is one connection; it carries at most one exchange at a time.
@@ -66,7 +70,7 @@
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw, p.options.StallTimeout)
+			return setUserTimeout(raw, userTimeout)
 		},
 	}
 	n, err := d.DialContext(ctx, "tcp", p.addr)
