Candidates that can't reach keyed servers take over last

A candidate for the coordinator's role was ranked by its vote and capacity alone. One that has lost its links to the servers would take the role while a peer could act on it, and hand it over a second later. It now waits a second longer than its rank. Two cases of TestDecide fail without it.

--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -30,6 +30,10 @@
 	// this time.
 	rankStep = 250 * time.Millisecond
 
+	// unreachableDelay is the additional delay of a candidate that can't reach the servers of a keyed service. Its orders would not
+	// arrive, so that it should take over only if no other daemon does.
+	unreachableDelay = time.Second
+
 	// maxCopyAge is the greatest age of a candidate's copy of the store. A daemon that cannot reach the store cannot
 	// take over.
 	maxCopyAge = time.Second
@@ -44,6 +48,8 @@
 	CopyAge      time.Duration // age of the daemon's copy of the store
 	SinceContact time.Duration // since the last contact with the coordinator
 	SinceLoaded  time.Duration // since the copy was first complete
+
+	ServersUnreachable bool // the daemon can't reach the servers of a keyed service
 }
 
 // IsCoordinator reports whether this incarnation of the daemon is the coordinator.
@@ -89,6 +95,9 @@
 		return TakeOver{Clean: true} // an earlier incarnation of this daemon
 	}
 	wait := rankDelay(s.rank())
+	if s.ServersUnreachable {
+		wait += unreachableDelay
+	}
 	if c.Daemon == "" && c.Term == 0 {
 		return takeOverIf(s.SinceLoaded >= startupGrace+wait, TakeOver{Clean: true})
 	}
--- a/core/elect/support_test.go
+++ b/core/elect/support_test.go
@@ -106,6 +106,8 @@
 		{"this daemon", State{Snapshot: row(site.Coordinator{Daemon: "b", Incarnation: 1}), SinceContact: time.Minute}, Wait{}},
 		{"first start", State{Snapshot: row(site.Coordinator{}), SinceLoaded: 2 * time.Second}, TakeOver{Clean: true}},
 		{"first start, other rows pending", State{Snapshot: row(site.Coordinator{}), SinceLoaded: 500 * time.Millisecond}, Wait{}},
+		{"servers unreachable, another may take over", State{Snapshot: row(site.Coordinator{Daemon: "a", Incarnation: 1}), SinceContact: 1300 * time.Millisecond, SinceLoaded: time.Hour, ServersUnreachable: true}, Wait{}},
+		{"servers unreachable, no other has taken over", State{Snapshot: row(site.Coordinator{Daemon: "a", Incarnation: 1}), SinceContact: 2300 * time.Millisecond, SinceLoaded: time.Hour, ServersUnreachable: true}, RequestWithdrawals{Clean: true}},
 		{"leaving", State{Snapshot: row(site.Coordinator{}), SinceContact: time.Minute, SinceLoaded: time.Hour, Leaving: true}, Wait{}},
 	}
 	for _, x := range tests {
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -54,6 +54,7 @@
 	Failed(began mono.Time, x *site.Server, f reach.Failure)
 	Verify(x *site.Server)                                      // checks the server in the background
 	Check(c context.Context, ids []ident.Server) []ident.Server // connects to the servers and returns those that accept
+	Suspected(n ident.Service) bool                             // whether no server of the service is reachable, as far as known
 }
 
 const (
@@ -239,6 +240,7 @@
 	copyAge, contactAge := g.o.Feed.Ages()
 	st := elect.State{
 		Self: g.o.Self, Incarnation: g.o.Incarnation, Leaving: g.leaving.Load(), Snapshot: s, CopyAge: copyAge, SinceContact: contactAge, SinceLoaded: now.Sub(g.loadedAt),
+		ServersUnreachable: g.serversUnreachable(s),
 	}
 	if st.IsCoordinator() && s.Coordinator.Term == g.surrendered {
 		// The transaction that hands the role over failed, or may still be applied. It can't be once this daemon has a new term.
@@ -255,6 +257,19 @@
 	return g.coordinate(c)
 }
 
+// serversUnreachable reports whether this daemon can't reach the servers of a keyed service.
+func (g *Granter) serversUnreachable(s *site.Snapshot) bool {
+	if s.Config == nil {
+		return false
+	}
+	for n, v := range s.Config.Services {
+		if v.Keyed && g.o.Paths.Suspected(n) {
+			return true
+		}
+	}
+	return false
+}
+
 // coordinate does what is due as the coordinator and returns the time of the next step.
 func (g *Granter) coordinate(c context.Context) mono.Time {
 	s := g.o.Feed.Snapshot()
