Finish the requests of peers before a daemon exits

A daemon that was shut down cut off the requests that it ran for peers: their callers would get 502 for requests that ran. It now refuses further ones at once (the peer hands them to another daemon) and waits for those that run, up to the end of its grace period.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -73,6 +73,7 @@
 	limiter      *limit.Limiter
 	guard        *guard.Guard
 	paths        *paths.Tracker
+	relay        *relay.Server
 	peers        *peer.Transport
 	front        *front.Frontend
 	statusServer *fasthttp.Server
@@ -136,6 +137,7 @@
 		Clock:      n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Guard: n.guard, Paths: n.paths,
 		Relays: reach.NewRelays(s.Name, s.Regions, rand.IntN), Relay: relay.NewClient(n.clock, exchanger{n}), MaxCopyAge: s.Limits.MaxCopyAge,
 	})
+	n.relay = relay.NewServer(n.clock, n.sender)
 	if n.id, err = newIdentity(s.Name, n.feed.Snapshot); err != nil {
 		return err
 	}
@@ -145,7 +147,7 @@
 	}
 	n.peers, err = peer.New(n.group.Context(), peer.Options{
 		Self: s.Name, Listen: s.Peer, Resolver: addressBook{n.feed.Snapshot}, TLS: n.id, Log: n.o.Log,
-		Handler: peerHandler{n, n.feed, n.limiter, relay.NewServer(n.clock, n.sender)},
+		Handler: peerHandler{n, n.feed, n.limiter, n.relay},
 	})
 	if err != nil {
 		l.close()
@@ -371,8 +373,9 @@
 	n.front.Drain()
 	x, cancel := context.WithDeadline(c, started.Add(n.o.Settings.Limits.GracePeriod-exitMargin))
 	defer cancel()
-	var stepDown sync.WaitGroup
-	stepDown.Go(func() { n.granter.StepDown(x) })
+	var duties sync.WaitGroup // that others rely on
+	duties.Go(func() { n.granter.StepDown(x) })
+	duties.Go(func() { n.relay.Drain(x) })
 	t := time.NewTimer(time.Until(started.Add(outOfRotationDelay)))
 	defer t.Stop()
 	select {
@@ -388,7 +391,7 @@
 			n.o.Log.Warn().Err(err).Msg("callers received no response")
 		}
 	}
-	stepDown.Wait()
+	duties.Wait()
 	n.deleteRow(c)
 	n.o.Log.Info().Dur("took", time.Since(started)).Msg("daemon has left")
 }
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -25,11 +26,52 @@
 type Server struct {
 	clock   *clock.Clock
 	handler Handler
+
+	mu      sync.Mutex
+	running int
+	idle    chan struct{} // set by Drain, and closed when no request runs
 }
 
 // NewServer returns a Server.
 func NewServer(c *clock.Clock, h Handler) *Server { return &Server{clock: c, handler: h} }
 
+// Drain refuses further requests, and returns when those that run have ended or the context ends.
+func (s *Server) Drain(c context.Context) {
+	s.mu.Lock()
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+		if s.running == 0 {
+			close(s.idle)
+		}
+	}
+	idle := s.idle
+	s.mu.Unlock()
+	select {
+	case <-idle:
+	case <-c.Done():
+	}
+}
+
+// begin reports whether a request may run. If so, end must follow.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.idle != nil {
+		return false
+	}
+	s.running++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	if s.running == 0 && s.idle != nil {
+		close(s.idle)
+	}
+}
+
 // Serve serves one exchange.
 func (s *Server) Serve(c context.Context, e *peer.Exchange) {
 	arrived := s.clock.Now()
@@ -50,7 +92,11 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	r := s.handler.HandleRelayed(c, decode(e.Head, body, req, arrived), resp)
+	r := send.RelayResult{Outcome: retry.NotRun, Reason: send.ReasonStopping}
+	if s.begin() {
+		defer s.end()
+		r = s.handler.HandleRelayed(c, decode(e.Head, body, req, arrived), resp)
+	}
 	err = e.WriteResponse(encodeAnswer(r, resp))
 	if err == nil {
 		err = writeBody(e, resp.Body())
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -46,6 +46,9 @@
 	reasonOlderConfig        = "older-configuration" // at the peer
 )
 
+// ReasonStopping is the reason of a peer that is about to stop.
+const ReasonStopping = string(reasonStopping)
+
 // maxRelays bounds the peers that a request is handed to. Peers that can't reach the server answer at once.
 const maxRelays = 4
 
@@ -119,7 +122,7 @@
 // mayTryOther reports whether another peer may serve a request that this one has not run.
 func (x RelayResult) mayTryOther() bool {
 	return x.Failed || slices.Contains([]string{
-		reasonServerUnreachable, reasonServiceUnreachable, reasonOlderConfig, string(reasonStopping), "no-configuration", "no-route",
+		reasonServerUnreachable, reasonServiceUnreachable, reasonOlderConfig, ReasonStopping, "no-configuration", "no-route",
 	}, x.Reason)
 }
 
