Notice silent paths sooner, and take waiting requests elsewhere

On silent links the first seconds were lost: each daemon needs two unanswered servers a service, 0.5 s each, and requests that waited on such a path stayed until their deadline. Now, while a server has just become silent, others are checked after 50 ms instead of 250 ms; when all servers of a service are suspected, services without an answer since are verified too; and requests that may run twice leave a lost path at once.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -63,8 +63,10 @@
 
 // Paths tracks the paths from one daemon to backend servers.
 type Paths struct {
-	paths    map[Target]*path
-	services map[ident.Service]*service
+	paths       map[Target]*path
+	services    map[ident.Service]*service
+	suspectedAt mono.Time // when all servers of some service were last suspected
+	suspicion   Failure   // of the servers that led to it
 }
 
 // path is the state of the path to one server. Servers that never failed have none.
@@ -125,7 +127,7 @@
 	if len(s.failed) < suspectServers || s.suspectAt != 0 {
 		return lost, false
 	}
-	s.suspectAt = now
+	s.suspectAt, p.suspectedAt, p.suspicion = now, now, s.failure
 	return lost, true
 }
 
@@ -134,20 +136,39 @@
 	if x := p.paths[t]; x != nil && x.failure != 0 {
 		return Unreachable
 	}
-	if p.Suspected(t.Service) {
+	if p.Suspected(t.Service) || p.unheard(t.Service) {
 		return Unverified
 	}
 	return Reachable
 }
 
-// Failure returns how the server could not be reached or, if it is unverified, how the other servers of its service could not.
-// It is 0 for a reachable server.
+// unheard reports whether another service is suspected and no server of this one has answered since. A daemon that has lost its links
+// to one service has often lost all.
+func (p *Paths) unheard(n ident.Service) bool {
+	s := p.services[n]
+	return p.suspectedAt > 0 && (s == nil || s.answeredAt <= p.suspectedAt) && p.anySuspected()
+}
+
+func (p *Paths) anySuspected() bool {
+	for _, s := range p.services {
+		if s.suspectAt != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Failure returns how the server could not be reached or, if it is unverified, how the servers could not that cast doubt on it. It is
+// 0 for a reachable server.
 func (p *Paths) Failure(t Target) Failure {
 	if x := p.paths[t]; x != nil && x.failure != 0 {
 		return x.failure
 	}
-	if p.Suspected(t.Service) {
+	switch {
+	case p.Suspected(t.Service):
 		return p.services[t.Service].failure
+	case p.unheard(t.Service):
+		return p.suspicion
 	}
 	return 0
 }
@@ -175,12 +196,7 @@
 			return false
 		}
 	}
-	for _, s := range p.services {
-		if s.suspectAt != 0 {
-			return false
-		}
-	}
-	return true
+	return !p.anySuspected()
 }
 
 // Unreachable returns the servers that are unreachable, by how long.
--- a/io/paths/paths.go
+++ b/io/paths/paths.go
@@ -54,7 +54,8 @@
 	o      Options
 	probes chan *site.Server
 
-	failures atomic.Bool // whether any server is unreachable or suspected
+	failures atomic.Bool  // whether any server is unreachable or suspected
+	lostAt   atomic.Int64 // when a server was last found to be silent, as mono.Time
 
 	mu    sync.Mutex
 	paths *reach.Paths
@@ -94,6 +95,9 @@
 	lost, suspected := t.paths.Failed(began, t.o.Clock.Now(), TargetOf(x), f)
 	t.failures.Store(!t.paths.AllReachable())
 	t.mu.Unlock()
+	if lost && f == reach.Silent {
+		t.lostAt.Store(int64(t.o.Clock.Now()))
+	}
 	if lost {
 		t.o.Log.Info().Str("server", string(x.ID)).Str("service", string(x.Service)).Str("failure", f.String()).Msg("server unreachable")
 	}
@@ -140,6 +144,9 @@
 	return t.paths.Suspected(n)
 }
 
+// SilentSince returns when a server was last found to be silent; 0 for never.
+func (t *Tracker) SilentSince() mono.Time { return mono.Time(t.lostAt.Load()) }
+
 // Verify probes the server in the background, unless a probe was made lately.
 func (t *Tracker) Verify(x *site.Server) {
 	t.mu.Lock()
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -153,7 +153,9 @@
 	}()
 	// A connection without data is not suspected while others receive responses: the server may still be running the
 	// request, and aborting it would lose the caller's response when no further attempt is left.
-	x = b.pool.Do(r.ctx, conns.Call{
+	c, end := b.exchangeContext(r)
+	defer end()
+	x = b.pool.Do(c, conns.Call{
 		Deadline: s.o.Clock.StdTime(r.deadline), ResetWait: settleTime, ReuseOnly: s.reusesOnly(b), Guard: func() bool { return s.maySend(r, b) },
 	}, req, resp)
 	sent = x.Outcome != retry.NotRun || x.End == admit.EndRefused
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -1,6 +1,7 @@
 package send
 
 import (
+	"context"
 	"maps"
 	"math"
 	"net/netip"
@@ -38,9 +39,10 @@
 	load           choice.Load
 	coldWindow     pace.SlidingWindow // requests sent while the server is cold
 	keyed          bool
-	waitingSince   mono.Time // if requests are in flight: since when the server has sent nothing
-	samples        []uint32  // service times without interference since the last report to the coordinator, in units of choice.SampleUnit
-	lowestSlowdown float64   // lowest slowdown that the server reported since then; 0 for no report
+	cancels        map[*request]context.CancelCauseFunc // of the exchanges that may be repeated at another server
+	waitingSince   mono.Time                            // if requests are in flight: since when the server has sent nothing
+	samples        []uint32                             // service times without interference since the last report to the coordinator, in units of choice.SampleUnit
+	lowestSlowdown float64                              // lowest slowdown that the server reported since then; 0 for no report
 
 	restartSuspectedUntil mono.Time          // until then the server may have restarted, and be cold, without having announced it
 	restartWindow         pace.SlidingWindow // requests sent in that time
--- a/io/send/path.go
+++ b/io/send/path.go
@@ -23,8 +23,15 @@
 	// a multiple of the service time. Most requests of a service with longer service times take longer than the minimum.
 	minUnanswered    = 250 * time.Millisecond
 	unansweredFactor = 3
+
+	// While some server has become silent within the last doubtWindow, the paths to others are checked after doubtUnanswered.
+	doubtWindow     = 500 * time.Millisecond
+	doubtUnanswered = 50 * time.Millisecond
 )
 
+// errPathLost ends an exchange whose server can't be reached any more.
+var errPathLost = errors.New("path to the server lost")
+
 // observePath records what an exchange says about the path to its server.
 func (s *Sender) observePath(b *backend, x conns.Result, began mono.Time, took time.Duration) {
 	switch {
@@ -58,6 +65,10 @@
 		case <-t.C:
 		}
 		for _, b := range s.unansweredBackends(s.o.Clock.Now()) {
+			if x, f := s.o.Paths.State(b.server); x == reach.Unreachable && f == reach.Silent {
+				b.cancelWaiting()
+				continue
+			}
 			s.o.Paths.Verify(b.server)
 		}
 	}
@@ -65,6 +76,7 @@
 
 // unansweredBackends returns the servers that have requests of this daemon and have sent nothing for longer than usual.
 func (s *Sender) unansweredBackends(now mono.Time) []*backend {
+	doubt := now.Sub(s.o.Paths.SilentSince()) < doubtWindow
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var l []*backend
@@ -73,6 +85,9 @@
 		if q := s.serviceTimes[b.server.Service]; q != nil {
 			limit = max(limit, unansweredFactor*time.Duration(q.Estimate))
 		}
+		if doubt {
+			limit = doubtUnanswered
+		}
 		if b.unansweredFor(now) >= limit {
 			l = append(l, b)
 		}
@@ -90,6 +105,37 @@
 	return now.Sub(b.waitingSince)
 }
 
+// cancelWaiting ends the exchanges that may be repeated elsewhere.
+func (b *backend) cancelWaiting() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, cancel := range b.cancels {
+		cancel(errPathLost)
+	}
+	clear(b.cancels)
+}
+
+// exchangeContext returns the context of an exchange, which ends as well when the path to the server is lost and the request may be
+// repeated. The function must be called after the exchange.
+func (b *backend) exchangeContext(r *request) (context.Context, func()) {
+	if !r.route.Idempotent {
+		return r.ctx, func() {}
+	}
+	c, cancel := context.WithCancelCause(r.ctx)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.cancels == nil {
+		b.cancels = map[*request]context.CancelCauseFunc{}
+	}
+	b.cancels[r] = cancel
+	return c, func() {
+		cancel(nil)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.cancels, r)
+	}
+}
+
 // requestSent records that a request was sent. The caller holds b.mu.
 func (b *backend) requestSent(now mono.Time) {
 	if b.load.OwnInFlight == 0 {
@@ -105,11 +151,10 @@
 	if x == reach.Reachable {
 		return true
 	}
-	if f == reach.Silent {
+	if x == reach.Unreachable && f == reach.Silent {
 		b.pool.CloseIdle() // nothing sent on them would arrive
-		return false
 	}
-	return b.pool.HasIdle()
+	return f == reach.Refused && b.pool.HasIdle()
 }
 
 // reusesOnly reports whether requests to the server are sent on open connections only.
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -102,6 +102,7 @@
 	Failed(began mono.Time, x *site.Server, f reach.Failure)
 	Verify(x *site.Server) // checks the server in the background
 	Suspected(n ident.Service) bool
+	SilentSince() mono.Time // when a server was last found to be silent
 }
 
 // Sender forwards requests to backend servers. It is safe for concurrent use.
