Prefer peers that are known to reach a service

On large sites a daemon without servers had to find out peer by peer which of them were cut as well: of 72 daemons with half of them cut, 3,131 relayed requests in 5 s met a peer that couldn't reach the service either, and some were refused after four such peers. A peer that has lately reached the service is now preferred (one request in eight goes to any, so that the load spreads), and a daemon that asks for a service it can't reach is not asked for it.

TestRelayPrefersPeersThatReachedTheService and TestPeerThatAsksIsNotAsked guard it.

--- a/core/reach/relays.go
+++ b/core/reach/relays.go
@@ -28,6 +28,8 @@
 	calls    avoidance
 	services map[ident.Service]*avoidance
 	servers  map[ident.Server]*avoidance
+
+	reached map[ident.Service]mono.Time // when it was last known to reach a server of the service
 }
 
 // avoidance is the time for which a peer is avoided, which doubles with each failure.
@@ -53,6 +55,15 @@
 
 func (a *avoidance) active(now mono.Time) bool { return a != nil && now.Before(a.until) }
 
+const (
+	// reachedTTL is how long a peer that has reached a service is preferred to others.
+	reachedTTL = 2 * time.Second
+
+	// exploreOneIn is the number of requests of which one goes to any peer, although some are known to reach the service. Otherwise
+	// the few that were found first would get all requests.
+	exploreOneIn = 8
+)
+
 // remoteCost is the number of additional pending requests at which a peer of another failure domain is preferred to one of the
 // daemon's own.
 const remoteCost = 8
@@ -76,7 +87,14 @@
 		}
 		return u
 	}
-	a, b := r.leastPending(usable(r.local)), r.leastPending(usable(r.remote))
+	local, remote := usable(r.local), usable(r.remote)
+	if len(tried) > 0 || r.intN(exploreOneIn) > 0 {
+		l, m := r.proven(now, local, n), r.proven(now, remote, n)
+		if len(l)+len(m) > 0 {
+			local, remote = l, m
+		}
+	}
+	a, b := r.leastPending(local), r.leastPending(remote)
 	switch {
 	case a == "" && b == "":
 		return "", false
@@ -86,6 +104,17 @@
 	return a, true
 }
 
+// proven returns the peers that have lately reached the service.
+func (r *Relays) proven(now mono.Time, l []ident.Daemon, n ident.Service) []ident.Daemon {
+	var x []ident.Daemon
+	for _, d := range l {
+		if p := r.peers[d]; p != nil && p.reached[n] > 0 && now.Sub(p.reached[n]) < reachedTTL {
+			x = append(x, d)
+		}
+	}
+	return x
+}
+
 // list lists the daemons of the region.
 func (r *Relays) list(s *site.Snapshot) {
 	if r.listedOf == s {
@@ -145,13 +174,22 @@
 )
 
 // Started records that a request was handed to the peer.
-func (r *Relays) Started(d ident.Daemon) {
+func (r *Relays) Started(d ident.Daemon) { r.peer(d).pending++ }
+
+// Asked records that a peer has handed a request for the service to this daemon, because it can't reach any server of it.
+func (r *Relays) Asked(now mono.Time, d ident.Daemon, n ident.Service) {
+	p := r.peer(d)
+	fail(p.services, n, now)
+	delete(p.reached, n)
+}
+
+func (r *Relays) peer(d ident.Daemon) *peer {
 	p := r.peers[d]
 	if p == nil {
-		p = &peer{services: map[ident.Service]*avoidance{}, servers: map[ident.Server]*avoidance{}}
+		p = &peer{services: map[ident.Service]*avoidance{}, servers: map[ident.Server]*avoidance{}, reached: map[ident.Service]mono.Time{}}
 		r.peers[d] = p
 	}
-	p.pending++
+	return p
 }
 
 // Ended records the end of a request that was handed to the peer.
@@ -168,12 +206,15 @@
 	case Reached:
 		delete(p.services, n)
 		delete(p.servers, id)
+		p.reached[n] = now
 	case ServerUnreachable:
 		fail(p.servers, id, now)
 	case ServiceUnreachable:
 		fail(p.services, n, now)
+		delete(p.reached, n)
 	case PeerFailed:
 		p.calls.fail(now)
+		clear(p.reached)
 	case Undecided:
 	}
 }
--- a/core/reach/relays_test.go
+++ b/core/reach/relays_test.go
@@ -87,3 +87,31 @@
 	_, ok = r.Pick(now, s, "s", "", others)
 	require.True(t, ok)
 }
+
+// Guards against requests that are refused because several peers in a row can't reach the service, while others are known to.
+func TestRelayPrefersPeersThatReachedTheService(t *testing.T) {
+	s, r := newFleet()
+	r.Started("b1")
+	r.Ended(begin, "b1", "s", "", Reached)
+	seen := map[ident.Daemon]int{}
+	for range 800 {
+		d, ok := r.Pick(begin.Add(time.Second), s, "s", "", nil)
+		require.True(t, ok)
+		seen[d]++
+	}
+	require.Greater(t, seen["b1"], 600)
+	require.Less(t, seen["b1"], 780, "others are tried as well")
+	d, _ := r.Pick(begin.Add(time.Second), s, "s", "", []ident.Daemon{"a1"})
+	require.Equal(t, ident.Daemon("b1"), d, "the second peer of a request is one that reached the service")
+}
+
+// Guards against asking peers that have just asked this daemon for the same service.
+func TestPeerThatAsksIsNotAsked(t *testing.T) {
+	s, r := newFleet()
+	r.Asked(begin, "a1", "s")
+	others := []ident.Daemon{"a2", "a3", "b0", "b1"}
+	_, ok := r.Pick(begin, s, "s", "", others)
+	require.False(t, ok)
+	_, ok = r.Pick(begin, s, "t", "", others)
+	require.True(t, ok)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -485,8 +485,8 @@
 }
 
 // Exchange implements peer.Handler.
-func (h peerHandler) Exchange(c context.Context, _ ident.Daemon, x *peer.Exchange) {
-	h.relay.Serve(c, x)
+func (h peerHandler) Exchange(c context.Context, from ident.Daemon, x *peer.Exchange) {
+	h.relay.Serve(c, from, x)
 }
 
 // exchanger opens exchanges over the transport, which is created after the sender.
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -69,7 +69,7 @@
 	m := &wire.Exchange{
 		RequestId: string(x.ID), Service: string(x.Service), Configuration: uint64(x.Config), Method: string(h.Method()),
 		Uri: append([]byte(nil), h.RequestURI()...), RemainingUs: uint64(max(0, x.Deadline.Sub(k.clock.Now()).Microseconds())),
-		BodyFollows: true, BodySize: int64(len(x.Request.Body())), Forwarded: true,
+		BodyFollows: true, BodySize: int64(len(x.Request.Body())), Forwarded: true, ServiceUnreachable: x.ServiceUnreachable,
 	}
 	for _, s := range x.SentTo {
 		m.SentTo = append(m.SentTo, string(s))
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -19,7 +19,7 @@
 
 // Handler serves requests that peers hand to this daemon.
 type Handler interface {
-	HandleRelayed(c context.Context, x *send.Relayed, resp *fasthttp.Response) send.RelayResult
+	HandleRelayed(c context.Context, from ident.Daemon, x *send.Relayed, resp *fasthttp.Response) send.RelayResult
 }
 
 // Server serves the requests of peers.
@@ -73,7 +73,7 @@
 }
 
 // Serve serves one exchange.
-func (s *Server) Serve(c context.Context, e *peer.Exchange) {
+func (s *Server) Serve(c context.Context, from ident.Daemon, e *peer.Exchange) {
 	arrived := s.clock.Now()
 	body, err := readBody(e, e.Head.GetBodySize())
 	if err != nil {
@@ -95,7 +95,7 @@
 	r := send.RelayResult{Outcome: retry.NotRun, Reason: send.ReasonStopping}
 	if s.begin() {
 		defer s.end()
-		r = s.handler.HandleRelayed(c, decode(e.Head, body, req, arrived), resp)
+		r = s.handler.HandleRelayed(c, from, decode(e.Head, body, req, arrived), resp)
 	}
 	err = e.WriteResponse(encodeAnswer(r, resp))
 	if err == nil {
@@ -117,7 +117,8 @@
 	req.SetBodyRaw(body)
 	x := &send.Relayed{
 		Request: req, ID: ident.Request(m.GetRequestId()), Service: ident.Service(m.GetService()), Config: site.Version(m.GetConfiguration()),
-		Deadline: arrived.Add(time.Duration(m.GetRemainingUs()) * time.Microsecond), //nolint:gosec // seconds
+		Deadline:           arrived.Add(time.Duration(m.GetRemainingUs()) * time.Microsecond), //nolint:gosec // seconds
+		ServiceUnreachable: m.GetServiceUnreachable(),
 	}
 	for _, s := range m.GetSentTo() {
 		x.SentTo = append(x.SentTo, ident.Server(s))
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -29,6 +29,8 @@
 	Config   site.Version // the receiver needs this configuration or a newer one
 	SentTo   []ident.Server
 	Deadline mono.Time
+
+	ServiceUnreachable bool // the sender can't reach any server of the service
 }
 
 // RelayResult is what a peer answers to a Relayed.
@@ -72,6 +74,7 @@
 	resp := fasthttp.AcquireResponse()
 	x := s.o.Relay.Send(r.ctx, to, &Relayed{
 		Request: r.req, ID: r.id, Service: r.service.Name, Config: snap.Config.Version, SentTo: r.sentTo, Deadline: r.deadline,
+		ServiceUnreachable: s.o.Paths.Suspected(r.service.Name),
 	}, resp)
 	s.mu.Lock()
 	s.relays.Ended(s.o.Clock.Now(), to, r.service.Name, r.target, x.report())
@@ -143,7 +146,12 @@
 
 // HandleRelayed serves a request that a peer has handed to this daemon, and writes the response of a server to resp. It never hands
 // the request on. The context is cancelled when the peer's caller disconnects.
-func (s *Sender) HandleRelayed(c context.Context, x *Relayed, resp *fasthttp.Response) RelayResult {
+func (s *Sender) HandleRelayed(c context.Context, from ident.Daemon, x *Relayed, resp *fasthttp.Response) RelayResult {
+	if x.ServiceUnreachable {
+		s.mu.Lock()
+		s.relays.Asked(s.o.Clock.Now(), from, x.Service)
+		s.mu.Unlock()
+	}
 	r := s.newRequest(c, x.Request)
 	r.relayed, r.relayDeadline, r.sentTo = true, x.Deadline, slices.Clone(x.SentTo)
 	r.counted = len(x.SentTo) > 0 // by the daemon that sent it
