A role that is given up says whether earlier orders may still be sent

Found by reading while the handover was built, never seen to break a rule: a coordinator that had taken over without a clean end of its predecessor waits up to 30 s for that one's orders. When it was shut down within that time it wrote 'clean', and the next coordinator counted on it. The row now carries what is known, and the next coordinator takes it over. A case of TestDecide fails without it.

--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -102,7 +102,7 @@
 		return takeOverIf(s.SinceLoaded >= startupGrace+wait, TakeOver{Clean: true})
 	}
 	if c.Daemon == "" {
-		return takeOverIf(s.SinceLoaded >= wait && s.SinceContact >= wait, TakeOver{Clean: true}) // the previous coordinator has handed over
+		return takeOverIf(s.SinceLoaded >= wait && s.SinceContact >= wait, TakeOver{Clean: c.Clean}) // the previous coordinator has handed over
 	}
 	if d := s.Snapshot.Daemons[c.Daemon]; d != nil && d.Incarnation != c.Incarnation {
 		return takeOverIf(s.SinceLoaded >= wait && s.SinceContact >= wait, TakeOver{Clean: true}) // it was restarted, and would take over itself
--- a/core/elect/support_test.go
+++ b/core/elect/support_test.go
@@ -101,6 +101,7 @@
 		{"unresponsive, coordinator without a quorum", State{Snapshot: row(site.Coordinator{Daemon: "a", Incarnation: 1, WithoutQuorum: true}), SinceContact: 1300 * time.Millisecond, SinceLoaded: time.Hour}, RequestWithdrawals{}},
 		{"unresponsive, store unreachable too", State{Snapshot: row(site.Coordinator{Daemon: "a", Incarnation: 1}), SinceContact: time.Minute, SinceLoaded: time.Hour, CopyAge: 2 * time.Second}, Wait{}},
 		{"handed over", State{Snapshot: row(site.Coordinator{Clean: true, Term: 2}), SinceContact: 300 * time.Millisecond, SinceLoaded: time.Hour}, TakeOver{Clean: true}},
+		{"handed over, earlier orders may still be sent", State{Snapshot: row(site.Coordinator{Term: 2}), SinceContact: 300 * time.Millisecond, SinceLoaded: time.Hour}, TakeOver{}},
 		{"restarted", State{Snapshot: row(site.Coordinator{Daemon: "a"}), SinceContact: 300 * time.Millisecond, SinceLoaded: time.Hour}, TakeOver{Clean: true}},
 		{"earlier incarnation of this daemon", State{Snapshot: row(site.Coordinator{Daemon: "b", Incarnation: 0})}, TakeOver{Clean: true}},
 		{"this daemon", State{Snapshot: row(site.Coordinator{Daemon: "b", Incarnation: 1}), SinceContact: time.Minute}, Wait{}},
--- a/io/grant/elect.go
+++ b/io/grant/elect.go
@@ -121,7 +121,7 @@
 	term := g.term
 	g.endTerm()
 	voters := slices.DeleteFunc(slices.Clone(s.Voters), func(d ident.Daemon) bool { return d == g.o.Self })
-	v, err := proto.Marshal(&wire.CoordinatorRow{Term: uint64(term), Clean: true, Voters: daemonNames(voters)})
+	v, err := proto.Marshal(&wire.CoordinatorRow{Term: uint64(term), Clean: g.earlierOrdersEnded(), Voters: daemonNames(voters)})
 	if err != nil {
 		g.o.Log.Error().Err(err).Msg("coordinator's row not encoded")
 		return
