--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -26,6 +26,7 @@
 	answers    metric.Int64Counter
 	latency    metric.Float64Histogram
 	crashes    metric.Int64Counter
+	relays     metric.Int64Counter
 	handler    fasthttp.RequestHandler
 	attributes sync.Map // answerKey -> metric.MeasurementOption
 }
@@ -58,6 +59,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	m.relays, err = m.meter.Int64Counter("heatherrouter.relays",
+		metric.WithDescription("requests handed to peers because this daemon can't reach the servers, by what the peer answered"))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	m.latency, err = m.meter.Float64Histogram("heatherrouter.answer.time", metric.WithUnit("s"),
 		metric.WithDescription("from a request's arrival to the head of its final answer"),
 		metric.WithExplicitBucketBoundaries(0.0005, 0.001, 0.002, 0.004, 0.009, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 3, 10))
@@ -89,6 +95,13 @@
 	m.crashes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", string(s))))
 }
 
+// RecordRelay counts a request that was handed to a peer. The reason is empty if a server answered it.
+func (m *Meter) RecordRelay(s ident.Service, outcome, reason string) {
+	m.relays.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", string(s)), attribute.String("outcome", outcome), attribute.String("reason", reason),
+	))
+}
+
 // Gauge adds a gauge whose value is read whenever the metrics page is served.
 func (m *Meter) Gauge(name, unit, description string, read func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description),
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -80,8 +80,10 @@
 	s.relays.Ended(s.o.Clock.Now(), to, r.service.Name, r.target, x.report())
 	s.mu.Unlock()
 	if x.Outcome == retry.Answered {
+		s.o.Counter.RecordRelay(r.service.Name, x.Outcome.String(), "")
 		return s.relayAnswered(r, resp), false
 	}
+	s.o.Counter.RecordRelay(r.service.Name, x.Outcome.String(), x.Reason)
 	fasthttp.ReleaseResponse(resp)
 	s.o.Log.Info().Str("request-id", string(r.id)).Str("peer", string(to)).Str("outcome", x.Outcome.String()).Str("reason", x.Reason).
 		Msg("not served by a peer")
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -62,8 +62,9 @@
 	CopyAge() time.Duration         // upper bound on how long the copy has been outdated
 }
 
-// Counter counts final responses.
+// Counter counts final responses and requests handed to peers.
 type Counter interface {
+	RecordRelay(s ident.Service, outcome, reason string)
 	RecordAnswer(s ident.Service, route, outcome, reason string, took time.Duration)
 }
 
