--- a/io/send/final.go
+++ b/io/send/final.go
@@ -139,6 +139,16 @@
 	e := s.o.Log.Info().Str("request-id", string(r.id)).Str("route", route).Str("service", service).
 		Int("status", f.status).Str("outcome", string(f.outcome)).Str("reason", f.reason).Dur("took", took).
 		Int("sends", len(r.sentTo))
+	if r.relayed {
+		e.Bool("relayed", true)
+	}
+	if len(r.relayedTo) > 0 {
+		peers := make([]string, 0, len(r.relayedTo))
+		for _, d := range r.relayedTo {
+			peers = append(peers, string(d))
+		}
+		e.Strs("relayed-to", peers)
+	}
 	if r.hasKey {
 		e.Uint16("key", uint16(r.key))
 	}
--- a/io/send/relay_test.go
+++ b/io/send/relay_test.go
@@ -53,7 +53,8 @@
 		{"older, the right one after a refresh", 3, 4, "no-route", true},
 		{"newer", 5, 5, "no-route", true},
 	} {
-		s := New(Options{Clock: clock.New(), View: &versionView{version(x.before), version(x.after)}, Counter: noCounter{},
+		s := New(Options{
+			Clock: clock.New(), View: &versionView{version(x.before), version(x.after)}, Counter: noCounter{},
 			Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		})
 		r := s.HandleRelayed(t.Context(), "peer", &Relayed{Request: &fasthttp.Request{}, ID: "a", Service: "s", Config: 4}, &fasthttp.Response{})
