Tell the next peer where a request was sent

A peer that had sent a request to a server which turned it away, and then found no other, answered 'not run'; the next peer could send it to the same server once more, outside the retry budget. The answer now names the servers. TestNextPeerKnowsWhereTheRequestWasSent guards it.

--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -87,6 +87,9 @@
 		return send.RelayResult{}, err
 	}
 	r := send.RelayResult{Outcome: retry.Unknown, Reason: a.GetReason(), RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond}
+	for _, s := range a.GetSentTo() {
+		r.SentTo = append(r.SentTo, ident.Server(s))
+	}
 	switch a.GetOutcome() {
 	case wire.Outcome_OUTCOME_ANSWERED:
 		r.Outcome = retry.Answered
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -128,6 +128,9 @@
 
 func encodeAnswer(r send.RelayResult, resp *fasthttp.Response) *wire.ExchangeAnswer {
 	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: r.Reason, RetryAfterMs: uint32(r.RetryAfter.Milliseconds())} //nolint:gosec // seconds
+	for _, s := range r.SentTo {
+		a.SentTo = append(a.SentTo, string(s))
+	}
 	switch r.Outcome {
 	case retry.Answered:
 		a.Outcome, a.Status = wire.Outcome_OUTCOME_ANSWERED, uint32(resp.StatusCode()) //nolint:gosec // a status
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -26,8 +26,8 @@
 	Request  *fasthttp.Request // as the caller sent it
 	ID       ident.Request
 	Service  ident.Service
-	Config   site.Version // the receiver needs this configuration or a newer one
-	SentTo   []ident.Server
+	Config   site.Version   // the receiver needs this configuration or a newer one
+	SentTo   []ident.Server // servers that the request was sent to already
 	Deadline mono.Time
 
 	ServiceUnreachable bool // the sender can't reach any server of the service
@@ -38,7 +38,8 @@
 	Outcome    retry.Outcome
 	Reason     string // why there is no response of a server; in kebab case
 	RetryAfter time.Duration
-	Failed     bool // the peer did not take the request
+	Failed     bool           // the peer did not take the request
+	SentTo     []ident.Server // servers that the peer sent the request to
 }
 
 // Reasons in a RelayResult, in addition to those of callers' requests. After these another peer may run the request.
@@ -79,6 +80,7 @@
 	s.mu.Lock()
 	s.relays.Ended(s.o.Clock.Now(), to, r.service.Name, r.target, x.report())
 	s.mu.Unlock()
+	r.sentTo = append(r.sentTo, x.SentTo...)
 	if x.Outcome == retry.Answered {
 		s.o.Counter.RecordRelay(r.service.Name, x.Outcome.String(), "")
 		return s.relayAnswered(r, resp), false
@@ -167,7 +169,7 @@
 	r.service = snap.Config.Services[x.Service]
 	f := s.runToEnd(r)
 	s.recordOutcome(r, f)
-	y := RelayResult{Reason: f.reason, RetryAfter: f.retryAfter}
+	y := RelayResult{Reason: f.reason, RetryAfter: f.retryAfter, SentTo: r.sentTo[len(x.SentTo):]}
 	switch {
 	case f.response != nil:
 		y.Outcome = retry.Answered
--- a/io/send/relay_test.go
+++ b/io/send/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/reach"
 	"heatherrouter/core/retry"
 	"heatherrouter/core/site"
@@ -83,3 +85,50 @@
 		require.Equal(t, x.report, x.r.report(), x.r.Reason)
 	}
 }
+
+// sentRelay is a Relay whose peers have sent each request to a server that turned it away, and can't reach another.
+type sentRelay struct{ got [][]ident.Server }
+
+func (s *sentRelay) Send(_ context.Context, _ ident.Daemon, x *Relayed, _ *fasthttp.Response) RelayResult {
+	s.got = append(s.got, x.SentTo)
+	return RelayResult{Outcome: retry.NotRun, Reason: reasonServerUnreachable, SentTo: []ident.Server{"a"}}
+}
+
+// Guards against sending a request to the same server, and over its limits, by one peer after another.
+func TestNextPeerKnowsWhereTheRequestWasSent(t *testing.T) {
+	y := &sentRelay{}
+	d := map[ident.Daemon]*site.Daemon{"self": {}, "p": {}, "q": {}}
+	c, err := site.NewConfig(1, nil, nil, nil, site.DefaultLimits())
+	require.NoError(t, err)
+	s := New(Options{
+		Clock: clock.New(), View: staticView{&site.Snapshot{Config: c, Daemons: d}}, Counter: noCounter{}, Relay: y, Paths: noPaths{},
+		Relays: reach.NewRelays("self", nil, rand.IntN), Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+	})
+	r := &request{service: &site.Service{Name: "s"}, caller: t.Context(), ctx: t.Context(), deadline: s.o.Clock.Now().Add(time.Second)}
+	for range 2 {
+		f, again := s.relay(r, s.o.Clock.Now())
+		require.Nil(t, f)
+		require.True(t, again)
+	}
+	require.Equal(t, [][]ident.Server{nil, {"a"}}, y.got)
+	_, again := s.relay(r, s.o.Clock.Now())
+	require.False(t, again, "both peers were asked")
+}
+
+type staticView struct{ s *site.Snapshot }
+
+func (v staticView) Snapshot() *site.Snapshot     { return v.s }
+func (v staticView) Holds() *hold.Holds           { return nil }
+func (v staticView) Changed() <-chan struct{}     { return nil }
+func (v staticView) CopyAge() time.Duration       { return 0 }
+func (v staticView) Refresh(context.Context) bool { return false }
+
+// noPaths is a Paths of a daemon that reaches all servers.
+type noPaths struct{}
+
+func (noPaths) State(*site.Server) (reach.State, reach.Failure) { return reach.Reachable, 0 }
+func (noPaths) Answered(*site.Server)                           {}
+func (noPaths) Failed(mono.Time, *site.Server, reach.Failure)   {}
+func (noPaths) Verify(*site.Server)                             {}
+func (noPaths) Suspected(ident.Service) bool                    { return false }
+func (noPaths) SilentSince() mono.Time                          { return 0 }
