--- a/io/fakes/cut/block.go
+++ b/io/fakes/cut/block.go
@@ -38,13 +38,12 @@
 		}
 		r.l = l
 		r.wg.Go(func() { r.accept(l) })
-	case Hang:
-		f, err := newFullListener(r.addr)
+	case Hang, Refuse:
+		f, err := newBoundSocket(r.addr, b == Hang)
 		if err != nil {
 			return err
 		}
 		r.fill = f
-	case Refuse:
 	}
 	return nil
 }
@@ -59,13 +58,14 @@
 	}
 }
 
-// fullListener listens with a full queue of connections, so that the kernel drops further attempts to connect.
-type fullListener struct {
+// boundSocket keeps the relay's address from being used by others. It doesn't listen, so that connections are refused, or its queue of
+// connections is full, so that the kernel drops further attempts to connect.
+type boundSocket struct {
 	file *os.File
-	conn net.Conn
+	conn net.Conn // the one that fills the queue
 }
 
-func newFullListener(addr string) (*fullListener, error) {
+func newBoundSocket(addr string, full bool) (*boundSocket, error) {
 	a, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -74,14 +74,14 @@
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	f := &fullListener{file: os.NewFile(uintptr(fd), "full-listener")} //nolint:gosec // a descriptor
+	f := &boundSocket{file: os.NewFile(uintptr(fd), "bound-socket")} //nolint:gosec // a descriptor
 	if err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err == nil {
 		err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()})
 	}
-	if err == nil {
+	if err == nil && full {
 		err = syscall.Listen(fd, 0)
 	}
-	if err == nil {
+	if err == nil && full {
 		f.conn, err = net.Dial("tcp", addr) // stays in the queue, which has one place
 	}
 	if err != nil {
@@ -91,7 +91,7 @@
 	return f, nil
 }
 
-func (f *fullListener) close() {
+func (f *boundSocket) close() {
 	if f == nil {
 		return
 	}
--- a/io/fakes/cut/tcp.go
+++ b/io/fakes/cut/tcp.go
@@ -25,7 +25,7 @@
 	blocking sync.Mutex
 	l        net.Listener
 	block    Block
-	fill     *fullListener // set while the block is Hang
+	fill     *boundSocket // set while new connections are blocked
 
 	pairs sync.Mutex
 	live  map[*pair]struct{}
