Keep using open connections while new ones fail

When new connections are refused and open ones live on, an answer on an open one made the server count as reachable, the next new connection failed, and each failure counted as a sign of a restart, after which a server gets a request each 0.4 s. An answer on an earlier connection now says nothing about new ones: the server stays unreachable for these, its open connections stay in use, and only a new connection ends that. A refused connection beside open ones is no sign of a restart. TestOpenConnectionsWorkWhileNewOnesFail guards it. TestAnswered expects the new field that tells new connections from earlier ones.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -92,12 +92,18 @@
 	return &Paths{paths: map[Target]*path{}, services: map[ident.Service]*service{}}
 }
 
-// Answered records that the server sent something or accepted a connection. It returns how long the server was unreachable, or 0
-// if it was not.
-func (p *Paths) Answered(now mono.Time, t Target) time.Duration {
+// Answered records that the server sent something, and whether a new connection was opened for it. On an earlier connection that says
+// nothing about new ones: the server stays unreachable, but open connections work. Answered returns how long the server was
+// unreachable, or 0 if it was not or still is.
+func (p *Paths) Answered(now mono.Time, t Target, fresh bool) time.Duration {
 	s := p.service(t.Service)
-	s.answeredAt, s.suspectAt, s.failure, s.failed = now, 0, 0, s.failed[:0]
+	s.answeredAt = now
 	x := p.path(t)
+	if !fresh && (x.failure != 0 || s.suspectAt != 0) {
+		x.answeredAt, x.failure, s.failure = now, min(x.failure, Refused), min(s.failure, Refused)
+		return 0
+	}
+	s.suspectAt, s.failure, s.failed = 0, 0, s.failed[:0]
 	lost := time.Duration(0)
 	if x.failure != 0 {
 		lost = max(1, now.Sub(x.lostAt))
@@ -108,12 +114,12 @@
 }
 
 // Failed records an attempt to reach the server that began at the given time. It reports whether the server has become
-// unreachable, and whether all servers of its service are suspected from now on. An attempt counts for nothing if the server has
-// answered since it began: a busy server may not accept a connection for seconds and still answer on others.
+// unreachable, and whether all servers of its service are suspected from now on. If the server has answered since the attempt
+// began, only new connections fail.
 func (p *Paths) Failed(began, now mono.Time, t Target, f Failure) (lost, suspected bool) {
 	x := p.path(t)
 	if x.answeredAt > began {
-		return false, false
+		f = Refused
 	}
 	lost = x.failure == 0
 	if lost {
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -18,7 +18,7 @@
 
 func TestOneLostServerSuspectsNoOther(t *testing.T) {
 	p := NewPaths()
-	p.Answered(begin, target("b"))
+	p.Answered(begin, target("b"), true)
 	lost, suspected := p.Failed(begin.Add(1), begin.Add(2), target("a"), Refused)
 	require.True(t, lost)
 	require.False(t, suspected)
@@ -32,17 +32,23 @@
 	_, suspected := p.Failed(begin, begin.Add(2), target("b"), Silent)
 	require.True(t, suspected)
 	require.Equal(t, Unverified, p.State(target("c")))
-	p.Answered(begin.Add(3), target("c"))
+	p.Answered(begin.Add(3), target("c"), true)
 	require.Equal(t, Reachable, p.State(target("d")), "one server answers, so the others are not suspected")
 	require.Equal(t, Unreachable, p.State(target("a")))
 }
 
-// Guards against servers that count as unreachable because they were too busy to accept one connection.
-func TestFailureBeforeAnswerIsIgnored(t *testing.T) {
+// Guards against giving up the open connections to a server that accepts no new ones, and against trying new ones again and again
+// because the open ones work.
+func TestOpenConnectionsWorkWhileNewOnesFail(t *testing.T) {
 	p := NewPaths()
-	p.Answered(begin.Add(10), target("a"))
-	lost, _ := p.Failed(begin, begin.Add(20), target("a"), Silent)
-	require.False(t, lost)
+	p.Answered(begin.Add(10), target("a"), false)
+	lost, suspected := p.Failed(begin, begin.Add(20), target("a"), Silent)
+	require.True(t, lost)
+	require.False(t, suspected)
+	require.Equal(t, Refused, p.Failure(target("a")))
+	require.Zero(t, p.Answered(begin.Add(30), target("a"), false))
+	require.Equal(t, Unreachable, p.State(target("a")))
+	require.NotZero(t, p.Answered(begin.Add(40), target("a"), true))
 	require.Equal(t, Reachable, p.State(target("a")))
 }
 
@@ -51,8 +57,8 @@
 	p.Failed(begin, begin.Add(time.Second), target("a"), Refused)
 	p.Failed(begin, begin.Add(2*time.Second), target("a"), Refused)
 	require.False(t, p.AllReachable())
-	require.Equal(t, 4*time.Second, p.Answered(begin.Add(5*time.Second), target("a")))
-	require.Zero(t, p.Answered(begin.Add(6*time.Second), target("a")))
+	require.Equal(t, 4*time.Second, p.Answered(begin.Add(5*time.Second), target("a"), true))
+	require.Zero(t, p.Answered(begin.Add(6*time.Second), target("a"), true))
 	require.True(t, p.AllReachable())
 }
 
@@ -83,14 +89,14 @@
 func TestServicesWithoutAnswerAreVerified(t *testing.T) {
 	p := NewPaths()
 	other, third := Target{Service: "other", Server: "x"}, Target{Service: "third", Server: "y"}
-	p.Answered(begin, other)
-	p.Answered(begin, third)
+	p.Answered(begin, other, true)
+	p.Answered(begin, third, true)
 	p.Failed(begin.Add(1), begin.Add(2), target("a"), Silent)
 	require.Equal(t, Reachable, p.State(other))
 	p.Failed(begin.Add(1), begin.Add(3), target("b"), Silent)
-	p.Answered(begin.Add(4), third)
+	p.Answered(begin.Add(4), third, true)
 	require.Equal(t, Unverified, p.State(other))
 	require.Equal(t, Reachable, p.State(third))
-	p.Answered(begin.Add(5), target("a"))
+	p.Answered(begin.Add(5), target("a"), true)
 	require.Equal(t, Reachable, p.State(other))
 }
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -105,6 +105,9 @@
 	// ConnLimitReached reports that the server reset a new connection and left others open: it has reached its
 	// connection limit and has not restarted.
 	ConnLimitReached bool
+
+	Fresh      bool // a new connection was opened for the exchange
+	OthersOpen bool // no new connection could be opened while others are open
 }
 
 // Errors of exchanges, as found in Result.Err.
@@ -189,11 +192,13 @@
 	for {
 		c, r := p.get(ctx, call)
 		if c == nil {
-			r.ConnLimitReached = r.End == admit.EndReset && p.hasOpenConn()
+			r.OthersOpen = p.hasOpenConn()
+			r.ConnLimitReached = r.End == admit.EndReset && r.OthersOpen
 			return nil, r
 		}
 		used := c.used
 		r = c.do(ctx, p, call, req, resp, streamed)
+		r.Fresh = !used
 		if r.Err == nil && (streamed || c.reusable()) {
 			return c, r
 		}
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -108,7 +108,7 @@
 	for i := range 10 {
 		path := fmt.Sprintf("/%d", i)
 		r, body := do(p, shortCall(), path)
-		require.Equal(t, Result{Outcome: retry.Answered, End: admit.EndAnswered, Incarnation: ident.Incarnation(7)}, r)
+		require.Equal(t, Result{Outcome: retry.Answered, End: admit.EndAnswered, Incarnation: ident.Incarnation(7), Fresh: i == 0}, r)
 		require.Equal(t, "to "+path, body)
 	}
 	require.EqualValues(t, 1, accepted.Load(), "one connection is reused")
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -50,7 +50,7 @@
 
 // Paths is the daemon's record of which servers it can reach.
 type Paths interface {
-	Answered(x *site.Server)
+	Answered(x *site.Server, fresh bool)
 	Failed(began mono.Time, x *site.Server, f reach.Failure)
 	Verify(x *site.Server)                                      // checks the server in the background
 	Check(c context.Context, ids []ident.Server) []ident.Server // connects to the servers and returns those that accept
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -175,7 +175,7 @@
 func (g *Granter) observePath(l *link, r conns.Result, began mono.Time) {
 	switch {
 	case r.Err == nil:
-		g.o.Paths.Answered(l.server)
+		g.o.Paths.Answered(l.server, r.Fresh)
 	case r.End == admit.EndDialFailed:
 		if f := paths.FailureOf(r.Err, g.o.Clock.Now().Sub(began), orderDialTimeout); f != 0 {
 			g.o.Paths.Failed(began, l.server, f)
--- a/io/paths/paths.go
+++ b/io/paths/paths.go
@@ -79,10 +79,10 @@
 	return reach.Target{Service: x.Service, Server: x.ID, Born: x.Born, Addr: x.Addr}
 }
 
-// Answered records that the server sent something on a connection of this daemon.
-func (t *Tracker) Answered(x *site.Server) {
+// Answered records that the server sent something on a connection of this daemon, and whether the connection was new.
+func (t *Tracker) Answered(x *site.Server, fresh bool) {
 	t.mu.Lock()
-	d := t.paths.Answered(t.o.Clock.Now(), TargetOf(x))
+	d := t.paths.Answered(t.o.Clock.Now(), TargetOf(x), fresh)
 	if t.failures.Load() {
 		t.failures.Store(!t.paths.AllReachable())
 	}
@@ -188,7 +188,7 @@
 		t.Failed(began, x, f)
 	}
 	if err == nil {
-		t.Answered(x)
+		t.Answered(x, true)
 	}
 	return err == nil
 }
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -246,6 +246,9 @@
 			b.load.RecordFailure(now, avoidWhenFull)
 			break
 		}
+		if x.End == admit.EndDialFailed && x.OthersOpen {
+			break // it has not restarted, and requests on open connections are answered
+		}
 		b.load.RecordFailure(now, avoidAfterFailure)
 		b.restartSuspectedUntil = now.Add(restartSuspicionTime)
 	case admit.EndTimeout, admit.EndUnresponsive:
--- a/io/send/path.go
+++ b/io/send/path.go
@@ -36,7 +36,7 @@
 func (s *Sender) observePath(b *backend, x conns.Result, began mono.Time, took time.Duration) {
 	switch {
 	case x.Outcome == retry.Answered || x.End == admit.EndRefused || x.ConnLimitReached:
-		s.o.Paths.Answered(b.server)
+		s.o.Paths.Answered(b.server, x.Fresh || x.ConnLimitReached)
 	case x.End == admit.EndDialFailed:
 		if f := paths.FailureOf(x.Err, took, dialTimeout); f != 0 {
 			s.o.Paths.Failed(began, b.server, f)
--- a/io/send/relay_test.go
+++ b/io/send/relay_test.go
@@ -127,7 +127,7 @@
 type noPaths struct{}
 
 func (noPaths) State(*site.Server) (reach.State, reach.Failure) { return reach.Reachable, 0 }
-func (noPaths) Answered(*site.Server)                           {}
+func (noPaths) Answered(*site.Server, bool)                     {}
 func (noPaths) Failed(mono.Time, *site.Server, reach.Failure)   {}
 func (noPaths) Verify(*site.Server)                             {}
 func (noPaths) Suspected(ident.Service) bool                    { return false }
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -99,7 +99,7 @@
 // Paths is the daemon's record of which servers it can reach.
 type Paths interface {
 	State(x *site.Server) (reach.State, reach.Failure)
-	Answered(x *site.Server)
+	Answered(x *site.Server, fresh bool)
 	Failed(began mono.Time, x *site.Server, f reach.Failure)
 	Verify(x *site.Server) // checks the server in the background
 	Suspected(n ident.Service) bool
