Send the whole table to peers behind a full read

Its row had been deleted at revision 33. daemon-4, just restarted, had read the whole table at revision 34 and never known the row, so it had no tombstone for it; daemon-3 and daemon-0, at revision 31 and 32, got the changes up to 34 from it, without the deletion ('servers changed' with rev 34 and no server gone, while daemon-1 and daemon-2 list server-2 as gone). The coordinator then kept the keys at a server that was no more.

Change: a copy that was read whole tells of deletions only from that revision on; a peer behind it gets the whole table, in which a row that isn't listed is gone. TestRowDeletedBeforePeerReadTheTable fails without it.

--- a/io/feed/role_test.go
+++ b/io/feed/role_test.go
@@ -75,3 +75,22 @@
 	makeCoordinator(t, m, l[0], "a", 2)
 	require.Eventually(t, l[0].Supported, time.Second, 5*time.Millisecond, "withdrawals hold for the earlier term only")
 }
+
+// Guards against servers that a daemon never drops because it got their deletion from a peer that has never known them.
+func TestRowDeletedBeforePeerReadTheTable(t *testing.T) {
+	old, restarted := newTable(), newTable()
+	old.replace(store.Page{Rows: []store.Row{{Key: "gone", Value: []byte("x"), Rev: 1}, {Key: "kept", Value: []byte("x"), Rev: 2}}, Rev: 2})
+	restarted.replace(store.Page{Rows: []store.Row{{Key: "kept", Value: []byte("x"), Rev: 2}, {Key: "new", Value: []byte("x"), Rev: 4}}, Rev: 4})
+	x := restarted.changesSince(store.Servers, old.rev, nil)
+	p, err := old.decodePage(x)
+	require.NoError(t, err)
+	if x.GetWhole() {
+		old.replace(p)
+	} else {
+		old.apply(p)
+	}
+	require.NotContains(t, old.rows, "gone")
+	require.Contains(t, old.rows, "new")
+	require.Contains(t, old.rows, "kept")
+	require.Nil(t, restarted.changesSince(store.Servers, old.rev, nil))
+}
--- a/io/feed/table.go
+++ b/io/feed/table.go
@@ -59,6 +59,8 @@
 			p.Rows = append(p.Rows, store.Row{Key: k, Rev: p.Rev, Gone: true})
 		}
 	}
+	// Peers may have rows that were deleted before this copy knew of them.
+	t.tombstoneFloor = max(t.tombstoneFloor, p.Rev)
 	return t.apply(p)
 }
 
