Only lost links end waiting requests

The server was overrun and did not accept the connection that checked it; it counted as silent, and the requests that waited for it were ended to be repeated elsewhere ('its run ends: cut').

Now waiting requests are ended, and idle connections closed, only if no server of the service answers either. TestOnlyLostLinksEndWaitingRequests fails without it.

--- a/io/send/path.go
+++ b/io/send/path.go
@@ -65,7 +65,7 @@
 		case <-t.C:
 		}
 		for _, b := range s.unansweredBackends(s.o.Clock.Now()) {
-			if x, f := s.o.Paths.State(b.server); x == reach.Unreachable && f == reach.Silent {
+			if s.silent(b) {
 				b.cancelWaiting()
 				continue
 			}
@@ -74,6 +74,13 @@
 	}
 }
 
+// silent reports whether the server can't be reached because of this daemon's links, so that nothing comes back on open connections
+// either. A busy server may not accept a connection for seconds while it works on requests; then others of its service answer.
+func (s *Sender) silent(b *backend) bool {
+	x, f := s.o.Paths.State(b.server)
+	return x == reach.Unreachable && f == reach.Silent && s.o.Paths.Suspected(b.server.Service)
+}
+
 // unansweredBackends returns the servers that have requests of this daemon and have sent nothing for longer than usual.
 func (s *Sender) unansweredBackends(now mono.Time) []*backend {
 	doubt := now.Sub(s.o.Paths.SilentSince()) < doubtWindow
@@ -151,7 +158,7 @@
 	if x == reach.Reachable {
 		return true
 	}
-	if x == reach.Unreachable && f == reach.Silent {
+	if s.silent(b) {
 		b.pool.CloseIdle() // nothing sent on them would arrive
 	}
 	return f == reach.Refused && b.pool.HasIdle()
