Record which backend servers name a limit on their requests

No code read the limit that a server names in its responses, and no log line, metric or state said that one was named. Nothing decides by it yet.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -71,6 +71,7 @@
 	granter      *grant.Granter
 	sender       *send.Sender
 	limiter      *limit.Limiter
+	serverLimits *limit.Servers
 	guard        *guard.Guard
 	paths        *paths.Tracker
 	relay        *relay.Server
@@ -117,6 +118,9 @@
 		Self: s.Name, Incarnation: n.incarnation, View: n.feed, Clock: n.clock, Log: n.o.Log,
 		Policy: quota.Policy{Window: s.Limits.QuotaWindow, Overshoot: s.Limits.QuotaOvershoot, Slack: s.Limits.QuotaSlack},
 	})
+	if err := n.trackServerLimits(); err != nil {
+		return err
+	}
 	if err := n.trackPaths(); err != nil {
 		return err
 	}
@@ -134,7 +138,7 @@
 		Self: s.Name, Domain: s.Domain, View: n.feed, Dialect: n.o.Platform.Dialect,
 		ColdLimit:  pace.ColdLimit{Factor: s.Limits.ColdFactor, Slack: s.Limits.ColdSlack},
 		RetryLimit: pace.RetryLimit{Ratio: s.Limits.RetryRatio, Slack: s.Limits.RetrySlack, Window: s.Limits.RetryWindow},
-		Clock:      n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Guard: n.guard, Paths: n.paths,
+		Clock:      n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Limits: n.serverLimits, Guard: n.guard, Paths: n.paths,
 		Relays: reach.NewRelays(s.Name, s.Regions, rand.IntN), Relay: relay.NewClient(n.clock, exchanger{n}), MaxCopyAge: s.Limits.MaxCopyAge,
 	})
 	n.relay = relay.NewServer(n.clock, n.sender)
@@ -164,6 +168,13 @@
 	return nil
 }
 
+// trackServerLimits starts the record of the limits that backend servers name.
+func (n *Node) trackServerLimits() error {
+	n.serverLimits = limit.NewServers(limit.ServersOptions{Clock: n.clock, Log: n.o.Log})
+	return n.meter.Gauge("heatherrouter.servers.limited", "{server}", "backend servers that name a limit on their requests",
+		func() float64 { return float64(n.serverLimits.Count()) })
+}
+
 // trackPaths starts the record of the servers that the daemon can reach.
 func (n *Node) trackPaths() error {
 	n.paths = paths.New(n.group, paths.Options{View: n.feed, Clock: n.clock, Log: n.o.Log, Dial: guard.Dial})
@@ -306,6 +317,7 @@
 			return nil
 		case <-t.C:
 			n.sender.Prune()
+			n.serverLimits.Prune(n.feed.Snapshot())
 			if n.feed.IsCoordinator() {
 				n.granter.AddMeasurements(n.sender.TakeMeasurements())
 			}
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -9,6 +9,7 @@
 
 	"heatherrouter/core/admit"
 	"heatherrouter/core/crash"
+	"heatherrouter/core/limits"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/retry"
 	"heatherrouter/io/conns"
@@ -44,6 +45,7 @@
 	x, sent := s.exchange(r, b, resp)
 	if sent {
 		r.sentTo = append(r.sentTo, b.server.ID)
+		s.o.Limits.Sent(b.server)
 	}
 	took := s.o.Clock.Now().Sub(now)
 	s.observe(r, b, x, resp, took)
@@ -215,11 +217,28 @@
 		s.observeSize(r.route.Name, len(r.req.Body())+len(resp.Body()))
 	}
 	s.observePath(b, x, now.Add(-took), took)
+	if x.Outcome == retry.Answered || x.End == admit.EndRefused {
+		s.observeLimit(b, resp)
+	}
 	if d := b.observe(now, x, resp, took, s.o.Dialect); d > 0 {
 		s.observeServiceTime(b.server.Service, d)
 	}
 }
 
+// observeLimit records the limit that the server names in its response. A misdirected request may have been answered by another
+// server at the address, and a value that can't be parsed says neither that there is a limit nor that there is none.
+func (s *Sender) observeLimit(b *backend, resp *fasthttp.Response) {
+	if resp.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		return
+	}
+	v := resp.Header.Peek(s.o.Dialect.Limit)
+	if len(v) == 0 {
+		s.o.Limits.Observe(b.server, 0)
+	} else if rate, ok := s.o.Dialect.ParseLimit(v); ok {
+		s.o.Limits.Observe(b.server, max(rate, limits.MinRate))
+	}
+}
+
 // observe updates the server's state after an exchange. It returns the service time of the request at a server with
 // slowdown 1, or 0 if the request had to wait or the server was slowed by interference.
 func (b *backend) observe(now mono.Time, x conns.Result, resp *fasthttp.Response, took time.Duration, d Dialect) time.Duration {
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -39,12 +39,16 @@
 	NotRun         string // in responses: the server did not run the request
 	Signature      string // in responses: the server's signature, without which a success is not accepted
 	Load           string // in responses: the server's load, see ParseLoad
+	Limit          string // in responses: the requests per second that the server takes from all daemons, see ParseLimit
 	RetryAfter     string // in refusals: delay in seconds, with fractions
 
 	Organisation string // to servers: the caller's organisation; removed from what callers send
 
 	// ParseLoad parses the value of the Load header.
 	ParseLoad func(value []byte) (LoadReport, bool)
+
+	// ParseLimit parses the value of the Limit header.
+	ParseLimit func(value []byte) (rate float64, ok bool)
 }
 
 // LoadReport is a server's report of its load.
@@ -79,6 +83,7 @@
 	Clock      *clock.Clock
 	Counter    Counter
 	Limiter    Limiter
+	Limits     ServerLimits
 	Guard      Guard
 	Paths      Paths
 	Relays     *reach.Relays
@@ -96,6 +101,15 @@
 	Return(n ident.Organisation)
 }
 
+// ServerLimits enforces the request limits that backend servers name.
+type ServerLimits interface {
+	// Observe records the limit that a response of the server names, in requests per second; 0 if it names none.
+	Observe(x *site.Server, rate float64)
+
+	// Sent records that a request was sent to the server.
+	Sent(x *site.Server)
+}
+
 // Paths is the daemon's record of which servers it can reach.
 type Paths interface {
 	State(x *site.Server) (reach.State, reach.Failure)
