Let token pools limit other subjects than organisations

The ledger and the token caches of core/quota take a Subject and its limit in place of an organisation, and io/limit keeps what doesn't depend on organisations in a pool. No change of behaviour: tests of core/quota and of organisations on the platform pass as before.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -9,7 +9,7 @@
 	"heatherrouter/core/site"
 )
 
-// account is the coordinator's state for one organisation.
+// account is the coordinator's state for one subject.
 type account struct {
 	policy        Policy
 	limit         site.Limit
@@ -25,7 +25,7 @@
 	holdings      map[ident.Daemon]*holding
 }
 
-// holding is the coordinator's record of one daemon's tokens for one organisation.
+// holding is the coordinator's record of one daemon's tokens for one subject.
 type holding struct {
 	seq           uint64  // Seq of the latest applied Entry
 	tokens        float64 // unused tokens held by the daemon
@@ -129,7 +129,7 @@
 	// the bucket has fewer.
 	minCachedPerDaemon = 2
 
-	// fallbackHorizon is the period for which an organisation's unused rate is added to the fallback bursts.
+	// fallbackHorizon is the period for which a subject's unused rate is added to the fallback bursts.
 	fallbackHorizon = 3 * time.Second
 
 	// maxFallbackBurstShare is the largest share of the window's headroom that is reserved for fallback bursts.
@@ -147,7 +147,7 @@
 	h.tokens += cached
 	x.setFallback(h, daemons, unreportedRate)
 	g := Grant{
-		Organisation: e.Organisation, Seq: e.Seq, Tokens: uint64(waiting + cached),
+		Subject: e.Subject, Seq: e.Seq, Tokens: uint64(waiting + cached),
 		FallbackRate: h.fallbackRate, FallbackBurst: h.fallbackBurst,
 	}
 	if waiting < float64(e.Waiting) {
@@ -192,7 +192,7 @@
 }
 
 // setFallback sets what the daemon may send while no coordinator answers it: its current rate plus a share of the
-// organisation's unused rate.
+// subject's unused rate.
 func (x *account) setFallback(h *holding, daemons int, unreportedRate float64) {
 	left := max(0, x.limit.Rate-unreportedRate)
 	unused := max(0, left-x.rate)
--- a/core/quota/cache.go
+++ b/core/quota/cache.go
@@ -37,7 +37,7 @@
 	// Refused means that no token is available.
 	Refused struct {
 		RetryAfter time.Duration
-		Limited    bool // whether the organisation's limit is the cause; false if no coordinator could be asked
+		Limited    bool // whether the subject's limit is the cause; false if no coordinator could be asked
 	}
 )
 
@@ -50,13 +50,13 @@
 	policy            Policy
 	incarnation       ident.Incarnation
 	answeredAskAt     mono.Time // when the last answered Ask was sent
-	balances          map[ident.Organisation]*balance
+	balances          map[Subject]*balance
 	unresponsiveSince mono.Time      // when the coordinator became unresponsive; 0 while it answers
 	isolated          bool           // the daemon is isolated from the rest of its site
 	random            func() float64 // returns a number in [0, 1)
 }
 
-// balance is the daemon's state for one organisation.
+// balance is the daemon's state for one subject.
 type balance struct {
 	limit          site.Limit
 	tokens         uint64
@@ -79,12 +79,12 @@
 
 // NewTokenCache returns an empty cache for a daemon that has just started.
 func NewTokenCache(p Policy, incarnation ident.Incarnation, now mono.Time, random func() float64) *TokenCache {
-	return &TokenCache{policy: p, incarnation: incarnation, unresponsiveSince: now, random: random, balances: map[ident.Organisation]*balance{}}
+	return &TokenCache{policy: p, incarnation: incarnation, unresponsiveSince: now, random: random, balances: map[Subject]*balance{}}
 }
 
-// Take takes a token for a request of the organisation. Set waited if the request has already waited for one.
-func (c *TokenCache) Take(now mono.Time, o *site.Organisation, daemons int, waited bool) Decision {
-	b := c.balance(o)
+// Take takes a token for a request of the subject, whose limit is given. Set waited if the request has already waited for one.
+func (c *TokenCache) Take(now mono.Time, n Subject, l site.Limit, daemons int, waited bool) Decision {
+	b := c.balance(n, l)
 	if !waited {
 		b.arrivals.add(now, arrivalTimeConstant)
 		b.demand.add(now, useTimeConstant)
@@ -103,17 +103,17 @@
 	}
 }
 
-func (c *TokenCache) balance(o *site.Organisation) *balance {
-	b := c.balances[o.Name]
+func (c *TokenCache) balance(n Subject, l site.Limit) *balance {
+	b := c.balances[n]
 	if b == nil {
 		b = &balance{sent: sentWindow{length: c.policy.Window + windowMargin}}
-		c.balances[o.Name] = b
+		c.balances[n] = b
 	}
-	if o.Limit.Rate < b.limit.Rate {
+	if l.Rate < b.limit.Rate {
 		// Tokens granted under the higher limit would exceed the new one.
-		b.tokens = uint64(float64(b.tokens) * o.Limit.Rate / b.limit.Rate)
+		b.tokens = uint64(float64(b.tokens) * l.Rate / b.limit.Rate)
 	}
-	b.limit = o.Limit
+	b.limit = l
 	return b
 }
 
@@ -126,7 +126,7 @@
 }
 
 // Return returns the token of a request that is known not to have run.
-func (c *TokenCache) Return(n ident.Organisation) {
+func (c *TokenCache) Return(n Subject) {
 	if b := c.balances[n]; b != nil {
 		b.spent--
 		b.tokens++
@@ -135,19 +135,19 @@
 }
 
 // AddWaiting adds d to the number of requests waiting for a token.
-func (c *TokenCache) AddWaiting(n ident.Organisation, d int) {
+func (c *TokenCache) AddWaiting(n Subject, d int) {
 	if b := c.balances[n]; b != nil {
 		b.waiting = uint64(max(0, int(b.waiting)+d)) //nolint:gosec // not negative
 	}
 }
 
-// UrgentAsk returns an Ask for the organisations with waiting requests. The granted tokens have to last for the horizon. The
+// UrgentAsk returns an Ask for the subjects with waiting requests. The granted tokens have to last for the horizon. The
 // term is that of the coordinator that is asked.
 func (c *TokenCache) UrgentAsk(now mono.Time, horizon time.Duration, term site.Term) Ask {
 	return c.ask(now, horizon, term, func(b *balance, _ Entry) bool { return b.waiting > 0 })
 }
 
-// Ask returns an Ask for all organisations whose state has changed or hasn't been acknowledged.
+// Ask returns an Ask for all subjects whose state has changed or hasn't been acknowledged.
 func (c *TokenCache) Ask(now mono.Time, horizon time.Duration, term site.Term) Ask {
 	a := c.ask(now, horizon, term, func(b *balance, e Entry) bool {
 		return b.changed || b.unacknowledged || b.fallback.term != term || e.Want != b.lastEntry.Want ||
@@ -180,10 +180,10 @@
 }
 
 const (
-	idleRate = 0.05 // requests per second below which an organisation is considered idle
+	idleRate = 0.05 // requests per second below which a subject is considered idle
 
-	// minExpectedRequests is the number of requests expected within the horizon below which no tokens are cached for an
-	// organisation.
+	// minExpectedRequests is the number of requests expected within the horizon below which no tokens are cached for a
+	// subject.
 	minExpectedRequests = 0.2
 )
 
@@ -196,7 +196,7 @@
 }
 
 // entry returns the Entry for the balance after releasing the tokens it doesn't need.
-func (b *balance) entry(now mono.Time, n ident.Organisation, horizon time.Duration) Entry {
+func (b *balance) entry(now mono.Time, n Subject, horizon time.Duration) Entry {
 	want := uint64(0)
 	if mean := b.arrivals.at(now, arrivalTimeConstant) * horizon.Seconds(); mean >= minExpectedRequests {
 		want = uint64(math.Ceil(mean + math.Sqrt(mean)))
@@ -205,13 +205,13 @@
 		b.tokens, b.changed = most, true
 	}
 	return Entry{
-		Organisation: n, Spent: b.spent, Held: b.tokens, Waiting: b.waiting, Want: want - min(want, b.tokens),
+		Subject: n, Spent: b.spent, Held: b.tokens, Waiting: b.waiting, Want: want - min(want, b.tokens),
 		Rate: b.uses.at(now, useTimeConstant), Demand: b.demand.at(now, useTimeConstant), FallbackRate: b.fallback.rate,
 	}
 }
 
-// Usage returns the organisation's unused tokens and the requests sent in the current window.
-func (c *TokenCache) Usage(now mono.Time, n ident.Organisation) (tokens, sent int) {
+// Usage returns the subject's unused tokens and the requests sent in the current window.
+func (c *TokenCache) Usage(now mono.Time, n Subject) (tokens, sent int) {
 	b := c.balances[n]
 	if b == nil {
 		return 0, 0
@@ -230,7 +230,7 @@
 		}
 	}
 	for _, g := range a.Grants {
-		b := c.balances[g.Organisation]
+		b := c.balances[g.Subject]
 		if b == nil || b.seq != g.Seq {
 			continue
 		}
@@ -244,10 +244,10 @@
 	}
 }
 
-// DelayUnanswered delays further asks for organisations that the coordinator's answer omitted because it doesn't know them yet.
+// DelayUnanswered delays further asks for subjects that the coordinator's answer omitted because it doesn't know them yet.
 func (c *TokenCache) DelayUnanswered(now mono.Time, a Ask) {
 	for _, e := range a.Entries {
-		if b := c.balances[e.Organisation]; b != nil && b.seq == e.Seq && b.unacknowledged && b.waiting > 0 {
+		if b := c.balances[e.Subject]; b != nil && b.seq == e.Seq && b.unacknowledged && b.waiting > 0 {
 			b.exhaustedUntil = now.Add(minAskDelay)
 		}
 	}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -13,22 +13,22 @@
 	// ask at least once a second.
 	unresponsiveAfter = 1500 * time.Millisecond
 
-	// minAskDelay and maxAskDelay bound how long daemons wait before asking again for an organisation at its limit.
+	// minAskDelay and maxAskDelay bound how long daemons wait before asking again for a subject at its limit.
 	minAskDelay = 100 * time.Millisecond
 	maxAskDelay = time.Second
 
-	// maxRetryAfter bounds the retry delay sent to callers of an organisation over its limit.
+	// maxRetryAfter bounds the retry delay sent to callers of a subject over its limit.
 	maxRetryAfter = 5 * time.Second
 )
 
-// Ledger tracks the requests and tokens of all organisations for one coordinator term.
+// Ledger tracks the requests and tokens of all subjects for one coordinator term.
 //
-// For each organisation, the requests sent in the current window, the tokens held by daemons and the fallback bursts together
-// stay within the window's limit. A token bucket per organisation paces its requests within the window.
+// For each subject, the requests sent in the current window, the tokens held by daemons and the fallback bursts together
+// stay within the window's limit. A token bucket per subject paces its requests within the window.
 type Ledger struct {
 	policy   Policy
 	term     site.Term
-	accounts map[ident.Organisation]*account
+	accounts map[Subject]*account
 	daemons  map[ident.Daemon]*daemonState
 
 	bucketsFilled bool // fillBuckets was called in this term
@@ -50,26 +50,26 @@
 func NewLedger(p Policy, term site.Term) *Ledger {
 	return &Ledger{
 		policy: p, term: term, daemonCount: 1,
-		accounts: map[ident.Organisation]*account{}, daemons: map[ident.Daemon]*daemonState{},
+		accounts: map[Subject]*account{}, daemons: map[ident.Daemon]*daemonState{},
 	}
 }
 
-// Configure applies the organisations of the current configuration.
-func (l *Ledger) Configure(now mono.Time, organisations map[ident.Organisation]*site.Organisation) {
+// Configure applies the limits in force. Subjects that are left out have none.
+func (l *Ledger) Configure(now mono.Time, limits map[Subject]site.Limit) {
 	for n := range l.accounts {
-		if o := organisations[n]; o == nil || !o.Limit.Limited() {
+		if !limits[n].Limited() {
 			delete(l.accounts, n)
 		}
 	}
-	for n, o := range organisations {
-		if !o.Limit.Limited() {
+	for n, limit := range limits {
+		if !limit.Limited() {
 			continue
 		}
 		if x := l.accounts[n]; x != nil {
-			x.limit = o.Limit
+			x.limit = limit
 			continue
 		}
-		l.accounts[n] = newAccount(l.policy, o.Limit, now)
+		l.accounts[n] = newAccount(l.policy, limit, now)
 	}
 }
 
@@ -92,7 +92,7 @@
 	x.lastAskAt = now
 	x.hasFullAsk = x.hasFullAsk || a.Full
 	for _, e := range a.Entries {
-		if y := l.accounts[e.Organisation]; y != nil {
+		if y := l.accounts[e.Subject]; y != nil {
 			y.advance(now, l.activeFallbackRate(y))
 			y.applyEntry(d, e)
 		}
@@ -107,7 +107,7 @@
 		return r
 	}
 	for _, e := range a.Entries {
-		y := l.accounts[e.Organisation]
+		y := l.accounts[e.Subject]
 		if y == nil || y.holdings[d] == nil || y.holdings[d].seq != e.Seq {
 			continue
 		}
@@ -144,7 +144,7 @@
 // maxUnreportedShare is the largest share of daemons without a full Ask at which the buckets are filled.
 const maxUnreportedShare = 0.05
 
-// fillBuckets adds the burst to each organisation's bucket. It must run only once daemons have reported the requests sent before
+// fillBuckets adds the burst to each subject's bucket. It must run only once daemons have reported the requests sent before
 // the term, because the window's limit then holds without the buckets.
 func (l *Ledger) fillBuckets() {
 	l.bucketsFilled = true
@@ -153,7 +153,7 @@
 	}
 }
 
-// unreportedFactor is the share of an organisation's limit that is reserved for daemons without a full Ask in this term, as a
+// unreportedFactor is the share of a subject's limit that is reserved for daemons without a full Ask in this term, as a
 // multiple of their share of all daemons.
 const unreportedFactor = 2
 
@@ -174,7 +174,7 @@
 	return min(rate, x.limit.Rate)
 }
 
-// Usage is the site-wide use of an organisation's limit.
+// Usage is the site-wide use of a subject's limit.
 type Usage struct {
 	Sent        float64 // requests in the current window
 	MaxRequests float64 // maximum per window
@@ -184,8 +184,8 @@
 	Daemons     int     // number of daemons that hold or want tokens
 }
 
-// Usage returns the site-wide use of an organisation's limit, or false if the organisation has no limit.
-func (l *Ledger) Usage(now mono.Time, n ident.Organisation) (Usage, bool) {
+// Usage returns the site-wide use of a subject's limit, or false if the subject has no limit.
+func (l *Ledger) Usage(now mono.Time, n Subject) (Usage, bool) {
 	x := l.accounts[n]
 	if x == nil {
 		return Usage{}, false
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -1,6 +1,7 @@
-// Package quota enforces each organisation's request limit across all daemons.
+// Package quota enforces limits on the requests that all daemons send together. A limit applies to a Subject: the callers of
+// an organisation, or one incarnation of a backend server.
 //
-// The coordinator's Ledger has one token bucket per organisation and grants tokens to daemons. Each daemon keeps the tokens that
+// The coordinator's Ledger has one token bucket per subject and grants tokens to daemons. Each daemon keeps the tokens that
 // it needs until its next Ask in a TokenCache and spends one per request. While the coordinator doesn't answer, a daemon sends
 // at the fallback rate last granted to it. The coordinator counts this rate as sent while it receives no Ask from the daemon.
 //
@@ -14,7 +15,10 @@
 	"heatherrouter/core/site"
 )
 
-// Policy defines how an organisation's limit is enforced.
+// Subject identifies what a limit applies to.
+type Subject string
+
+// Policy defines how limits are enforced.
 type Policy struct {
 	Window    time.Duration // period over which requests are counted
 	Overshoot float64       // share by which the limit of a window may be exceeded
@@ -33,13 +37,13 @@
 type Ask struct {
 	Incarnation ident.Incarnation
 	Term        site.Term // term of the addressed coordinator
-	Full        bool      // whether all changed organisations are included
+	Full        bool      // whether all changed subjects are included
 	Entries     []Entry
 }
 
-// Entry is the part of an Ask about one organisation. The coordinator ignores all but the newest one of an incarnation.
+// Entry is the part of an Ask about one subject. The coordinator ignores all but the newest one of an incarnation.
 type Entry struct {
-	Organisation ident.Organisation
+	Subject      Subject
 	Seq          uint64
 	Spent        int64   // requests sent by this incarnation, minus returned tokens
 	Held         uint64  // unused tokens
@@ -60,11 +64,11 @@
 
 // Grant is the answer to the Entry with the same Seq. The daemon ignores it after sending a newer Entry.
 type Grant struct {
-	Organisation  ident.Organisation
+	Subject       Subject
 	Seq           uint64
 	Tokens        uint64
 	FallbackRate  float64       // requests per second allowed while no coordinator answers
 	FallbackBurst float64       // requests allowed at once while no coordinator answers
 	Wait          time.Duration // minimum time before asking again; zero if all waiting requests got a token
-	RetryAfter    time.Duration // retry delay for refused callers; zero if demand is within the organisation's limit
+	RetryAfter    time.Duration // retry delay for refused callers; zero if demand is within the subject's limit
 }
--- a/core/quota/quota_bench_test.go
+++ b/core/quota/quota_bench_test.go
@@ -15,11 +15,11 @@
 	const daemons, organisations, changed = 820, 10_000, 40
 	now := mono.Time(time.Hour)
 	l := NewLedger(policy, 1)
-	m := map[ident.Organisation]*site.Organisation{}
-	names := make([]ident.Organisation, organisations)
+	m := map[Subject]site.Limit{}
+	names := make([]Subject, organisations)
 	for i := range names {
-		names[i] = ident.Organisation(fmt.Sprintf("organisation-%d", i))
-		m[names[i]] = &site.Organisation{Name: names[i], Limit: site.Limit{Rate: 50, Burst: 50}}
+		names[i] = Subject(fmt.Sprintf("organisation-%d", i))
+		m[names[i]] = site.Limit{Rate: 50, Burst: 50}
 	}
 	l.Configure(now, m)
 	known := make([]ident.Daemon, daemons)
@@ -33,7 +33,7 @@
 		a := Ask{Incarnation: 1, Term: 1, Full: true}
 		for i := range uint64(changed) {
 			a.Entries = append(a.Entries, Entry{
-				Organisation: names[(seq*changed+i)%organisations], Seq: seq, Spent: int64(seq), Want: 1, Rate: 0.3, Demand: 0.3,
+				Subject: names[(seq*changed+i)%organisations], Seq: seq, Spent: int64(seq), Want: 1, Rate: 0.3, Demand: 0.3,
 			})
 		}
 		now = now.Add(time.Second / daemons)
@@ -45,11 +45,11 @@
 func BenchmarkTake(b *testing.B) {
 	now := mono.Time(time.Hour)
 	c := NewTokenCache(policy, 1, now, func() float64 { return 0 })
-	o := &site.Organisation{Name: "creche", Limit: site.Limit{Rate: 50, Burst: 50}}
-	c.Take(now, o, 1, false)
+	n, limit := Subject("creche"), site.Limit{Rate: 50, Burst: 50}
+	c.Take(now, n, limit, 1, false)
 	c.ApplyAnswer(now, now, Answer{Term: 1})
 	for b.Loop() {
-		c.balances[o.Name].tokens = 1
-		c.Take(now, o, 1, false)
+		c.balances[n].tokens = 1
+		c.Take(now, n, limit, 1, false)
 	}
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -68,7 +68,7 @@
 			d.rate = 3 * high.Rate * w.rnd.Float64() / float64(len(w.daemons))
 		}
 		w.run(5 * time.Second)
-		w.org = &site.Organisation{Name: w.org.Name, Limit: low}
+		w.limit = low
 		w.configure()
 		w.run(2500 * time.Millisecond)
 		w.sends = nil
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -23,7 +23,8 @@
 type world struct {
 	rnd      *rand.Rand
 	now      mono.Time
-	org      *site.Organisation
+	subject  Subject
+	limit    site.Limit
 	names    []ident.Daemon
 	daemons  []*daemon
 	ledger   *Ledger // nil while there is no coordinator
@@ -68,7 +69,7 @@
 func newWorld(seed uint64, daemons int, l site.Limit) *world {
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, 7)), now: mono.Time(time.Hour),
-		org: &site.Organisation{Name: "creche", Limit: l},
+		subject: "creche", limit: l,
 	}
 	for i := range daemons {
 		d := &daemon{w: w, name: ident.Daemon(fmt.Sprintf("d%d", i))}
@@ -98,7 +99,7 @@
 
 func (w *world) configure() {
 	if w.ledger != nil {
-		w.ledger.Configure(w.now, map[ident.Organisation]*site.Organisation{w.org.Name: w.org})
+		w.ledger.Configure(w.now, map[Subject]site.Limit{w.subject: w.limit})
 	}
 }
 
@@ -150,7 +151,7 @@
 }
 
 func (d *daemon) request(waited int) {
-	switch d.tokens.Take(d.w.now, d.w.org, len(d.w.daemons), waited > 0).(type) {
+	switch d.tokens.Take(d.w.now, d.w.subject, d.w.limit, len(d.w.daemons), waited > 0).(type) {
 	case Granted:
 		if d.w.rnd.Float64() < 0.05 {
 			d.w.after(20*time.Millisecond, func() { d.returnToken(d.incarnation) })
@@ -165,14 +166,14 @@
 			return
 		}
 		d.pending = append(d.pending, waited+1)
-		d.tokens.AddWaiting(d.w.org.Name, 1)
+		d.tokens.AddWaiting(d.w.subject, 1)
 	}
 }
 
 // returnToken returns the token of a request that wasn't run.
 func (d *daemon) returnToken(incarnation ident.Incarnation) {
 	if d.incarnation == incarnation && !d.down {
-		d.tokens.Return(d.w.org.Name)
+		d.tokens.Return(d.w.subject)
 	}
 }
 
@@ -242,7 +243,7 @@
 	d.urgentAskedAt = 0
 	l := d.pending
 	d.pending = nil
-	d.tokens.AddWaiting(d.w.org.Name, -len(l))
+	d.tokens.AddWaiting(d.w.subject, -len(l))
 	for _, n := range l {
 		d.request(n)
 	}
--- a/io/limit/state.go
+++ b/io/limit/state.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/core/quota"
 	"heatherrouter/core/site"
 )
 
@@ -41,12 +42,12 @@
 
 // States returns the state of all organisations, sorted by name.
 func (l *Limiter) States() []State {
-	s := l.o.View.Snapshot()
+	s := l.pool.o.View.Snapshot()
 	if s.Config == nil {
 		return nil
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
 	o := s.Config.Organisations()
 	states := make([]State, 0, len(o))
 	for _, n := range slices.Sorted(maps.Keys(o)) {
@@ -56,16 +57,16 @@
 }
 
 func (l *Limiter) state(o *site.Organisation) State {
-	now := l.o.Clock.Now()
+	now, n := l.pool.o.Clock.Now(), quota.Subject(o.Name)
 	x := State{Name: o.Name, Keys: len(o.Keys), KeyDigests: []string{}, Rate: o.Limit.Rate, Burst: o.Limit.Burst}
 	for _, d := range o.Keys[:min(len(o.Keys), maxKeyDigests)] {
 		x.KeyDigests = append(x.KeyDigests, d.String())
 	}
-	x.Tokens, x.Sent = l.tokens.Usage(now, o.Name)
+	x.Tokens, x.Sent = l.pool.tokens.Usage(now, n)
 	r := l.refused[o.Name]
 	x.OverLimit, x.NoAnswer = r.overLimit, r.noAnswer
-	if ledger := l.currentLedger(); ledger != nil {
-		if u, ok := ledger.Usage(now, o.Name); ok {
+	if ledger := l.pool.currentLedger(); ledger != nil {
+		if u, ok := ledger.Usage(now, n); ok {
 			x.Site = &SiteState{
 				Sent: roundToInt(u.Sent), Allowed: roundToInt(u.MaxRequests), Held: roundToInt(u.Outstanding), Available: roundToInt(u.Available),
 				Demand: math.Round(10*u.Demand) / 10, Daemons: u.Daemons,
@@ -77,8 +78,10 @@
 
 func roundToInt(x float64) int { return int(math.Round(x)) }
 
-// countRefusal counts a refused request. The caller must hold l.mu.
+// countRefusal counts a refused request.
 func (l *Limiter) countRefusal(n ident.Organisation, limited bool) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
 	r := l.refused[n]
 	if limited {
 		r.overLimit++
