--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -22,6 +22,7 @@
 	demand        float64 // sum of the daemons' latest Demand
 	fallbackRate  float64 // sum of the daemons' fallback rates
 	fallbackBurst float64 // sum of the daemons' fallback bursts
+	demanding     int     // daemons whose latest Demand isn't negligible
 	holdings      map[ident.Daemon]*holding
 }
 
@@ -91,10 +92,18 @@
 	x.wanted += float64(e.Want) - h.want
 	x.rate += e.Rate - h.rate
 	x.demand += e.Demand - h.demand
+	x.demanding += boolToInt(e.Demand > idleRate) - boolToInt(h.demand > idleRate)
 	x.fallbackRate += e.FallbackRate - h.fallbackRate
 	h.seq, h.want, h.rate, h.demand, h.fallbackRate = e.Seq, float64(e.Want), e.Rate, e.Demand, e.FallbackRate
 }
 
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (x *account) reconcile(h *holding, spent, held float64) {
 	x.outstanding += held - h.tokens
 	h.tokens = held
@@ -116,6 +125,7 @@
 	x.wanted -= h.want
 	x.rate -= h.rate
 	x.demand -= h.demand
+	x.demanding -= boolToInt(h.demand > idleRate)
 	x.fallbackRate -= h.fallbackRate
 	x.fallbackBurst -= h.fallbackBurst
 	delete(x.holdings, d)
@@ -157,10 +167,10 @@
 }
 
 // askDelay returns how long a daemon should wait before asking again. It grows with the excess demand up to the time in which
-// one token per daemon becomes available, so that daemons don't ask more often than tokens are refilled.
+// one token per daemon with callers becomes available, so that daemons don't ask more often than tokens are refilled.
 func (x *account) askDelay() time.Duration {
 	excess := min(1, x.demand/x.limit.Rate-1)
-	s := excess * float64(len(x.holdings)) / x.limit.Rate
+	s := excess * float64(x.demanding) / x.limit.Rate
 	return max(minAskDelay, min(maxAskDelay, time.Duration(s*float64(time.Second))))
 }
 
--- a/core/quota/cache.go
+++ b/core/quota/cache.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -125,6 +126,17 @@
 	b.changed = true
 }
 
+// Exhausted reports whether no token is expected at the moment.
+func (c *TokenCache) Exhausted(now mono.Time, n Subject) bool {
+	b := c.balances[n]
+	return b != nil && b.tokens == 0 && c.unresponsiveSince == 0 && now.Before(b.exhaustedUntil)
+}
+
+// Retain discards the tokens and counts of subjects for which keep returns false.
+func (c *TokenCache) Retain(keep func(Subject) bool) {
+	maps.DeleteFunc(c.balances, func(n Subject, _ *balance) bool { return !keep(n) })
+}
+
 // Return returns the token of a request that is known not to have run.
 func (c *TokenCache) Return(n Subject) {
 	if b := c.balances[n]; b != nil {
@@ -163,7 +175,7 @@
 		if now.Sub(c.answeredAskAt) >= TokenTTL {
 			b.tokens = 0
 		}
-		e := b.entry(now, n, horizon)
+		e := b.entry(now, n, horizon, c.policy.NoStock)
 		if !include(b, e) {
 			continue
 		}
@@ -196,9 +208,9 @@
 }
 
 // entry returns the Entry for the balance after releasing the tokens it doesn't need.
-func (b *balance) entry(now mono.Time, n Subject, horizon time.Duration) Entry {
+func (b *balance) entry(now mono.Time, n Subject, horizon time.Duration, noStock bool) Entry {
 	want := uint64(0)
-	if mean := b.arrivals.at(now, arrivalTimeConstant) * horizon.Seconds(); mean >= minExpectedRequests {
+	if mean := b.arrivals.at(now, arrivalTimeConstant) * horizon.Seconds(); mean >= minExpectedRequests && !noStock {
 		want = uint64(math.Ceil(mean + math.Sqrt(mean)))
 	}
 	if most := maxCached(want); b.tokens > most {
--- a/core/quota/fallback.go
+++ b/core/quota/fallback.go
@@ -34,10 +34,13 @@
 	}
 	x := &b.fallback
 	if !x.started {
-		if c.answeredAskAt == 0 {
+		share := b.limit.Rate / float64(max(1, daemons))
+		switch {
+		case c.answeredAskAt == 0:
 			// No coordinator has answered this incarnation yet.
-			x.rate = b.limit.Rate / float64(max(1, daemons))
-			x.burst = x.rate * minDowntime.Seconds()
+			x.rate, x.burst = share, share*minDowntime.Seconds()
+		case x.term == 0:
+			x.rate = share * c.policy.UnassignedShare
 		}
 		// Before this time, the coordinator doesn't count this daemon's fallback requests.
 		x.started, x.level, x.updatedAt = true, x.burst, max(c.unresponsiveSince, c.answeredAskAt.Add(unresponsiveAfter))
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -23,6 +23,14 @@
 	Window    time.Duration // period over which requests are counted
 	Overshoot float64       // share by which the limit of a window may be exceeded
 	Slack     float64       // additional requests allowed per window
+
+	// NoStock means that daemons get tokens for waiting requests only. The requests of all daemons are then as evenly spread
+	// as the bucket allows, at the price of one exchange with the coordinator for each.
+	NoStock bool
+
+	// UnassignedShare is the share of a limit that daemons to which the coordinator has never assigned a fallback rate may
+	// use together while it doesn't answer.
+	UnassignedShare float64
 }
 
 // slackShare is the share of the slack that is granted. The rest is reserved for requests sent without the coordinator.
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -18,9 +18,10 @@
 	urgentTimeout = 250 * time.Millisecond // for the answer to an urgent ask
 )
 
-// world simulates daemons that send requests of one organisation, with message delay and loss, daemon crashes, partitions and
+// world simulates daemons that send requests of one subject, with message delay and loss, daemon crashes, partitions and
 // coordinator changes.
 type world struct {
+	policy   Policy
 	rnd      *rand.Rand
 	now      mono.Time
 	subject  Subject
@@ -67,8 +68,13 @@
 }
 
 func newWorld(seed uint64, daemons int, l site.Limit) *world {
+	return newWorldWith(policy, seed, daemons, l)
+}
+
+func newWorldWith(p Policy, seed uint64, daemons int, l site.Limit) *world {
 	w := &world{
-		rnd: rand.New(rand.NewPCG(seed, 7)), now: mono.Time(time.Hour),
+		policy: p,
+		rnd:    rand.New(rand.NewPCG(seed, 7)), now: mono.Time(time.Hour),
 		subject: "creche", limit: l,
 	}
 	for i := range daemons {
@@ -83,14 +89,14 @@
 func (d *daemon) start() {
 	d.incarnation++
 	d.down, d.pending, d.askedAt, d.urgentAskedAt = false, nil, 0, 0
-	d.tokens = NewTokenCache(policy, d.incarnation, d.w.now, d.w.rnd.Float64)
+	d.tokens = NewTokenCache(d.w.policy, d.incarnation, d.w.now, d.w.rnd.Float64)
 	d.next = d.w.now.Add(time.Duration(d.w.rnd.IntN(300)) * time.Millisecond)
 }
 
 // elect starts a new term, after the previous coordinator has stopped.
 func (w *world) elect() {
 	w.term++
-	w.ledger = NewLedger(policy, w.term)
+	w.ledger = NewLedger(w.policy, w.term)
 	w.configure()
 	if w.mutation.ledger != nil {
 		w.mutation.ledger(w.ledger)
@@ -253,7 +259,7 @@
 func (w *world) maxInWindow() int {
 	most, first := 0, 0
 	for i, t := range w.sends {
-		for t.Sub(w.sends[first]) > policy.Window {
+		for t.Sub(w.sends[first]) > w.policy.Window {
 			first++
 		}
 		most = max(most, i-first+1)
