Send servers that name a limit no more requests than they take

Now the first daemon that gets a response with a limit tells the coordinator, which answers the calls of all daemons at once, and from then on each request to the server needs a token of the coordinator's ledger: first tries, retries, relayed requests (at the daemon that sends), and requests that waited for a connection (the token is checked right before the first byte). Requests without keys go to other servers; one for the keys of a limited server is refused at once as server-limited, with when to come back. The newest response counts, so a limit that is lowered, raised or no longer named is known to all within one exchange.

--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -88,6 +88,9 @@
 // that an older observation of another daemon doesn't restore it.
 func (r *Record) Observations() map[Target]Observation { return maps.Clone(r.observations) }
 
+// Len returns the number of recorded servers, including those whose limit has ended.
+func (r *Record) Len() int { return len(r.observations) }
+
 // Count returns the number of servers that name a limit.
 func (r *Record) Count() int {
 	n := 0
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -73,14 +73,14 @@
 	// OnMeasurements receives the measurements that a peer has sent.
 	OnMeasurements func([]*wire.KeyCount, []*wire.ServerWork)
 
-	// Quota exchanges quota tokens with the coordinator as part of Sync; nil disables this.
-	Quota QuotaClient
+	// Tokens exchanges tokens with the coordinator as part of Sync; nil disables this.
+	Tokens TokenClient
 }
 
-// QuotaClient builds the quota requests sent with Sync and receives the answers.
-type QuotaClient interface {
-	Ask() *wire.QuotaAsk
-	Answered(asked mono.Time, a *wire.QuotaAsk, r *wire.QuotaAnswer) // r is nil if there was no answer
+// TokenClient adds requests for tokens to the calls to the coordinator and receives the answers.
+type TokenClient interface {
+	Ask(x *wire.Sync)
+	Answered(asked mono.Time, from ident.Daemon, x *wire.Sync, r *wire.SyncReply) // r is nil if there was no answer
 }
 
 // Feed is one daemon's copy of the store's tables.
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -130,15 +130,15 @@
 	asked := f.o.Clock.Now()
 	if leads {
 		x.Counts, x.Works = f.o.TakeMeasurements()
-		if f.o.Quota != nil {
-			x.Quota = f.o.Quota.Ask()
+		if f.o.Tokens != nil {
+			f.o.Tokens.Ask(x)
 		}
 	}
 	y, cancel := context.WithTimeout(c, k.Deadline.Sub(asked))
 	defer cancel()
 	r, err := f.peers.Call(y, k.Peer, &wire.Call{Body: &wire.Call_Sync{Sync: x}})
-	if x.GetQuota() != nil {
-		f.o.Quota.Answered(asked, x.GetQuota(), r.GetSync().GetQuota())
+	if leads && f.o.Tokens != nil {
+		f.o.Tokens.Answered(asked, k.Peer, x, r.GetSync())
 	}
 	if c.Err() != nil {
 		return false
--- a/io/limit/state.go
+++ b/io/limit/state.go
@@ -24,7 +24,7 @@
 	Site       *SiteState         `json:"site"`        // set on the coordinator if the organisation has a limit, otherwise null
 }
 
-// SiteState is the coordinator's state of an organisation across all daemons.
+// SiteState is the coordinator's state of an organisation or a backend server across all daemons.
 type SiteState struct {
 	Sent      int     `json:"sent"`      // requests sent in the current window
 	Allowed   int     `json:"allowed"`   // maximum requests per window
@@ -65,17 +65,26 @@
 	x.Tokens, x.Sent = l.pool.tokens.Usage(now, n)
 	r := l.refused[o.Name]
 	x.OverLimit, x.NoAnswer = r.overLimit, r.noAnswer
-	if ledger := l.pool.currentLedger(); ledger != nil {
-		if u, ok := ledger.Usage(now, n); ok {
-			x.Site = &SiteState{
-				Sent: roundToInt(u.Sent), Allowed: roundToInt(u.MaxRequests), Held: roundToInt(u.Outstanding), Available: roundToInt(u.Available),
-				Demand: math.Round(10*u.Demand) / 10, Daemons: u.Daemons,
-			}
-		}
-	}
+	x.Site = l.pool.siteState(n)
 	return x
 }
 
+// siteState returns the coordinator's state of a subject, or nil on other daemons. The caller must hold p.mu.
+func (p *pool) siteState(n quota.Subject) *SiteState {
+	ledger := p.currentLedger()
+	if ledger == nil {
+		return nil
+	}
+	u, ok := ledger.Usage(p.o.Clock.Now(), n)
+	if !ok {
+		return nil
+	}
+	return &SiteState{
+		Sent: roundToInt(u.Sent), Allowed: roundToInt(u.MaxRequests), Held: roundToInt(u.Outstanding), Available: roundToInt(u.Available),
+		Demand: math.Round(10*u.Demand) / 10, Daemons: u.Daemons,
+	}
+}
+
 func roundToInt(x float64) int { return int(math.Round(x)) }
 
 // countRefusal counts a refused request.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -112,7 +112,7 @@
 		Self: s.Name, Incarnation: n.incarnation, Store: n.o.Platform.Store, Decoder: n.o.Platform.Decoder, Clock: n.clock, Log: n.o.Log,
 		TakeMeasurements: func() ([]*wire.KeyCount, []*wire.ServerWork) { return n.sender.TakeMeasurements() },
 		OnMeasurements:   func(l []*wire.KeyCount, w []*wire.ServerWork) { n.granter.AddMeasurements(l, w) },
-		Quota:            quotaClient{n},
+		Tokens:           tokenClient{n},
 	})
 	n.limiter = limit.New(limit.Options{
 		Self: s.Name, Incarnation: n.incarnation, View: n.feed, Clock: n.clock, Log: n.o.Log,
@@ -151,7 +151,7 @@
 	}
 	n.peers, err = peer.New(n.group.Context(), peer.Options{
 		Self: s.Name, Listen: s.Peer, Resolver: addressBook{n.feed.Snapshot}, TLS: n.id, Log: n.o.Log,
-		Handler: peerHandler{n, n.feed, n.limiter, n.relay},
+		Handler: peerHandler{n, n.feed, n.limiter, n.serverLimits, n.relay},
 	})
 	if err != nil {
 		l.close()
@@ -162,6 +162,7 @@
 	n.feed.Run(n.group, n.peers)
 	n.granter.Run(n.group, n.peers)
 	n.limiter.Run(n.group, n.peers)
+	n.serverLimits.Run(n.group, n.peers)
 	n.guard.Run(n.group)
 	n.sender.Run(n.group)
 	n.group.Go(n.maintain)
@@ -170,7 +171,9 @@
 
 // trackServerLimits starts the record of the limits that backend servers name.
 func (n *Node) trackServerLimits() error {
-	n.serverLimits = limit.NewServers(limit.ServersOptions{Clock: n.clock, Log: n.o.Log})
+	n.serverLimits = limit.NewServers(limit.ServersOptions{
+		Self: n.o.Settings.Name, Incarnation: n.incarnation, View: n.feed, Clock: n.clock, Log: n.o.Log,
+	})
 	return n.meter.Gauge("heatherrouter.servers.limited", "{server}", "backend servers that name a limit on their requests",
 		func() float64 { return float64(n.serverLimits.Count()) })
 }
@@ -432,15 +435,20 @@
 	n.peers.Stop()
 }
 
-// quotaClient connects the feed to the limiter, which is created after it.
-type quotaClient struct{ n *Node }
+// tokenClient connects the feed to the limiters, which are created after it.
+type tokenClient struct{ n *Node }
 
-// Ask implements feed.QuotaClient.
-func (q quotaClient) Ask() *wire.QuotaAsk { return q.n.limiter.Ask() }
+// Ask implements feed.TokenClient.
+func (t tokenClient) Ask(x *wire.Sync) {
+	x.Quota, x.ServerLimits = t.n.limiter.Ask(), t.n.serverLimits.Ask()
+}
 
-// Answered implements feed.QuotaClient.
-func (q quotaClient) Answered(requested mono.Time, a *wire.QuotaAsk, r *wire.QuotaAnswer) {
-	q.n.limiter.ApplyAnswer(requested, a, r)
+// Answered implements feed.TokenClient.
+func (t tokenClient) Answered(asked mono.Time, from ident.Daemon, x *wire.Sync, r *wire.SyncReply) {
+	if x.GetQuota() != nil {
+		t.n.limiter.ApplyAnswer(asked, x.GetQuota(), r.GetQuota())
+	}
+	t.n.serverLimits.ApplyAnswer(asked, from, x.GetServerLimits(), r.GetServerLimits())
 }
 
 // peerHandler answers the calls of peers.
@@ -448,6 +456,7 @@
 	node    *Node
 	feed    *feed.Feed
 	limiter *limit.Limiter
+	servers *limit.Servers
 	relay   *relay.Server
 }
 
@@ -460,6 +469,8 @@
 	case *wire.Call_Quota:
 		a := h.limiter.ApplyAsk(from, x.Quota)
 		return &wire.Reply{Body: &wire.Reply_Quota{Quota: h.limiter.Grant(from, a)}}
+	case *wire.Call_ServerLimits:
+		return &wire.Reply{Body: &wire.Reply_ServerLimits{ServerLimits: h.servers.Serve(from, x.ServerLimits)}}
 	case *wire.Call_Reach:
 		return &wire.Reply{Body: &wire.Reply_Reach{Reach: h.reach(c, x.Reach)}}
 	case *wire.Call_Withdraw:
@@ -485,14 +496,35 @@
 	return a
 }
 
-// sync answers a Sync, with the QuotaAsk that it may carry.
+// sync answers a Sync, with the asks for tokens that it may carry.
 func (h peerHandler) sync(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
-	if x.GetQuota() == nil {
+	if x.GetQuota() != nil {
+		a := h.limiter.ApplyAsk(from, x.GetQuota())
+		r := h.syncServers(c, from, x)
+		r.Quota = h.limiter.Grant(from, a)
+		return r
+	}
+	return h.syncServers(c, from, x)
+}
+
+// syncServers answers a Sync with its part about limits of servers. It answers at once when daemons must be told of a change.
+func (h peerHandler) syncServers(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
+	if x.GetServerLimits() == nil {
 		return h.feed.Sync(c, from, x)
 	}
-	a := h.limiter.ApplyAsk(from, x.GetQuota())
+	changed := h.servers.Changed()
+	a := h.servers.ApplyAsk(from, x.GetServerLimits())
+	c, cancel := context.WithCancel(c)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-c.Done():
+		}
+	}()
 	r := h.feed.Sync(c, from, x)
-	r.Quota = h.limiter.Grant(from, a)
+	r.ServerLimits = h.servers.Grant(from, a)
 	return r
 }
 
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -46,6 +46,7 @@
 	if sent {
 		r.sentTo = append(r.sentTo, b.server.ID)
 		s.o.Limits.Sent(b.server)
+		r.serverToken = nil // spent
 	}
 	took := s.o.Clock.Now().Sub(now)
 	s.observe(r, b, x, resp, took)
@@ -195,6 +196,9 @@
 	if route == nil || !route.RoutesTo(r.service.Name) || !r.stillAuthorised(route, snap.Config) {
 		return false
 	}
+	if r.serverToken != b.server && s.o.Limits.Limit(b.server) > 0 {
+		return false // named since the request was prepared
+	}
 	if r.knownCrashes = s.crashes(r); r.knownCrashes >= crash.RefusalThreshold {
 		return false
 	}
--- a/io/send/choose.go
+++ b/io/send/choose.go
@@ -27,6 +27,7 @@
 	reasonAllTried reason = "all-tried"
 	reasonAttempts reason = "no-attempts-left"
 	reasonBudget   reason = "no-retry-budget"
+	reasonLimited  reason = "server-limited"  // the limits that the servers name allow no request now
 	reasonCrashing reason = "crashes-servers" // too many servers crashed while running the request
 
 	// reasonUnreachable means that neither this daemon nor the peers that it has asked can reach the servers.
@@ -81,6 +82,10 @@
 			unreachable = true
 			continue
 		}
+		if slices.Contains(r.limited, x.ID) || s.o.Limits.Exhausted(x) {
+			why = reasonLimited
+			continue
+		}
 		if !s.allowsSend(b, x, snap, r.service, now) {
 			why = reasonCold
 			continue
--- a/io/send/final.go
+++ b/io/send/final.go
@@ -67,7 +67,7 @@
 	}
 	after := retryNoServer
 	switch why {
-	case reasonFull, reasonCold, reasonBusy:
+	case reasonFull, reasonCold, reasonBusy, reasonLimited:
 		after = retryFull
 	case reasonLost:
 		after = retryLost
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -106,6 +106,19 @@
 	// Observe records the limit that a response of the server names, in requests per second; 0 if it names none.
 	Observe(x *site.Server, rate float64)
 
+	// Limit returns the limit that the server names, in requests per second; 0 if it names none.
+	Limit(x *site.Server) float64
+
+	// Acquire takes a token for a request to the server. It returns false for ok if the limit allows no request now, and false
+	// for token if the server names no limit.
+	Acquire(c context.Context, x *site.Server) (token, ok bool)
+
+	// Return puts back the token of a request that was not sent.
+	Return(x *site.Server)
+
+	// Exhausted reports whether the limit is known to allow no request now.
+	Exhausted(x *site.Server) bool
+
 	// Sent records that a request was sent to the server.
 	Sent(x *site.Server)
 }
@@ -191,6 +204,8 @@
 	relayedTo     []ident.Daemon // peers that the request was handed to
 	target        ident.Server   // server that alone can run the request and that can't be reached
 
+	limited     []ident.Server     // servers whose limits allowed no request
+	serverToken *site.Server       // server whose limit the request holds a token of; nil for none
 	sentTo      []ident.Server     // servers that the request was sent to, whatever the result
 	unreachable []ident.Server     // servers that could not be reached
 	notBefore   mono.Time          // time before which the request is not sent again
@@ -383,8 +398,36 @@
 		if s.shouldShed(r, b, now) {
 			return s.refuse(r, reasonFull)
 		}
-		if f := s.attempt(r, b); f != nil {
+		if !s.acquireServerToken(r, b) {
+			if r.service.Keyed {
+				return s.refuse(r, reasonLimited)
+			}
+			continue
+		}
+		f := s.attempt(r, b)
+		s.returnServerToken(r)
+		if f != nil {
 			return *f
 		}
 	}
 }
+
+// acquireServerToken takes a token for the request if the server names a limit, and reports whether the request may be sent.
+func (s *Sender) acquireServerToken(r *request, b *backend) bool {
+	token, ok := s.o.Limits.Acquire(r.caller, b.server)
+	if token {
+		r.serverToken = b.server
+	}
+	if !ok {
+		r.limited = append(r.limited, b.server.ID)
+	}
+	return ok
+}
+
+// returnServerToken puts back the token of a request that was not sent.
+func (s *Sender) returnServerToken(r *request) {
+	if r.serverToken != nil {
+		s.o.Limits.Return(r.serverToken)
+		r.serverToken = nil
+	}
+}
