Move keys away from servers that name a limit

A keyed server that names a limit kept all its keys, so that its callers were refused while other servers had room. In a plan of ten servers at 25 requests a second each, two that name 7.5 and 1 keep no more than that, the others stay balanced, and the keys come back after the limit's end (core/hold/limit_test.go).

--- a/core/hold/balance.go
+++ b/core/hold/balance.go
@@ -149,6 +149,9 @@
 		}
 	}
 	want := max(minLoadShare*sum/float64(len(p.load)), minRate)
+	if l := p.targets[to].Limit; l > 0 {
+		want = min(want, newRangeFill*l)
+	}
 	best, off := move{}, math.Inf(1)
 	for i, x := range p.assignments {
 		if p.index(x.Owner) != from || x.Previous != (Incarnation{}) {
--- /dev/null
+++ b/core/hold/limit_test.go
@@ -0,0 +1,57 @@
+package hold
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/ident"
+)
+
+// Guards against refusing callers of a server that names a limit while other servers of the service have room.
+func TestKeysLeaveLimitedServer(t *testing.T) {
+	rates := slices.Repeat(Rates{250.0 / 4096}, 4096)
+	l := targets(slices.Repeat([]time.Duration{60 * time.Millisecond}, 10)...)
+	assignments := settle(t, nil, l, rates)
+	before := loadByServer(assignments, rates)
+	l[3].Limit, l[4].Limit = 7.5, 1
+	assignments = settle(t, assignments, l, rates)
+	load := loadByServer(assignments, rates)
+	require.LessOrEqual(t, load["s3"], 7.5)
+	require.LessOrEqual(t, load["s4"], 1.0)
+	for _, x := range l {
+		if x.Limit == 0 {
+			require.Less(t, load[x.Server], 1.5*before[x.Server], "the others share the load evenly")
+		}
+	}
+	l[3].Limit, l[4].Limit = 0, 0
+	load = loadByServer(settle(t, assignments, l, rates), rates)
+	for _, s := range []ident.Server{"s3", "s4"} {
+		require.Greater(t, load[s], 0.5*before[s], "keys come back when the limit has ended")
+	}
+}
+
+// Guards against giving an idle server more keys than its limit allows.
+func TestIdleLimitedServerGetsFewKeys(t *testing.T) {
+	rates := slices.Repeat(Rates{1000.0 / 4096}, 4096)
+	l := targets(slices.Repeat([]time.Duration{20 * time.Millisecond}, 5)...)
+	assignments := settle(t, nil, l[:4], rates)
+	l[4].Limit = 2
+	load := loadByServer(settle(t, assignments, l, rates), rates)
+	require.Positive(t, load["s4"], "some requests show when the limit ends")
+	require.LessOrEqual(t, load["s4"], 2.0)
+}
+
+// Guards against keys that move on and on while no server may take them.
+func TestKeysStayWhileAllServersAreLimited(t *testing.T) {
+	rates := slices.Repeat(Rates{250.0 / 4096}, 4096)
+	l := targets(slices.Repeat([]time.Duration{60 * time.Millisecond}, 10)...)
+	assignments := settle(t, nil, l, rates)
+	for i := range l {
+		l[i].Limit = 7.5
+	}
+	next := settle(t, assignments, l, rates)
+	require.Len(t, loadByServer(next, rates), len(l))
+}
--- a/core/hold/plan.go
+++ b/core/hold/plan.go
@@ -42,6 +42,7 @@
 	Cold        bool
 	Slots       int
 	ServiceTime time.Duration // of a request without interference; 0 if unknown
+	Limit       float64       // requests per second that the server takes; 0 if it names no limit
 }
 
 // planner computes one change of the assignments.
@@ -171,9 +172,13 @@
 	return p.serviceTimes[i] * p.serviceTimes[i] / p.meanServiceTime * (1 + q*q/2)
 }
 
-// utilisation returns the fraction of the target's slots that the load occupies.
+// utilisation returns the fraction of the target's slots that the load occupies, or of its limit if that is more.
 func (p *planner) utilisation(i int, load float64) float64 {
-	return load * p.serviceTimes[i] * choice.MeanInterference / float64(max(1, p.targets[i].Slots))
+	used := load * p.serviceTimes[i] * choice.MeanInterference / float64(max(1, p.targets[i].Slots))
+	if l := p.targets[i].Limit; l > 0 {
+		used = max(used, load/l)
+	}
+	return used
 }
 
 // saturation is the utilisation of a server's slots above which its queue only grows.
@@ -243,8 +248,11 @@
 	return n + n/4
 }
 
-// overloaded reports whether the target gets more load than its slots can serve.
+// overloaded reports whether the target gets more load than its slots can serve or its limit allows.
 func (p *planner) overloaded(i int) bool {
+	if l := p.targets[i].Limit; l > 0 && p.load[i] > l {
+		return true
+	}
 	return p.load[i]*p.serviceTimes[i] > saturation*float64(max(1, p.targets[i].Slots))
 }
 
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -45,9 +45,15 @@
 	Timing      hold.Timing
 	Clock       *clock.Clock
 	Paths       Paths
+	Limits      Limits
 	Log         *log.Logger
 }
 
+// Limits is the daemon's record of the limits that backend servers name.
+type Limits interface {
+	Limit(x *site.Server) float64 // requests per second; 0 if the server names none
+}
+
 // Paths is the daemon's record of which servers it can reach.
 type Paths interface {
 	Answered(x *site.Server, fresh bool)
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -154,6 +154,7 @@
 		if s.Accepts(x) && !v.table.HasEnded(inc) {
 			l = append(l, hold.Target{
 				Incarnation: inc, Cold: now.Before(x.ColdUntil), Slots: x.Slots, ServiceTime: g.measurements.serviceTime(now, v.name, x.ID),
+				Limit: g.o.Limits.Limit(x),
 			})
 		}
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -126,7 +126,8 @@
 	}
 	n.granter = grant.New(grant.Options{
 		Self: s.Name, Incarnation: n.incarnation, Feed: n.feed, Store: n.o.Platform.Store, OrderCodec: n.o.Platform.OrderCodec,
-		Timing: hold.DefaultTiming(s.Limits.MaxGrantTTL), Clock: n.clock, Paths: n.paths, Log: n.o.Log,
+		Timing: hold.DefaultTiming(s.Limits.MaxGrantTTL), Clock: n.clock, Paths: n.paths,
+		Limits: n.serverLimits, Log: n.o.Log,
 	})
 	n.guard = guard.New(guard.Options{
 		View: n.feed, Store: n.o.Platform.Store, Clock: n.clock, Counter: n.meter, Log: n.o.Log, Dial: guard.Dial,
