Keep using a limited server while its limit changes and after its end

Found by the new tests of changes: after a limit was lowered from 20 to 5 a second the server got 0.8 a second for 4 s, because the requests sent under the higher limit filled the window; they now count in proportion. And of the limit a part was kept for daemons that had not reported since a new coordinator came: half of it with one of four daemons gone, 14 requests in 4 s where 30 are allowed. Daemons of a site whose servers name limits don't reserve for them; a daemon that is cut off uses its fallback rate, which the rule's margin covers. Organisations keep both rules.

--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -134,7 +134,7 @@
 // Policy returns the policy by which limits of servers are enforced. Daemons keep no tokens in stock: a server in need takes few
 // requests a second, and tokens that lie at daemons without callers would be lost to the others.
 func Policy() quota.Policy {
-	return quota.Policy{Window: window, Overshoot: overshoot, NoStock: true, UnassignedShare: unassignedShare}
+	return quota.Policy{Window: window, Overshoot: overshoot, NoStock: true, ScaleSent: true, UnassignedShare: unassignedShare}
 }
 
 // Bucket returns the token bucket of a server that names a limit in requests per second.
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// setLimit replaces the limit.
+func (x *account) setLimit(l site.Limit) {
+	if l.Rate < x.limit.Rate && x.policy.ScaleSent {
+		x.sent.scale(l.Rate / x.limit.Rate)
+	}
+	x.limit = l
+}
+
 // windowMargin extends the counting window, because a request may be sent slightly after its token is spent.
 const windowMargin = 250 * time.Millisecond
 
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		if x := l.accounts[n]; x != nil {
-			x.limit = limit
+			x.setLimit(limit)
 			continue
 		}
 		l.accounts[n] = newAccount(l.policy, limit, now)
@@ -160,6 +160,9 @@
 // unreportedFallbackRate estimates the fallback rate, in requests per second, of the daemons without a full Ask in this term.
 // It is at most the rate that isn't assigned to other daemons.
 func (l *Ledger) unreportedFallbackRate(x *account) float64 {
+	if !l.policy.ReserveUnreported {
+		return 0
+	}
 	return max(0, min(x.limit.Rate-x.fallbackRate, x.limit.Rate*l.unreportedShare*unreportedFactor))
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -28,6 +28,14 @@
 	// as the bucket allows, at the price of one exchange with the coordinator for each.
 	NoStock bool
 
+	// ReserveUnreported means that a part of each limit is reserved for daemons that have not reported to the coordinator in its
+	// term. They may be cut off from it and sending at their fallback rates.
+	ReserveUnreported bool
+
+	// ScaleSent means that requests sent under a higher limit count in proportion to the new one when a limit is lowered.
+	// Otherwise none would be sent until they have left the window.
+	ScaleSent bool
+
 	// UnassignedShare is the share of a limit that daemons to which the coordinator has never assigned a fallback rate may
 	// use together while it doesn't answer.
 	UnassignedShare float64
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -10,7 +10,7 @@
 	"heatherrouter/core/site"
 )
 
-var policy = Policy{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+var policy = Policy{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20, ReserveUnreported: true}
 
 const (
 	step          = 5 * time.Millisecond
--- a/core/quota/window.go
+++ b/core/quota/window.go
@@ -47,6 +47,15 @@
 	w.sum += n
 }
 
+// scale multiplies all counts by f.
+func (w *sentWindow) scale(f float64) {
+	w.sum = 0
+	for i := range w.cells {
+		w.cells[i] *= f
+		w.sum += w.cells[i]
+	}
+}
+
 func (w *sentWindow) recent(now mono.Time) Recent {
 	w.advance(now)
 	var r Recent
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -116,7 +116,9 @@
 	})
 	n.limiter = limit.New(limit.Options{
 		Self: s.Name, Incarnation: n.incarnation, View: n.feed, Clock: n.clock, Log: n.o.Log,
-		Policy: quota.Policy{Window: s.Limits.QuotaWindow, Overshoot: s.Limits.QuotaOvershoot, Slack: s.Limits.QuotaSlack},
+		Policy: quota.Policy{
+			Window: s.Limits.QuotaWindow, Overshoot: s.Limits.QuotaOvershoot, Slack: s.Limits.QuotaSlack, ReserveUnreported: true,
+		},
 	})
 	if err := n.trackServerLimits(); err != nil {
 		return err
