Wait for tokens of all servers together, not for each

A request without keys whose servers all name limits waited up to 150 ms for the token of each while the coordinator didn't answer. The time is now one for all of them. Tests of the sender: tokens that are returned, a limit that is named after a request was prepared, responses whose limit isn't taken. io/node: what answers peers in a file of its own.

--- a/io/limit/limit.go
+++ b/io/limit/limit.go
@@ -97,7 +97,7 @@
 // Acquire takes a token for a request of the organisation and returns nil, or returns why no token is available. If none is
 // cached, it waits for the coordinator's answer, but at most maxWait.
 func (l *Limiter) Acquire(c context.Context, o *site.Organisation) *Refusal {
-	d := l.pool.acquire(c, quota.Subject(o.Name), func() site.Limit { return o.Limit }, maxWait)
+	d := l.pool.acquire(c, quota.Subject(o.Name), func() site.Limit { return o.Limit }, l.pool.o.Clock.Now().Add(maxWait))
 	switch x := d.(type) {
 	case quota.Granted:
 		return nil
--- a/io/limit/pool.go
+++ b/io/limit/pool.go
@@ -85,9 +85,8 @@
 }
 
 // acquire takes a token for a request of the subject, or returns why none is available. If the coordinator must be asked, it waits
-// for the answer, but at most maxWait. The limit is read before each attempt; the request needs no token once there is none.
-func (p *pool) acquire(c context.Context, n quota.Subject, limit func() site.Limit, maxWait time.Duration) quota.Decision {
-	until := p.o.Clock.Now().Add(maxWait)
+// for the answer, but not beyond the time given. The limit is read before each attempt; the request needs no token once there is none.
+func (p *pool) acquire(c context.Context, n quota.Subject, limit func() site.Limit, until mono.Time) quota.Decision {
 	for waited := false; ; waited = true {
 		p.mu.Lock()
 		l := limit()
--- a/io/limit/servers.go
+++ b/io/limit/servers.go
@@ -30,9 +30,6 @@
 }
 
 const (
-	// maxServerWait is the longest time that a request waits for a token of a server.
-	maxServerWait = 150 * time.Millisecond
-
 	// notifyInterval is the minimum time between two changes of limits of which the coordinator notifies all daemons at once.
 	// Later changes wait for it, so that a server that names a limit now and then doesn't make all daemons call.
 	notifyInterval = 250 * time.Millisecond
@@ -190,7 +187,7 @@
 }
 
 // Acquire implements send.ServerLimits.
-func (s *Servers) Acquire(c context.Context, x *site.Server) (token, ok bool) {
+func (s *Servers) Acquire(c context.Context, x *site.Server, until mono.Time) (token, ok bool) {
 	if s.limited.Load() == 0 {
 		return false, true
 	}
@@ -199,7 +196,7 @@
 		rate, limited := s.record.Limit(k)
 		token = limited
 		return limits.Bucket(rate)
-	}, maxServerWait)
+	}, until)
 	if _, ok = d.(quota.Granted); ok {
 		return token, true
 	}
--- /dev/null
+++ b/io/node/handler.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/site"
+	"heatherrouter/io/feed"
+	"heatherrouter/io/limit"
+	"heatherrouter/io/peer"
+	"heatherrouter/io/relay"
+	"heatherrouter/io/wire"
+)
+
+// tokenClient connects the feed to the limiters, which are created after it.
+type tokenClient struct{ n *Node }
+
+// Ask implements feed.TokenClient.
+func (t tokenClient) Ask(x *wire.Sync) {
+	x.Quota, x.ServerLimits = t.n.limiter.Ask(), t.n.serverLimits.Ask()
+}
+
+// Answered implements feed.TokenClient.
+func (t tokenClient) Answered(asked mono.Time, from ident.Daemon, x *wire.Sync, r *wire.SyncReply) {
+	if x.GetQuota() != nil {
+		t.n.limiter.ApplyAnswer(asked, x.GetQuota(), r.GetQuota())
+	}
+	t.n.serverLimits.ApplyAnswer(asked, from, x.GetServerLimits(), r.GetServerLimits())
+}
+
+// peerHandler answers the calls of peers.
+type peerHandler struct {
+	node    *Node
+	feed    *feed.Feed
+	limiter *limit.Limiter
+	servers *limit.Servers
+	relay   *relay.Server
+}
+
+// Call implements peer.Handler.
+func (h peerHandler) Call(c context.Context, from ident.Daemon, m *wire.Call) *wire.Reply {
+	switch x := m.GetBody().(type) {
+	case *wire.Call_Sync:
+		r := h.sync(c, from, x.Sync)
+		return &wire.Reply{Body: &wire.Reply_Sync{Sync: r}}
+	case *wire.Call_Quota:
+		a := h.limiter.ApplyAsk(from, x.Quota)
+		return &wire.Reply{Body: &wire.Reply_Quota{Quota: h.limiter.Grant(from, a)}}
+	case *wire.Call_ServerLimits:
+		return &wire.Reply{Body: &wire.Reply_ServerLimits{ServerLimits: h.servers.Serve(from, x.ServerLimits)}}
+	case *wire.Call_Reach:
+		return &wire.Reply{Body: &wire.Reply_Reach{Reach: h.reach(c, x.Reach)}}
+	case *wire.Call_Withdraw:
+		withdrawn := h.feed.Withdraw(site.Term(x.Withdraw.GetTerm()))
+		return &wire.Reply{Body: &wire.Reply_Withdrawn{Withdrawn: &wire.Withdrawn{Given: withdrawn}}}
+	}
+	return nil
+}
+
+// reach answers a ReachAsk.
+func (h peerHandler) reach(c context.Context, x *wire.ReachAsk) *wire.ReachAnswer {
+	if h.node.leaving.Load() {
+		return &wire.ReachAnswer{Leaving: true}
+	}
+	ids := make([]ident.Server, 0, len(x.GetServers()))
+	for _, id := range x.GetServers() {
+		ids = append(ids, ident.Server(id))
+	}
+	a := &wire.ReachAnswer{}
+	for _, id := range h.node.paths.Check(c, ids) {
+		a.Reached = append(a.Reached, string(id))
+	}
+	return a
+}
+
+// sync answers a Sync, with the asks for tokens that it may carry.
+func (h peerHandler) sync(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
+	if x.GetQuota() != nil {
+		a := h.limiter.ApplyAsk(from, x.GetQuota())
+		r := h.syncServers(c, from, x)
+		r.Quota = h.limiter.Grant(from, a)
+		return r
+	}
+	return h.syncServers(c, from, x)
+}
+
+// syncServers answers a Sync with its part about limits of servers. It answers at once when daemons must be told of a change.
+func (h peerHandler) syncServers(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
+	if x.GetServerLimits() == nil {
+		return h.feed.Sync(c, from, x)
+	}
+	changed := h.servers.Changed()
+	a := h.servers.ApplyAsk(from, x.GetServerLimits())
+	c, cancel := context.WithCancel(c)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-c.Done():
+		}
+	}()
+	r := h.feed.Sync(c, from, x)
+	r.ServerLimits = h.servers.Grant(from, a)
+	return r
+}
+
+// Exchange implements peer.Handler.
+func (h peerHandler) Exchange(c context.Context, from ident.Daemon, x *peer.Exchange) {
+	h.relay.Serve(c, from, x)
+}
+
+// exchanger opens exchanges over the transport, which is created after the sender.
+type exchanger struct{ n *Node }
+
+// OpenExchange implements relay.Exchanger.
+func (e exchanger) OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange) (*peer.Exchange, error) {
+	return e.n.peers.OpenExchange(c, to, head)
+}
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -109,9 +109,9 @@
 	// Limit returns the limit that the server names, in requests per second; 0 if it names none.
 	Limit(x *site.Server) float64
 
-	// Acquire takes a token for a request to the server. It returns false for ok if the limit allows no request now, and false
-	// for token if the server names no limit.
-	Acquire(c context.Context, x *site.Server) (token, ok bool)
+	// Acquire takes a token for a request to the server, for which it waits until the time given. It returns false for ok if
+	// the limit allows no request now, and false for token if the server names no limit.
+	Acquire(c context.Context, x *site.Server, until mono.Time) (token, ok bool)
 
 	// Return puts back the token of a request that was not sent.
 	Return(x *site.Server)
@@ -204,6 +204,7 @@
 	relayedTo     []ident.Daemon // peers that the request was handed to
 	target        ident.Server   // server that alone can run the request and that can't be reached
 
+	tokenUntil  mono.Time          // time until which the request waits for tokens of servers; 0 before the first
 	limited     []ident.Server     // servers whose limits allowed no request
 	serverToken *site.Server       // server whose limit the request holds a token of; nil for none
 	sentTo      []ident.Server     // servers that the request was sent to, whatever the result
@@ -412,9 +413,15 @@
 	}
 }
 
+// maxTokenWait is the longest time that a request waits for tokens of servers. One exchange with the coordinator takes milliseconds.
+const maxTokenWait = 150 * time.Millisecond
+
 // acquireServerToken takes a token for the request if the server names a limit, and reports whether the request may be sent.
 func (s *Sender) acquireServerToken(r *request, b *backend) bool {
-	token, ok := s.o.Limits.Acquire(r.caller, b.server)
+	if r.tokenUntil == 0 {
+		r.tokenUntil = s.o.Clock.Now().Add(maxTokenWait)
+	}
+	token, ok := s.o.Limits.Acquire(r.caller, b.server, r.tokenUntil)
 	if token {
 		r.serverToken = b.server
 	}
