--- a/core/limits/sim_test.go
+++ b/core/limits/sim_test.go
@@ -49,6 +49,7 @@
 	wakePending bool
 
 	requested, served, refused int
+	urgent                     int // asks for waiting requests
 	servedByOthers             int // requests that limited servers didn't run
 }
 
@@ -380,6 +381,7 @@
 	var a quota.Ask
 	if urgent {
 		d.urgentAt = w.now
+		w.urgent++
 		a = d.tokens.UrgentAsk(w.now, 2*syncWait, term)
 	} else {
 		d.syncSentAt, d.nextSync = w.now, w.now.Add(syncWait/4)
