Probe the same however large the site

Now a daemon makes one probe a second of dead servers and one of servers in doubt, with bursts of four, and 16 while all servers of a service are suspected, which is how the loss of its own links shows; one server that is reachable again lets it probe the others at once.

Way not taken: a few daemons that probe for all, which says nothing about one's own links; nor are servers' own announcements proof of them.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -61,6 +61,39 @@
 	maxProbeInterval = time.Second
 )
 
+const (
+	// probeRate is the number of probes per second to unreachable servers, and as many again to servers in doubt. A daemon knows of
+	// more dead and slow servers the larger its site is, but must not probe more: all daemons probe the same servers.
+	probeRate = 1
+
+	// suspectedProbeRate replaces probeRate while all servers of a service are suspected: the daemon's own links may be lost.
+	suspectedProbeRate = 16
+
+	// probeBurst is the number of probes that may be made at once.
+	probeBurst = 4
+)
+
+// probeBudget limits probes to a rate with bursts of up to probeBurst.
+type probeBudget struct {
+	tokens    float64
+	updatedAt mono.Time // 0 before the first probe
+}
+
+// take reports whether a probe may be made now, and counts it.
+func (b *probeBudget) take(now mono.Time, rate float64) bool {
+	if b.updatedAt == 0 {
+		b.tokens = probeBurst
+	} else {
+		b.tokens = min(probeBurst, b.tokens+rate*now.Sub(b.updatedAt).Seconds())
+	}
+	b.updatedAt = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // Paths tracks the paths from one daemon to backend servers.
 type Paths struct {
 	paths       map[Target]*path
@@ -68,6 +101,9 @@
 	services    map[ident.Service]*service
 	suspectedAt mono.Time // when all servers of some service were last suspected
 	suspicion   Failure   // of the servers that led to it
+
+	retries probeBudget // probes of unreachable servers
+	checks  probeBudget // probes of other servers
 }
 
 // path is the state of the path to one server. Servers that never failed have none.
@@ -108,8 +144,9 @@
 	if x.failure != 0 {
 		lost = max(1, now.Sub(x.lostAt))
 		p.unreachable--
+		p.retries.updatedAt = 0 // the links may be back, which the other servers show
 	}
-	*x = path{answeredAt: now}
+	*x = path{answeredAt: now, probeAt: x.probeAt}
 	return lost
 }
 
@@ -194,6 +231,16 @@
 	if now.Before(x.probeAt) {
 		return false
 	}
+	budget, rate := &p.checks, float64(probeRate)
+	if x.failure != 0 {
+		budget = &p.retries
+	}
+	if p.anySuspected() {
+		rate = suspectedProbeRate
+	}
+	if !budget.take(now, rate) {
+		return false
+	}
 	x.probeAt = now.Add(maxProbeInterval)
 	return true
 }
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -100,3 +101,51 @@
 	p.Answered(begin.Add(5), target("a"), true)
 	require.Equal(t, Reachable, p.State(other))
 }
+
+// probesPerSecond returns how many probes a daemon makes in ten seconds, per second, if a tenth of the servers is dead and another
+// tenth leaves requests unanswered.
+func probesPerSecond(servers int) float64 {
+	p, now, n := NewPaths(), mono.Time(time.Hour), 0
+	probe := func(i int, dead bool) {
+		t := Target{Service: "s", Server: ident.Server(fmt.Sprint(i))}
+		if !p.TakeProbe(now, t) {
+			return
+		}
+		n++
+		if dead {
+			p.Failed(now, now, t, Refused)
+		} else {
+			p.Answered(now, t, true)
+		}
+	}
+	for i := range servers / 10 {
+		p.Failed(now, now, Target{Service: "s", Server: ident.Server(fmt.Sprint(i))}, Refused)
+		p.Answered(now, Target{Service: "s", Server: "other"}, false)
+	}
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		for i := range servers / 5 {
+			probe(i, i < servers/10)
+		}
+		p.Answered(now, Target{Service: "s", Server: "other"}, true)
+	}
+	return float64(n) / 10
+}
+
+// Guards against probes that multiply with the size of the site: all daemons probe the same dead and slow servers.
+func TestProbesPerDaemonAreBounded(t *testing.T) {
+	for _, n := range []int{43, 300, 1000, 4000} {
+		x := probesPerSecond(n)
+		t.Logf("%d servers: %.1f probes per second", n, x)
+		require.LessOrEqual(t, x, 2*probeRate+2*probeBurst/10.0+0.1)
+	}
+}
+
+// Guards against probing a slow server again as soon as it has accepted a connection.
+func TestAcceptedProbeIsNotRepeatedAtOnce(t *testing.T) {
+	p := NewPaths()
+	require.True(t, p.TakeProbe(begin, target("a")))
+	p.Answered(begin.Add(time.Millisecond), target("a"), true)
+	require.False(t, p.TakeProbe(begin.Add(100*time.Millisecond), target("a")))
+	require.True(t, p.TakeProbe(begin.Add(maxProbeInterval), target("a")))
+}
