--- a/io/limit/pool.go
+++ b/io/limit/pool.go
@@ -261,11 +261,11 @@
 	}
 	now := p.o.Clock.Now()
 	limits, version := p.o.Source.limits(s)
-	if p.ledger == nil || p.term != t {
+	newTerm := p.ledger == nil || p.term != t
+	if newTerm {
 		p.ledger, p.term = quota.NewLedger(p.o.Policy, t), t
-		p.configured = version - 1
 	}
-	if p.configured != version {
+	if newTerm || p.configured != version {
 		p.ledger.Configure(now, limits())
 		p.configured = version
 	}
