Leave limited servers enough requests to learn of the limit's end

Cause, from the state in its log: the planner had moved all keys but two away from the server, because the others were quick and nearly idle. Only the response to a request shows that a limit has ended, so it stayed in force for good. Moves for balance now leave a limited server the least load that each server keeps, or half of its limit if that is less, and one that gets hardly any requests is given some again. TestLimitedServerKeepsSomeRequests failed before (0.005 requests a second left).

--- a/core/hold/balance.go
+++ b/core/hold/balance.go
@@ -120,7 +120,7 @@
 func (p *planner) bestTarget(assignment int, r Range, from int, maxUtilisation float64) move {
 	m := move{assignment: assignment, cut: r, to: from}
 	d := p.rate(r)
-	if d < minRate {
+	if d < minRate || !p.overloaded(from) && p.load[from]-d < p.limitedMin(from) {
 		return m
 	}
 	saved := p.cost(from, p.load[from]) - p.cost(from, p.load[from]-d)
@@ -141,16 +141,15 @@
 
 // fillIdle gives an idle target its minimum load, taken from the target with the most work.
 func (p *planner) fillIdle(to int) bool {
-	from, sum := 0, 0.0
+	from := 0
 	for i := range p.load {
-		sum += p.load[i]
 		if p.load[i]*p.serviceTimes[i] > p.load[from]*p.serviceTimes[from] {
 			from = i
 		}
 	}
-	want := max(minLoadShare*sum/float64(len(p.load)), minRate)
-	if l := p.targets[to].Limit; l > 0 {
-		want = min(want, newRangeFill*l)
+	want := max(p.minLoad(), minRate)
+	if p.targets[to].Limit > 0 {
+		want = p.limitedMin(to)
 	}
 	best, off := move{}, math.Inf(1)
 	for i, x := range p.assignments {
@@ -170,8 +169,32 @@
 	return true
 }
 
-// idleTarget returns a target that owns no keys.
+// minLoad returns the requests per second that each server keeps.
+func (p *planner) minLoad() float64 {
+	sum := 0.0
+	for _, x := range p.load {
+		sum += x
+	}
+	return minLoadShare * sum / float64(len(p.load))
+}
+
+// limitedMin returns the requests per second that a server which names a limit keeps, or 0 if it names none. Only the response to a
+// request shows that the limit has ended.
+func (p *planner) limitedMin(i int) float64 {
+	return min(p.minLoad(), newRangeFill*p.targets[i].Limit)
+}
+
+// starved is the fraction of its minimum below which a server that names a limit counts as idle. Measured rates as low as this vary by
+// chance.
+const starved = 0.25
+
+// idleTarget returns a target that owns no keys, or that names a limit and gets hardly any requests.
 func (p *planner) idleTarget() (int, bool) {
+	for i := range p.targets {
+		if p.load[i] < starved*p.limitedMin(i) {
+			return i, true
+		}
+	}
 	has := make([]bool, len(p.targets))
 	for _, x := range p.assignments {
 		if i := p.index(x.Owner); i >= 0 {
--- a/core/hold/limit_test.go
+++ b/core/hold/limit_test.go
@@ -1,6 +1,7 @@
 package hold
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	load := loadByServer(assignments, rates)
 	require.LessOrEqual(t, load["s3"], 7.5)
 	require.LessOrEqual(t, load["s4"], 1.0)
+	require.Greater(t, load["s3"], 0.75, "enough requests to learn of the limit's end")
+	require.Greater(t, load["s4"], 0.1, "enough requests to learn of the limit's end")
 	for _, x := range l {
 		if x.Limit == 0 {
 			require.Less(t, load[x.Server], 1.5*before[x.Server], "the others share the load evenly")
@@ -55,3 +58,30 @@
 	next := settle(t, assignments, l, rates)
 	require.Len(t, loadByServer(next, rates), len(l))
 }
+
+// Guards against a limited server that loses all keys with requests: nobody would learn that its limit has ended.
+func TestLimitedServerKeepsSomeRequests(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	l := targets(slices.Repeat([]time.Duration{5 * time.Millisecond}, 3)...)
+	var assignments []Assignment
+	for round := range 200 {
+		rates := make(Rates, 16384)
+		for range 170 { // requests for random keys in about a second
+			rates[rnd.IntN(len(rates))]++
+		}
+		if round == 20 {
+			l[1].Limit = 7.5
+		}
+		assignments, _ = Plan(assignments, l, rates)
+		keys := 0
+		for i, x := range assignments {
+			assignments[i].Previous = Incarnation{}
+			if x.Owner == l[1].Incarnation {
+				keys += x.Len()
+			}
+		}
+		if round > 30 {
+			require.Greater(t, float64(keys)/Keys*170, 0.5, "round %d: requests per second", round)
+		}
+	}
+}
