Give a starved limited server one useful range a plan

It now gets one range a plan, with at least a quarter of what it is to have, before the moves for balance. Found by reading; the test of it (TestLimitedServerGetsNoEmptyRanges) also passes on the code before.

--- a/core/hold/balance.go
+++ b/core/hold/balance.go
@@ -42,10 +42,10 @@
 
 // balance moves ranges to where their requests, and those that remain at the source, are served sooner.
 func (p *planner) balance() bool {
-	changed := false
+	changed := p.fillStarved()
 	for range min(maxMoves, max(minMoves, int(float64(len(p.targets))*movesPerServer))) {
 		if i, ok := p.idleTarget(); ok {
-			if !p.fillIdle(i) {
+			if !p.fill(i, max(p.minLoad(), minRate), 0) {
 				break
 			}
 			changed = true
@@ -139,26 +139,26 @@
 // to pay off within a few seconds.
 const moveCost = 10
 
-// fillIdle gives an idle target its minimum load, taken from the target with the most work.
-func (p *planner) fillIdle(to int) bool {
+// fill moves a range with about the wanted requests per second, and no less than the least, to a target from the one with the most
+// work.
+func (p *planner) fill(to int, want, least float64) bool {
+	if p.targets[to].Limit > 0 {
+		want = min(want, newRangeFill*p.targets[to].Limit)
+	}
 	from := 0
 	for i := range p.load {
 		if p.load[i]*p.serviceTimes[i] > p.load[from]*p.serviceTimes[from] {
 			from = i
 		}
 	}
-	want := max(p.minLoad(), minRate)
-	if p.targets[to].Limit > 0 {
-		want = p.limitedMin(to)
-	}
 	best, off := move{}, math.Inf(1)
 	for i, x := range p.assignments {
 		if p.index(x.Owner) != from || x.Previous != (Incarnation{}) {
 			continue
 		}
 		for _, r := range p.cutsAtEnds(x.Range, want) {
-			if d := math.Abs(p.rate(r) - want); d < off {
-				best, off = move{assignment: i, cut: r, to: to}, d
+			if d := p.rate(r); d >= least && math.Abs(d-want) < off {
+				best, off = move{assignment: i, cut: r, to: to}, math.Abs(d-want)
 			}
 		}
 	}
@@ -169,6 +169,16 @@
 	return true
 }
 
+// fillStarved gives one target that names a limit and gets hardly any requests some keys.
+func (p *planner) fillStarved() bool {
+	for i := range p.targets {
+		if want := p.limitedMin(i); p.load[i] < starved*want {
+			return p.fill(i, want, starved*want)
+		}
+	}
+	return false
+}
+
 // minLoad returns the requests per second that each server keeps.
 func (p *planner) minLoad() float64 {
 	sum := 0.0
@@ -181,20 +191,18 @@
 // limitedMin returns the requests per second that a server which names a limit keeps, or 0 if it names none. Only the response to a
 // request shows that the limit has ended.
 func (p *planner) limitedMin(i int) float64 {
+	if p.targets[i].Limit == 0 {
+		return 0
+	}
 	return min(p.minLoad(), newRangeFill*p.targets[i].Limit)
 }
 
-// starved is the fraction of its minimum below which a server that names a limit counts as idle. Measured rates as low as this vary by
+// starved is the fraction of its minimum below which a server that names a limit gets keys. Measured rates as low as this vary by
 // chance.
 const starved = 0.25
 
-// idleTarget returns a target that owns no keys, or that names a limit and gets hardly any requests.
+// idleTarget returns a target that owns no keys.
 func (p *planner) idleTarget() (int, bool) {
-	for i := range p.targets {
-		if p.load[i] < starved*p.limitedMin(i) {
-			return i, true
-		}
-	}
 	has := make([]bool, len(p.targets))
 	for _, x := range p.assignments {
 		if i := p.index(x.Owner); i >= 0 {
--- a/core/hold/limit_test.go
+++ b/core/hold/limit_test.go
@@ -85,3 +85,12 @@
 		}
 	}
 }
+
+// Guards against moving ranges without requests to a limited server over and over, because all requests are for one key.
+func TestLimitedServerGetsNoEmptyRanges(t *testing.T) {
+	l := targets(slices.Repeat([]time.Duration{5 * time.Millisecond}, 3)...)
+	rates := make(Rates, 16384)
+	rates[100] = 200
+	l[1].Limit = 7.5
+	settle(t, nil, l, rates)
+}
