Give a keyed server its keys back when its limit ends

Cause: the planner moves keys only if a delay gets shorter.

Now a server counts as restored for 10 s after its limit, and gets keys until it has half of its share of the load. A server with slower hosts has a smaller share. Refusing a move from a server to itself is new as well: the busiest server could be the one to be filled.

--- a/core/hold/balance.go
+++ b/core/hold/balance.go
@@ -151,6 +151,9 @@
 			from = i
 		}
 	}
+	if from == to {
+		return false
+	}
 	best, off := move{}, math.Inf(1)
 	for i, x := range p.assignments {
 		if p.index(x.Owner) != from || x.Previous != (Incarnation{}) {
@@ -169,23 +172,45 @@
 	return true
 }
 
-// fillStarved gives one target that names a limit and gets hardly any requests some keys.
+// fillStarved gives keys to targets that get too few requests.
 func (p *planner) fillStarved() bool {
+	moves := 0
 	for i := range p.targets {
-		if want := p.limitedMin(i); p.load[i] < starved*want {
-			return p.fill(i, want, starved*want)
+		want, enough := p.minimum(i)
+		for moves < minMoves && p.load[i] < enough && p.fill(i, want-p.load[i], min(enough, minRate)) {
+			moves++
 		}
 	}
-	return false
+	return moves > 0
+}
+
+// minimum returns the requests per second that a target gets whether or not this shortens delays, and those below which it gets more
+// keys. Both are 0 if that is left to balance.
+//
+// A server that names a limit keeps a few requests. When the limit has ended, it gets its keys back: otherwise the few would be enough
+// for balance as long as the other servers have room, and the next rise of the load would find that server unused.
+func (p *planner) minimum(i int) (want, enough float64) {
+	switch {
+	case p.targets[i].Limit > 0:
+		want = p.limitedMin(i)
+		return want, starved * want
+	case p.targets[i].Restored:
+		want = p.meanLoad() * min(1, p.meanServiceTime/p.serviceTimes[i])
+		return want, restoredShare * want
+	}
+	return 0, 0
 }
 
 // minLoad returns the requests per second that each server keeps.
-func (p *planner) minLoad() float64 {
+func (p *planner) minLoad() float64 { return minLoadShare * p.meanLoad() }
+
+// meanLoad returns the mean load of the targets, in requests per second.
+func (p *planner) meanLoad() float64 {
 	sum := 0.0
 	for _, x := range p.load {
 		sum += x
 	}
-	return minLoadShare * sum / float64(len(p.load))
+	return sum / float64(len(p.load))
 }
 
 // limitedMin returns the requests per second that a server which names a limit keeps, or 0 if it names none. Only the response to a
@@ -201,6 +226,9 @@
 // chance.
 const starved = 0.25
 
+// restoredShare is the fraction of its share of the load below which a server whose limit has ended gets keys.
+const restoredShare = 0.5
+
 // idleTarget returns a target that owns no keys.
 func (p *planner) idleTarget() (int, bool) {
 	has := make([]bool, len(p.targets))
--- a/core/hold/limit_test.go
+++ b/core/hold/limit_test.go
@@ -94,3 +94,23 @@
 	l[1].Limit = 7.5
 	settle(t, nil, l, rates)
 }
+
+// Guards against a server that stays nearly without keys after its limit has ended, because the others serve them as fast.
+func TestKeysReturnAfterLimit(t *testing.T) {
+	rates := slices.Repeat(Rates{150.0 / 4096}, 4096)
+	l := targets(slices.Repeat([]time.Duration{5 * time.Millisecond}, 3)...)
+	assignments := settle(t, nil, l, rates)
+	before := loadByServer(assignments, rates)["s1"]
+	l[1].Limit = 7.5
+	assignments = settle(t, assignments, l, rates)
+	require.LessOrEqual(t, loadByServer(assignments, rates)["s1"], 7.5)
+	l[1].Limit, l[1].Restored = 0, true
+	for range 2 {
+		assignments, _ = Plan(assignments, l, rates)
+		for i := range assignments {
+			assignments[i].Previous = Incarnation{}
+		}
+	}
+	require.Greater(t, loadByServer(assignments, rates)["s1"], 0.4*before, "after two plans")
+	settle(t, assignments, l, rates)
+}
--- a/core/hold/plan.go
+++ b/core/hold/plan.go
@@ -43,6 +43,7 @@
 	Slots       int
 	ServiceTime time.Duration // of a request without interference; 0 if unknown
 	Limit       float64       // requests per second that the server takes; 0 if it names no limit
+	Restored    bool          // whether the server named a limit until a short time ago
 }
 
 // planner computes one change of the assignments.
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -32,11 +33,12 @@
 	replanned        bool          // whether a plan was made since the holds were last published
 	targets          []hold.Target // targets of the last plan
 	rates            hold.Rates
+	restoredUntil    map[hold.Incarnation]mono.Time // until when a server counts as restored after its limit
 }
 
 // loadService reads the assignment of a service from the feed. It returns nil if the row can't be decoded.
 func (g *Granter) loadService(n ident.Service, now mono.Time) *service {
-	x := &service{name: n}
+	x := &service{name: n, restoredUntil: map[hold.Incarnation]mono.Time{}}
 	row, ok := g.o.Feed.Row(feed.KeysRow(n))
 	w := &wire.KeysRow{}
 	if ok {
@@ -146,15 +148,22 @@
 	return false
 }
 
+// restoreTime is how long a server counts as restored after its limit has ended. Its keys are back after a few plans.
+const restoreTime = 10 * time.Second
+
 // targets returns the servers that may hold keys. It leaves out those known to have ended, which stay announced for seconds.
 func (g *Granter) targets(s *site.Snapshot, v *service, now mono.Time) []hold.Target {
 	var l []hold.Target
 	for _, x := range s.ServersOf(v.name) {
 		inc := hold.Incarnation{Server: x.ID, Born: x.Born}
 		if s.Accepts(x) && !v.table.HasEnded(inc) {
+			limit := g.o.Limits.Limit(x)
+			if limit > 0 {
+				v.restoredUntil[inc] = now.Add(restoreTime)
+			}
 			l = append(l, hold.Target{
 				Incarnation: inc, Cold: now.Before(x.ColdUntil), Slots: x.Slots, ServiceTime: g.measurements.serviceTime(now, v.name, x.ID),
-				Limit: g.o.Limits.Limit(x),
+				Limit: limit, Restored: limit == 0 && now.Before(v.restoredUntil[inc]),
 			})
 		}
 	}
@@ -164,6 +173,7 @@
 // plan computes the next assignment and starts to write it if it has changed.
 func (g *Granter) plan(x *service, targets []hold.Target, now mono.Time) {
 	pieces := x.table.Assignments()
+	maps.DeleteFunc(x.restoredUntil, func(_ hold.Incarnation, until mono.Time) bool { return !now.Before(until) })
 	x.targets, x.rates, x.replanned = targets, g.measurements.keyRates(now, x.name), true
 	next, changed := hold.Plan(pieces, targets, x.rates)
 	// Released previous owners are removed from the row, so that a later coordinator doesn't send them another release.
