Stand-in: a crashed server's address refuses connections until it stops

Suspected: the server that replaced it got its port from the kernel. The daemon logs who saw what when it takes a refused connection not for a crash; no line told that before.

--- a/io/fakes/cut/block.go
+++ b/io/fakes/cut/block.go
@@ -65,6 +65,15 @@
 	conn net.Conn // the one that fills the queue
 }
 
+// HoldAddress binds a socket to the address, so that connections to it are refused until release is called.
+func HoldAddress(addr string) (release func(), err error) {
+	f, err := newBoundSocket(addr, false)
+	if err != nil {
+		return nil, err
+	}
+	return f.close, nil
+}
+
 func newBoundSocket(addr string, full bool) (*boundSocket, error) {
 	a, err := netip.ParseAddrPort(addr)
 	if err != nil {
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -197,11 +197,31 @@
 			y, cancel := context.WithTimeout(c, probeTimeout)
 			err := g.o.Dial(y, x.Addr)
 			cancel()
-			g.applyProbe(x, errors.Is(err, syscall.ECONNREFUSED) && crash.HasCrashed(g.o.Observe(c, x)))
+			g.applyProbe(x, errors.Is(err, syscall.ECONNREFUSED) && g.hasCrashed(c, x))
 		}
 	}
 }
 
+// hasCrashed reports whether a server that refused a connection has crashed.
+func (g *Guard) hasCrashed(c context.Context, x *site.Server) bool {
+	l, others := g.o.Observe(c, x)
+	if crash.HasCrashed(l, others) {
+		return true
+	}
+	reached, reachedOthers := 0, 0
+	for _, o := range l {
+		if o.Reached {
+			reached++
+		}
+		if o.ReachedOthers {
+			reachedOthers++
+		}
+	}
+	g.o.Log.Info().Str("server", string(x.ID)).Int64("born", x.Born).Int("observers", len(l)).Int("reached", reached).
+		Int("reached-others", reachedOthers).Int("others", others).Msg("server refused a connection and hasn't crashed")
+	return false
+}
+
 // applyProbe records whether a server has crashed.
 func (g *Guard) applyProbe(x *site.Server, crashed bool) {
 	r := g.o.View.Snapshot().Crashes
