Demo: daemons don't get the ports of the examples' backend servers

The example services give their servers fixed ports, 21101 to 21208. The demo chose the daemons' ports, which come from 12000 to 31999 by process id, before it started the servers. In the failed run all three admin pages, 21202, 21205 and 21208, were ports of ruilregister's servers: the stand-ins took them, the daemons ended, and a stand-in answers any path with status 200 and a body that decodes to nothing. Seen now with a stand-in asked for a status and a publish: "answered with status 200 as "", which is not a daemon that this client knows".

The servers start first now, and the search for free ports passes them. A demo that fails keeps its logs and says where; those of backend servers are in memory and still end with it.

The same elsewhere: the demo on the platform and the tests let the kernel choose the servers' ports, from 32768 on here, which are never given to daemons.

--- a/cmd/heatherdemo/demo/demo.go
+++ b/cmd/heatherdemo/demo/demo.go
@@ -53,8 +53,15 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	defer os.RemoveAll(dir)
 	d := &demo{Options: *o, out: out, dir: dir}
+	err = d.run()
+	if err != nil {
+		return trace.Wrap(err, "the logs are in %s", dir)
+	}
+	return trace.ConvertSystemError(os.RemoveAll(dir))
+}
+
+func (d *demo) run() error {
 	if err := d.start(); err != nil {
 		return err
 	}
@@ -80,28 +87,27 @@
 	domains := domainsOf(d.services)
 	d.say("Starting the platform's stand-ins, the backend servers of %d services and a daemon in each of %v", len(d.services), domains[:3])
 	s, err := stand.New(stand.Options{
-		Dir: d.dir, Binary: d.Daemon, Daemons: 3, Domains: 3, Names: domains[:3], Region: d.services[0].Region,
+		Dir: d.dir, Binary: d.Daemon, Daemons: 3, Domains: 3, Names: domains[:3], Region: d.services[0].Region, Servers: d.servers(),
 	})
 	if err != nil {
 		return err
 	}
 	d.stand = s
-	for _, x := range d.services {
-		for i := range x.Servers {
-			if err := d.addServer(&x.Servers[i], uint64(i)); err != nil {
-				return err
-			}
-		}
-	}
 	return s.Start()
 }
 
-func (d *demo) addServer(v *config.Server, seed uint64) error {
-	_, err := d.stand.AddServer(server.Options{
-		Name: v.ID, Addr: v.Addr.String(), Slots: v.Slots, Conns: v.Conns, ChecksGrants: v.ChecksGrants,
-		ServiceTime: server.Exponential{Mean: serviceTime}, Seed: seed, ColdWork: coldWork,
-	})
-	return trace.Wrap(err, "backend server stand-in %s", v.ID)
+// servers returns the options of the examples' backend servers.
+func (d *demo) servers() []server.Options {
+	var l []server.Options
+	for _, x := range d.services {
+		for i, v := range x.Servers {
+			l = append(l, server.Options{
+				Name: v.ID, Addr: v.Addr.String(), Slots: v.Slots, Conns: v.Conns, ChecksGrants: v.ChecksGrants,
+				ServiceTime: server.Exponential{Mean: serviceTime}, Seed: uint64(i), ColdWork: coldWork,
+			})
+		}
+	}
+	return l
 }
 
 func (d *demo) readServices() error {
--- a/io/stand/stand.go
+++ b/io/stand/stand.go
@@ -41,6 +41,10 @@
 	Names   []ident.Domain // of the domains; made up when empty
 	Region  ident.Region   // made up when empty
 	Procs   int            // processors that each daemon may use at once, as on a small host; 0 for all
+
+	// Servers are backend servers with given addresses. They start before the daemons' ports are chosen, which would otherwise be
+	// free to be the same.
+	Servers []server.Options
 }
 
 // Stand is the platform's stand-ins and the daemons.
@@ -93,6 +97,11 @@
 	if err := os.WriteFile(filepath.Join(o.Dir, "operator.key"), []byte(OperatorKey), 0o600); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
+	for _, x := range o.Servers {
+		if _, err := s.AddServer(x); err != nil {
+			return nil, trace.Wrap(err, "backend server stand-in %s", x.Name)
+		}
+	}
 	for i := range o.Daemons {
 		if err := s.add(i); err != nil {
 			return nil, err
