Coordinator: restarting servers are no lost paths

It asks 24 daemons which of eight servers they reach; its own connections find three, and those of one daemon, a little later, find more, as servers come back. The role is handed over at 21.1 s, to a daemon of the domain under evacuation, and again at 22.8 s; 600 requests a half second are refused as keys-lost for the next 3 s.

The coordinator now connects once more to the servers that only others reached, after their answers. Only what it still doesn't reach counts against its paths.

Considered: a second round of questions before handing over. It doubles the connections of all daemons, and the same race decides it.

--- a/io/grant/reach.go
+++ b/io/grant/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -99,26 +100,55 @@
 	return l
 }
 
-// askForReach connects to the servers and asks the daemons to do the same.
+// askForReach compares which of the servers this daemon and the others reach, and asks the store for an answer.
 func (g *Granter) askForReach(c context.Context, daemons []ident.Daemon, ids []ident.Server, x *reachCheck) {
-	c, cancel := context.WithTimeout(c, reachAskTimeout)
+	var w sync.WaitGroup
+	w.Go(func() {
+		c, cancel := context.WithTimeout(c, reachAskTimeout)
+		defer cancel()
+		x.storeAnswers = g.storeAnswers(c)
+	})
+	x.own, x.peers = g.compareReach(c, daemons, ids)
+	w.Wait()
+}
+
+// compareReach connects to the servers and has the daemons do the same. It returns how many of the servers this daemon and each of
+// those that answer reach.
+//
+// This daemon connects again to the servers that only others reached: servers that restart in that moment accept the connections that
+// come a little later, which says nothing about paths.
+func (g *Granter) compareReach(c context.Context, daemons []ident.Daemon, ids []ident.Server) (own int, peers []elect.Reach) {
+	x, cancel := context.WithTimeout(c, reachAskTimeout)
 	defer cancel()
 	var w sync.WaitGroup
 	var mu sync.Mutex
+	onlyOthers := map[ident.Server]bool{}
 	for _, d := range daemons {
 		w.Go(func() {
-			l, err := paths.AskPeer(c, g.peers, d, ids)
+			l, err := paths.AskPeer(x, g.peers, d, ids)
 			if err != nil {
 				return // it can't be the successor
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			x.peers = append(x.peers, elect.Reach{Daemon: d, Reached: len(l)})
+			peers = append(peers, elect.Reach{Daemon: d, Reached: len(l)})
+			for _, id := range l {
+				onlyOthers[id] = true
+			}
 		})
 	}
-	w.Go(func() { x.storeAnswers = g.storeAnswers(c) })
-	x.own = len(g.o.Paths.Check(c, ids))
+	reached := g.o.Paths.Check(x, ids)
 	w.Wait()
+	for _, id := range reached {
+		delete(onlyOthers, id)
+	}
+	own = len(reached)
+	if len(onlyOthers) > 0 {
+		y, cancel := context.WithTimeout(c, reachAskTimeout)
+		defer cancel()
+		own += len(g.o.Paths.Check(y, slices.Collect(maps.Keys(onlyOthers))))
+	}
+	return own, peers
 }
 
 // handleReachCheck hands the role to a daemon that reaches more servers than this one.
