--- a/io/admcli/change.go
+++ b/io/admcli/change.go
@@ -87,7 +87,7 @@
 	wait := firstWait
 	for range maxRounds {
 		for _, a := range c.opts.Addrs {
-			v, err := changeAt[A](ctx, c, a, uri, call(s.unknown != nil))
+			v, err := changeAt[A](ctx, c, a, uri, txn, call(s.unknown != nil))
 			if s.settles(err) {
 				return v, trace.Wrap(err)
 			}
@@ -133,7 +133,7 @@
 }
 
 // changeAt sends the change to one daemon. An error that says nothing else means an unknown outcome.
-func changeAt[A any](ctx context.Context, c *Client, a netip.AddrPort, uri string, call any) (A, error) {
+func changeAt[A any](ctx context.Context, c *Client, a netip.AddrPort, uri string, txn ident.Txn, call any) (A, error) {
 	var v A
 	body, err := json.Marshal(call)
 	if err != nil {
@@ -153,7 +153,14 @@
 	if r.StatusCode() != fasthttp.StatusOK {
 		return v, failure(a, r)
 	}
-	if err := decode(a, r.Body(), &v); err != nil {
+	err = checkPeer(a, r)
+	if err == nil {
+		err = checkTxn(a, r, txn)
+	}
+	if err == nil {
+		err = decodeWhole(a, r.Body(), &v)
+	}
+	if err != nil {
 		return v, &admin.UnknownError{Cause: err.Error()}
 	}
 	return v, nil
--- a/io/admcli/failure.go
+++ b/io/admcli/failure.go
@@ -1,10 +1,12 @@
 package admcli
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -21,12 +23,36 @@
 	return nil
 }
 
+// decodeWhole is decode for an answer that must have exactly the fields of the struct.
+func decodeWhole(a netip.AddrPort, b []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	var fields map[string]json.RawMessage
+	err := json.Unmarshal(b, &fields)
+	if err == nil {
+		err = d.Decode(v)
+	}
+	for x := range reflect.TypeOf(v).Elem().Fields() {
+		if name := x.Tag.Get("json"); err == nil && fields[name] == nil {
+			err = errors.New("it has no field " + name)
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("the daemon at %s gave an answer that can't be read: %w", a, err)
+	}
+	return nil
+}
+
 // failure returns the error that an answer other than 200 stands for.
 func failure(a netip.AddrPort, r *fasthttp.Response) error {
+	if err := checkPeer(a, r); err != nil {
+		return unrecognized(r, err.Error())
+	}
 	var f admin.Failure
 	if err := json.Unmarshal(r.Body(), &f); err != nil || f.Reason == "" {
-		return unrecognized(a, r)
+		return unrecognized(r, fmt.Sprintf("%s answered with status %d", a, r.StatusCode()))
 	}
+	f.Message = fmt.Sprintf("daemon %s at %s: %s", daemonOf(r), a, f.Message)
 	switch f.Reason {
 	case admin.ReasonConflict:
 		if f.Conflict != nil {
@@ -58,13 +84,12 @@
 }
 
 // unrecognized is the error of an answer that is no Failure of an admin page, from something between the client and the daemon or
-// from the HTTP library. Below 500 it was refused; from there on nobody knows.
-func unrecognized(a netip.AddrPort, r *fasthttp.Response) error {
-	m := fmt.Sprintf("%s answered with status %d", a, r.StatusCode())
-	if r.StatusCode() < fasthttp.StatusInternalServerError {
-		return trace.BadParameter("%s", m)
+// from another program. With a status of 400 to 499 the call was refused; else nobody knows.
+func unrecognized(r *fasthttp.Response, message string) error {
+	if n := r.StatusCode(); n >= fasthttp.StatusBadRequest && n < fasthttp.StatusInternalServerError {
+		return trace.BadParameter("%s", message)
 	}
-	return &admin.UnknownError{Cause: m}
+	return &admin.UnknownError{Cause: message}
 }
 
 func retryAfter(r *fasthttp.Response) time.Duration {
--- a/io/admin/fake/page.go
+++ b/io/admin/fake/page.go
@@ -25,7 +25,7 @@
 func NewPage(b *Backend, key string) *admin.Page {
 	metrics := func(c *fasthttp.RequestCtx) { c.SetBodyString(Metrics) }
 	l := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
-	return admin.New(b, func() string { return key }, metrics, l)
+	return admin.New(admin.Self{Daemon: Daemon, Incarnation: 1}, b, func() string { return key }, metrics, l)
 }
 
 // ServiceFile returns the file of an unkeyed service with the backend server "s" in domain d1 at the port, and a
--- a/io/admin/page.go
+++ b/io/admin/page.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"net"
 	"strings"
 	"time"
@@ -32,6 +33,7 @@
 
 // Page is the admin page of a daemon.
 type Page struct {
+	self    Self
 	backend Backend
 	key     func() string
 	metrics fasthttp.RequestHandler
@@ -53,11 +55,12 @@
 
 // New returns an admin page. Key returns the operator key that holds at the moment, so that it
 // can change without a restart; while it is empty every mutating call is refused.
-func New(b Backend, key func() string, metrics fasthttp.RequestHandler, l *log.Logger) *Page {
-	p := &Page{backend: b, key: key, metrics: metrics, log: l}
+func New(x Self, b Backend, key func() string, metrics fasthttp.RequestHandler, l *log.Logger) *Page {
+	p := &Page{self: x, backend: b, key: key, metrics: metrics, log: l}
 	p.routes = p.makeRoutes()
 	p.http = &fasthttp.Server{
 		Handler:               p.Handle,
+		ErrorHandler:          p.unreadable,
 		Name:                  "heatherrouterd",
 		MaxRequestBodySize:    maxBody,
 		ReadTimeout:           readTimeout,
@@ -116,8 +119,19 @@
 	return l
 }
 
+// unreadable answers a request that can't be read.
+func (p *Page) unreadable(c *fasthttp.RequestCtx, err error) {
+	p.self.WriteTo(&c.Response.Header)
+	status := fasthttp.StatusBadRequest
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	fail(c, status, Failure{Reason: ReasonBadRequest, Message: "the request can't be read: " + err.Error()})
+}
+
 // Handle answers one call.
 func (p *Page) Handle(c *fasthttp.RequestCtx) {
+	p.self.WriteTo(&c.Response.Header)
 	path := string(c.Path())
 	r, ok := p.routes[path]
 	if name, found := strings.CutPrefix(path, servicesPath+"/"); found && !ok {
@@ -172,7 +186,7 @@
 }
 
 // mutate makes the handler of a call that changes something and therefore needs the operator key.
-func mutate[Q, A any](p *Page, call func(context.Context, Q) (A, error)) fasthttp.RequestHandler {
+func mutate[Q interface{ transaction() ident.Txn }, A any](p *Page, call func(context.Context, Q) (A, error)) fasthttp.RequestHandler {
 	return func(c *fasthttp.RequestCtx) {
 		if !p.authorize(c) {
 			return
@@ -184,6 +198,7 @@
 			badRequest(c, "the body is no such call: "+err.Error())
 			return
 		}
+		c.Response.Header.Set(HeaderTxn, string(q.transaction()))
 		// The caller may hang up meanwhile; the call goes on to a certain end, which the same transaction
 		// id can ask for again.
 		ctx, cancel := context.WithTimeout(context.Background(), CallTimeout)
--- a/io/admin/types.go
+++ b/io/admin/types.go
@@ -134,6 +134,8 @@
 	Again   bool            `json:"again,omitempty"` // an earlier attempt with the same id may have taken effect
 }
 
+func (q Publish) transaction() ident.Txn { return q.Txn }
+
 // Published answers a Publish.
 type Published struct {
 	Rev     ident.Rev       `json:"rev"` // that is in force with these files
@@ -163,6 +165,8 @@
 	Again   bool      `json:"again,omitempty"` // an earlier attempt with the same id may have taken effect
 }
 
+func (q Drain) transaction() ident.Txn { return q.Txn }
+
 // Drained answers a Drain.
 type Drained struct {
 	Rev     ident.Rev `json:"rev"`
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -233,7 +233,8 @@
 	if err != nil {
 		return trace.Wrap(err, "admin address %v", d.settings.Admin)
 	}
-	d.page = admin.New(d, d.opkey.Get, d.meter.Page(), d.log)
+	self := admin.Self{Daemon: d.settings.Name, Incarnation: ident.Incarnation(d.started.UnixNano())}
+	d.page = admin.New(self, d, d.opkey.Get, d.meter.Page(), d.log)
 	d.group.Go(func(context.Context) error { return d.page.Serve(l) })
 	return nil
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -26,6 +26,7 @@
 	"heatherrouter/core/quota"
 	"heatherrouter/core/reach"
 	"heatherrouter/core/site"
+	"heatherrouter/io/admin"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/feed"
 	"heatherrouter/io/front"
@@ -356,6 +357,7 @@
 	case "/metrics":
 		n.meter.Page()(x)
 	case "/state":
+		admin.Self{Daemon: n.o.Settings.Name, Incarnation: n.incarnation}.WriteTo(&x.Response.Header)
 		n.handleState(x)
 	default:
 		if !n.Ready() {
