Retry budget: what it counted, what it allowed and why it was used

No log line or metric said what a daemon's retry budget counted and what its retries were for, so that the hypotheses of docs/incidents/retries-beyond-the-budget.md couldn't be told apart. heatherrouter_retries_total counts sends beyond the first by service, by how the one before ended, and whether the budget allowed it; /state lists the budgets; a line says the same while one is used. No decision changes.

--- a/core/pace/budget.go
+++ b/core/pace/budget.go
@@ -10,7 +10,46 @@
 type RetryBudget struct {
 	StartedAt mono.Time // start of this incarnation of the daemon
 
-	requests, retries windowCounter
+	requests, retries, denied windowCounter
+}
+
+// RetryCause says why a request is sent again.
+type RetryCause uint8
+
+// Causes of retries: how the attempt before ended.
+const (
+	CauseUnanswered  RetryCause = iota // no usable response
+	CauseFailed                        // a response with status 5xx
+	CauseRefused                       // the server did not run the request
+	CauseMisdirected                   // the server is not the one that was meant, or doesn't hold the key
+)
+
+var causeNames = [...]string{"unanswered", "failed", "refused", "misdirected"}
+
+// String returns the cause in kebab case.
+func (c RetryCause) String() string {
+	if int(c) < len(causeNames) {
+		return causeNames[c]
+	}
+	return "unknown"
+}
+
+// RetryUsage is this daemon's use of a retry budget in the current window.
+type RetryUsage struct {
+	Requests float64 // requests counted
+	Retries  float64
+	Denied   float64 // retries that the budget did not allow
+	Allowed  float64 // retries allowed, to caller retries
+	Slack    float64 // this daemon's share of the slack
+	Daemons  int     // daemons that the slack is divided by
+}
+
+// Usage returns the use of the budget.
+func (b *RetryBudget) Usage(now mono.Time, daemons int, l RetryLimit) RetryUsage {
+	return RetryUsage{
+		Requests: b.requests.sum(now, l.Window), Retries: b.retries.sum(now, l.Window), Denied: b.denied.sum(now, l.Window),
+		Allowed: b.allowed(now, daemons, l), Slack: b.slack(now, daemons, l), Daemons: daemons,
+	}
 }
 
 // RetryLimit is the limit on the retries of all daemons together.
@@ -37,21 +76,31 @@
 // Take spends one retry, or reports false if the budget is exhausted. A caller retry may use the whole budget, since
 // its caller will not try again.
 func (b *RetryBudget) Take(now mono.Time, daemons int, l RetryLimit, callerRetry bool) bool {
-	slack := l.Slack / float64(max(1, daemons))
-	if now.Sub(b.StartedAt) < l.Window {
-		slack = 0 // the previous incarnation may have spent it
-	}
-	allowed := (b.requests.sum(now, l.Window)*l.Ratio + slack) * budgetUtilisation
+	allowed := b.allowed(now, daemons, l)
 	if !callerRetry {
 		allowed *= firstTryShare
 	}
 	if b.retries.sum(now, l.Window)+1 > allowed {
+		b.denied.add(now, l.Window)
 		return false
 	}
 	b.retries.add(now, l.Window)
 	return true
 }
 
+// allowed returns how many retries the budget allows in the current window.
+func (b *RetryBudget) allowed(now mono.Time, daemons int, l RetryLimit) float64 {
+	return (b.requests.sum(now, l.Window)*l.Ratio + b.slack(now, daemons, l)) * budgetUtilisation
+}
+
+// slack returns this daemon's share of the slack.
+func (b *RetryBudget) slack(now mono.Time, daemons int, l RetryLimit) float64 {
+	if now.Sub(b.StartedAt) < l.Window {
+		return 0 // the previous incarnation may have spent it
+	}
+	return l.Slack / float64(max(1, daemons))
+}
+
 // counterCells is the number of cells by which the window of a windowCounter moves.
 const counterCells = 10
 
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -26,6 +26,7 @@
 	answers    metric.Int64Counter
 	latency    metric.Float64Histogram
 	crashes    metric.Int64Counter
+	retries    metric.Int64Counter
 	relays     metric.Int64Counter
 	handler    fasthttp.RequestHandler
 	attributes sync.Map // answerKey -> metric.MeasurementOption
@@ -64,6 +65,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	m.retries, err = m.meter.Int64Counter("heatherrouter.retries",
+		metric.WithDescription("sends beyond the first of each request, by how the one before ended and whether the retry budget allowed it"))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	m.latency, err = m.meter.Float64Histogram("heatherrouter.answer.time", metric.WithUnit("s"),
 		metric.WithDescription("from a request's arrival to the head of its final answer"),
 		metric.WithExplicitBucketBoundaries(0.0005, 0.001, 0.002, 0.004, 0.009, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 3, 10))
@@ -102,6 +108,13 @@
 	))
 }
 
+// RecordRetry counts a send beyond the first of its request, or one that the retry budget did not allow.
+func (m *Meter) RecordRetry(s ident.Service, cause string, allowed bool) {
+	m.retries.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", string(s)), attribute.String("cause", cause), attribute.Bool("allowed", allowed),
+	))
+}
+
 // Gauge adds a gauge whose value is read whenever the metrics page is served.
 func (m *Meter) Gauge(name, unit, description string, read func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description),
--- a/io/node/state.go
+++ b/io/node/state.go
@@ -13,6 +13,7 @@
 	"heatherrouter/io/guard"
 	"heatherrouter/io/limit"
 	"heatherrouter/io/paths"
+	"heatherrouter/io/send"
 )
 
 // stateDump is the JSON document that operators read at /state.
@@ -34,6 +35,7 @@
 	Unreachable             []paths.Status                `json:"unreachable-servers"`
 	ServerLimits            []limit.ServerState           `json:"server-limits"`   // backend servers that name a limit
 	Backoffs                []limit.BackoffState          `json:"server-backoffs"` // backend servers that requested backoff
+	RetryBudgets            []send.BudgetState            `json:"retry-budgets"`
 	OpenRequests            int                           `json:"open-requests"`
 	Waiting                 int                           `json:"waiting-requests"`
 	Connections             int                           `json:"caller-connections"`
@@ -47,6 +49,7 @@
 		CopyAgeMS: copyAge.Milliseconds(), CoordinatorContactAgeMS: contactAge.Milliseconds(), Evacuated: slices.Sorted(maps.Keys(s.Evacuated)),
 		Daemons: slices.Sorted(maps.Keys(s.Daemons)), Servers: map[ident.Server]site.Server{},
 		Limits: n.limiter.States(), Crashes: n.guard.States(), Unreachable: n.paths.Statuses(), ServerLimits: n.reports.States(), Backoffs: n.reports.BackoffStates(),
+		RetryBudgets: n.sender.BudgetStates(),
 		OpenRequests: n.front.OpenRequests(), Waiting: n.sender.Waiting(), Connections: n.front.OpenConns(),
 	}
 	if s.Config != nil {
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -11,6 +11,7 @@
 	"heatherrouter/core/crash"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
+	"heatherrouter/core/pace"
 	"heatherrouter/core/report"
 	"heatherrouter/core/retry"
 	"heatherrouter/core/site"
@@ -56,6 +57,9 @@
 	if x.Outcome == retry.Answered && !s.isFromServer(resp) {
 		x.Outcome, x.Err = retry.Unknown, errUnsigned
 	}
+	if sent {
+		r.retryCause = retryCause(x, resp)
+	}
 	if x.Outcome != retry.Answered {
 		s.logFailedSend(r, b, x, resp, took)
 	}
@@ -81,6 +85,19 @@
 	return nil
 }
 
+// retryCause returns why a request may be sent again after an exchange.
+func retryCause(x conns.Result, resp *fasthttp.Response) pace.RetryCause {
+	switch {
+	case x.Outcome == retry.Answered:
+		return pace.CauseFailed
+	case x.End != admit.EndRefused:
+		return pace.CauseUnanswered
+	case resp.StatusCode() == fasthttp.StatusMisdirectedRequest:
+		return pace.CauseMisdirected
+	}
+	return pace.CauseRefused
+}
+
 var errUnsigned = errors.New("success response without the server's signature header")
 
 // isFromServer reports whether the backend server itself produced the response: a success must carry its signature header.
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -159,8 +159,56 @@
 func (s *Sender) takeRetry(r *request, now mono.Time) bool {
 	n := len(s.daemonNames(s.o.View.Snapshot()))
 	s.mu.Lock()
+	ok := s.retryBudget(r.service.Name).Take(now, n, s.o.RetryLimit, r.callerRetry)
+	s.mu.Unlock()
+	s.o.Counter.RecordRetry(r.service.Name, r.retryCause.String(), ok)
+	s.logRetryBudget(r.service.Name, now, n)
+	return ok
+}
+
+// budgetLogInterval is the least time between two log lines about the retry budget of one service.
+const budgetLogInterval = 2 * time.Second
+
+// logRetryBudget logs the use of a service's retry budget while it is used.
+func (s *Sender) logRetryBudget(n ident.Service, now mono.Time, daemons int) {
+	s.mu.Lock()
+	if last, ok := s.budgetsLogged[n]; ok && now.Sub(last) < budgetLogInterval {
+		s.mu.Unlock()
+		return
+	}
+	s.budgetsLogged[n] = now
+	u := s.retryBudget(n).Usage(now, daemons, s.o.RetryLimit)
+	s.mu.Unlock()
+	s.o.Log.Info().Str("service", string(n)).Float64("requests", u.Requests).Float64("retries", u.Retries).Float64("denied", u.Denied).
+		Float64("allowed", u.Allowed).Float64("slack", u.Slack).Int("daemons", u.Daemons).Msg("retry budget in use")
+}
+
+// BudgetState is the use of a service's retry budget in the current window, for the state page.
+type BudgetState struct {
+	Service  ident.Service `json:"service"`
+	Requests int           `json:"requests"` // counted by this daemon
+	Retries  int           `json:"retries"`
+	Denied   int           `json:"denied"`
+	Allowed  float64       `json:"allowed"`
+	Slack    float64       `json:"slack"` // this daemon's share
+	Daemons  int           `json:"daemons"`
+}
+
+// BudgetStates returns the retry budgets, ordered by service.
+func (s *Sender) BudgetStates() []BudgetState {
+	daemons := len(s.daemonNames(s.o.View.Snapshot()))
+	now := s.o.Clock.Now()
+	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.retryBudget(r.service.Name).Take(now, n, s.o.RetryLimit, r.callerRetry)
+	l := make([]BudgetState, 0, len(s.retryBudgets))
+	for _, n := range slices.Sorted(maps.Keys(s.retryBudgets)) {
+		u := s.retryBudgets[n].Usage(now, daemons, s.o.RetryLimit)
+		l = append(l, BudgetState{
+			Service: n, Requests: int(u.Requests), Retries: int(u.Retries), Denied: int(u.Denied), Allowed: u.Allowed, Slack: u.Slack,
+			Daemons: u.Daemons,
+		})
+	}
+	return l
 }
 
 // isCallerRetry reports whether a request on the route with this remaining time is likely a caller's retry after a refusal.
--- a/io/send/relay_test.go
+++ b/io/send/relay_test.go
@@ -39,6 +39,7 @@
 
 func (noCounter) RecordAnswer(ident.Service, string, string, string, time.Duration) {}
 func (noCounter) RecordRelay(ident.Service, string, string)                         {}
+func (noCounter) RecordRetry(ident.Service, string, bool)                           {}
 
 // Guards against a request that is served by an older configuration than the one in force at the daemon that took it.
 func TestRelayedRequestNeedsTheConfigurationOfItsSender(t *testing.T) {
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -60,6 +60,7 @@
 // Counter counts final responses and requests handed to peers.
 type Counter interface {
 	RecordRelay(s ident.Service, outcome, reason string)
+	RecordRetry(s ident.Service, cause string, allowed bool)
 	RecordAnswer(s ident.Service, route, outcome, reason string, took time.Duration)
 }
 
@@ -142,6 +143,7 @@
 	mu            sync.Mutex
 	backends      map[backendKey]*backend
 	retryBudgets  map[ident.Service]*pace.RetryBudget
+	budgetsLogged map[ident.Service]mono.Time
 	counts        map[keyBucket]uint32 // requests by keys since the last report to the coordinator
 	serviceTimes  map[ident.Service]*choice.Quantile
 	meanSizes     map[string]float64                   // moving average of the bytes of a request and its response, by route
@@ -165,7 +167,7 @@
 	base, abort := context.WithCancel(context.Background())
 	return &Sender{
 		base: base, abort: abort, o: o, started: o.Clock.Now(), names: conns.Names{RequestID: o.Dialect.RequestID, NotRun: o.Dialect.NotRun},
-		backends: map[backendKey]*backend{}, retryBudgets: map[ident.Service]*pace.RetryBudget{}, counts: map[keyBucket]uint32{},
+		backends: map[backendKey]*backend{}, retryBudgets: map[ident.Service]*pace.RetryBudget{}, budgetsLogged: map[ident.Service]mono.Time{}, counts: map[keyBucket]uint32{},
 		serviceTimes: map[ident.Service]*choice.Quantile{}, meanSizes: map[string]float64{},
 		callerRetries: map[string]*pace.CallerRetryDetector{}, splitters: map[string]*choice.Splitter{}, relays: o.Relays,
 	}
@@ -210,6 +212,7 @@
 	backoffUntil mono.Time          // when the first of the servers that requested backoff may be used again; 0 if none did
 	sentTo       []ident.Server     // servers that the request was sent to, whatever the result
 	unreachable  []ident.Server     // servers that could not be reached
+	retryCause   pace.RetryCause    // how the last attempt ended
 	notBefore    mono.Time          // time before which the request is not sent again
 	mayHaveRun   bool               // some attempt may have run
 	interrupted  int                // number of interrupted runs
