Retry budget: a request that is handed on counts once

A daemon counted a request when it was about to send it. If nothing was sent, because the server couldn't be reached, it handed the request to a peer, which counted it too, and so did each further peer.

A request now carries whether it counts already, and the peer's answer says whether it counted it. A peer that was lost may have counted it. The daemon that its caller sent it to counts a request that nobody sent. TestHandedOverRequestCountsOnce failed before by construction: neither field existed.

--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -59,7 +59,7 @@
 // failure returns the result of an exchange that failed.
 func failure(err error) send.RelayResult {
 	if peer.MaybeSent(err) {
-		return send.RelayResult{Outcome: retry.Unknown, Reason: reasonPeerLost}
+		return send.RelayResult{Outcome: retry.Unknown, Reason: reasonPeerLost, Counted: true}
 	}
 	return send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}
 }
@@ -69,7 +69,7 @@
 	m := &wire.Exchange{
 		RequestId: string(x.ID), Service: string(x.Service), Configuration: uint64(x.Config), Method: string(h.Method()),
 		Uri: append([]byte(nil), h.RequestURI()...), RemainingUs: uint64(max(0, x.Deadline.Sub(k.clock.Now()).Microseconds())),
-		BodyFollows: true, BodySize: int64(len(x.Request.Body())), Forwarded: true, ServiceUnreachable: x.ServiceUnreachable,
+		BodyFollows: true, BodySize: int64(len(x.Request.Body())), Forwarded: true, ServiceUnreachable: x.ServiceUnreachable, Counted: x.Counted,
 	}
 	for _, s := range x.SentTo {
 		m.SentTo = append(m.SentTo, string(s))
@@ -86,7 +86,7 @@
 	if err != nil {
 		return send.RelayResult{}, err
 	}
-	r := send.RelayResult{Outcome: retry.Unknown, Reason: a.GetReason(), RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond}
+	r := send.RelayResult{Outcome: retry.Unknown, Reason: a.GetReason(), RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond, Counted: a.GetCounted()}
 	for _, s := range a.GetSentTo() {
 		r.SentTo = append(r.SentTo, ident.Server(s))
 	}
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -118,7 +118,7 @@
 	x := &send.Relayed{
 		Request: req, ID: ident.Request(m.GetRequestId()), Service: ident.Service(m.GetService()), Config: site.Version(m.GetConfiguration()),
 		Deadline:           arrived.Add(time.Duration(m.GetRemainingUs()) * time.Microsecond), //nolint:gosec // seconds
-		ServiceUnreachable: m.GetServiceUnreachable(),
+		ServiceUnreachable: m.GetServiceUnreachable(), Counted: m.GetCounted(),
 	}
 	for _, s := range m.GetSentTo() {
 		x.SentTo = append(x.SentTo, ident.Server(s))
@@ -127,7 +127,7 @@
 }
 
 func encodeAnswer(r send.RelayResult, resp *fasthttp.Response) *wire.ExchangeAnswer {
-	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: r.Reason, RetryAfterMs: uint32(r.RetryAfter.Milliseconds())} //nolint:gosec // seconds
+	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: r.Reason, Counted: r.Counted, RetryAfterMs: uint32(r.RetryAfter.Milliseconds())} //nolint:gosec // seconds
 	for _, s := range r.SentTo {
 		a.SentTo = append(a.SentTo, string(s))
 	}
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -124,8 +124,8 @@
 	index   uint32
 }
 
-// countForBudget counts the request for its service's retry budget, once. A request that is handed to a peer counts for the budget
-// of that peer, which alone can use it.
+// countForBudget counts the request for its service's retry budget, once over all daemons that it is handed to. It counts at the daemon
+// that first sends it, which alone can use the budget, or else at the one that its caller sent it to.
 func (s *Sender) countForBudget(r *request) {
 	if r.counted || r.service == nil {
 		return
--- a/io/send/budget_test.go
+++ b/io/send/budget_test.go
@@ -1,10 +1,13 @@
 package send
 
 import (
+	"io"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/pace"
 	"heatherrouter/core/site"
@@ -34,3 +37,19 @@
 	s.countForBudget(&x)
 	require.Zero(t, retries())
 }
+
+// Guards against budgets that grow with each peer that a request is handed to: a peer says whether it has counted the request, and
+// doesn't count one that counts already.
+func TestHandedOverRequestCountsOnce(t *testing.T) {
+	c, err := site.NewConfig(1, nil, nil, nil, site.DefaultLimits())
+	require.NoError(t, err)
+	for _, counted := range []bool{false, true} {
+		s := New(Options{
+			Clock: clock.New(), View: &versionView{config: c}, Counter: noCounter{}, RetryLimit: pace.RetryLimit{Ratio: 1, Window: time.Second},
+			Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+		})
+		r := s.HandleRelayed(t.Context(), "peer", &Relayed{Request: &fasthttp.Request{}, ID: "a", Service: "s", Counted: counted}, &fasthttp.Response{})
+		require.Equal(t, counted, r.Counted, "nothing was sent here")
+		require.Empty(t, s.BudgetStates())
+	}
+}
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -31,6 +31,7 @@
 	Deadline mono.Time
 
 	ServiceUnreachable bool // the sender can't reach any server of the service
+	Counted            bool // the request counts for a retry budget already
 }
 
 // RelayResult is what a peer answers to a Relayed.
@@ -40,6 +41,7 @@
 	RetryAfter time.Duration
 	Failed     bool           // the peer did not take the request
 	SentTo     []ident.Server // servers that the peer sent the request to
+	Counted    bool           // the request counts for a retry budget, or may do so
 }
 
 // Reasons in a RelayResult, in addition to those of callers' requests. After these another peer may run the request.
@@ -75,8 +77,9 @@
 	resp := fasthttp.AcquireResponse()
 	x := s.o.Relay.Send(r.ctx, to, &Relayed{
 		Request: r.req, ID: r.id, Service: r.service.Name, Config: snap.Config.Version, SentTo: r.sentTo, Deadline: r.deadline,
-		ServiceUnreachable: s.o.Paths.Suspected(r.service.Name),
+		ServiceUnreachable: s.o.Paths.Suspected(r.service.Name), Counted: r.counted,
 	}, resp)
+	r.counted = r.counted || x.Counted
 	s.mu.Lock()
 	s.relays.Ended(s.o.Clock.Now(), to, r.service.Name, r.target, x.report())
 	s.mu.Unlock()
@@ -173,7 +176,7 @@
 	}
 	r := s.newRequest(c, x.Request)
 	r.relayed, r.relayDeadline, r.sentTo = true, x.Deadline, slices.Clone(x.SentTo)
-	r.counted = len(x.SentTo) > 0 // by the daemon that sent it
+	r.counted = x.Counted
 	snap := s.o.View.Snapshot()
 	if snap.Config != nil && snap.Config.Version < x.Config && s.o.View.Refresh(c) {
 		snap = s.o.View.Snapshot()
@@ -184,7 +187,7 @@
 	r.service = snap.Config.Services[x.Service]
 	f := s.runToEnd(r)
 	s.recordOutcome(r, f)
-	y := RelayResult{Reason: f.reason, RetryAfter: f.retryAfter, SentTo: r.sentTo[len(x.SentTo):]}
+	y := RelayResult{Reason: f.reason, RetryAfter: f.retryAfter, SentTo: r.sentTo[len(x.SentTo):], Counted: r.counted}
 	switch {
 	case f.response != nil:
 		y.Outcome = retry.Answered
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -201,7 +201,7 @@
 	authEnabled  bool               // organisations are configured
 
 	relayed       bool           // a peer has handed the request to this daemon
-	counted       bool           // the request counts for the retry budget of this daemon
+	counted       bool           // the request counts for the retry budget of this daemon or of another one
 	relayDeadline mono.Time      // the peer's deadline
 	relayedTo     []ident.Daemon // peers that the request was handed to
 	target        ident.Server   // server that alone can run the request and that can't be reached
@@ -248,7 +248,7 @@
 	defer end()
 	defer context.AfterFunc(s.base, end)()
 	f := s.run(r)
-	if !r.relayed && len(r.relayedTo) == 0 {
+	if !r.relayed {
 		s.countForBudget(r)
 	}
 	s.releaseToken(r, f)
