Retry budget and cold servers: shares that sum up to the limit while views differ

Each daemon divided the slack of the retry budget, and the limit of a cold server, by the daemons of its present view. While daemons are killed, cut off or replaced, those that stay raise their shares before the others have stopped using theirs. Its window counted up to 11 s of requests, and the limit's three windows hold as little as 3/4 of the requests of ten seconds when traffic falls while retries start. To a server that may have restarted each daemon sent a request every 0.4 s, whatever the number of daemons, and began anew to count once the server said that it is cold: with nine daemons up to 27 in a second, 23 allowed.

pace.Fleet is the one place that knows among which daemons a limit is divided: those of the view, and those that left it within the limit's span. A daemon whose copy is older than 5 s has no share (the others no longer count it after 6 s), nor one that has just started. Sums stay within the limit as each divides by a set that contains all that may send. pace.Retries is the one record of requests, retries and shares of a daemon. Three quarters of the budget are used, and counted in steps of 0.25 s. A server that may have restarted gets a cold server's share, at least one request a daemon and second.

--- a/core/pace/budget.go
+++ b/core/pace/budget.go
@@ -1,136 +1,195 @@
 package pace
 
 import (
+	"iter"
+	"maps"
+	"slices"
 	"time"
 
+	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 )
 
-// RetryBudget limits this daemon's retries of the requests to one service.
-type RetryBudget struct {
-	StartedAt mono.Time // start of this incarnation of the daemon
-
-	requests, retries, denied windowCounter
+// RetryLimit is the limit on the retries of all daemons together, for each service.
+type RetryLimit struct {
+	Ratio  float64 // retries per request to the service
+	Slack  float64 // retries in addition to that
+	Window time.Duration
 }
 
-// RetryCause says why a request is sent again.
-type RetryCause uint8
-
-// Causes of retries: how the attempt before ended.
 const (
-	CauseUnanswered  RetryCause = iota // no usable response
-	CauseFailed                        // a response with status 5xx
-	CauseRefused                       // the server did not run the request
-	CauseMisdirected                   // the server is not the one that was meant, or doesn't hold the key
+	// budgetUtilisation is the fraction of the limit that is used. The limit is counted over fixed windows: of the requests of
+	// any span of that length, at least this fraction lies in one of the windows that count for the retries at its end.
+	budgetUtilisation = 0.75
+
+	// firstTryShare is the fraction of the budget for requests that are not caller retries. A caller retries a refused
+	// request once by itself. If the daemon retries at once, each request that meets a failing server costs budget. If it
+	// retries only the caller's retry, it spends half as much or less, and as many requests are served in the end.
+	firstTryShare = 0.5
 )
 
-var causeNames = [...]string{"unanswered", "failed", "refused", "misdirected"}
-
-// String returns the cause in kebab case.
-func (c RetryCause) String() string {
-	if int(c) < len(causeNames) {
-		return causeNames[c]
-	}
-	return "unknown"
+// Retries is the one record by which this daemon decides on retries: the requests that it counts for each service, the retries that it
+// sent, and its share of the slack.
+//
+// The sum over all daemons stays within the limit without an exchange between them. Each request is counted by one daemon, which earns
+// a part of a retry by it, and each retry is paid by the daemon that sends it, to the account of each service that may receive it.
+type Retries struct {
+	limit    RetryLimit
+	fleet    *Fleet
+	accounts map[ident.Service]*account
 }
 
-// RetryUsage is this daemon's use of a retry budget in the current window.
-type RetryUsage struct {
-	Requests float64 // requests counted
-	Retries  float64
-	Denied   float64 // retries that the budget did not allow
-	Allowed  float64 // retries allowed, to caller retries
-	Slack    float64 // this daemon's share of the slack
-	Daemons  int     // daemons that the slack is divided by
+// account counts the requests to one service and the retries that its servers may have received.
+type account struct {
+	requests, retries, denied windowCounter
 }
 
-// Usage returns the use of the budget.
-func (b *RetryBudget) Usage(now mono.Time, daemons int, l RetryLimit) RetryUsage {
-	return RetryUsage{
-		Requests: b.requests.sum(now, l.Window), Retries: b.retries.sum(now, l.Window), Denied: b.denied.sum(now, l.Window),
-		Allowed: b.allowed(now, daemons, l), Slack: b.slack(now, daemons, l), Daemons: daemons,
-	}
+// NewRetries returns an empty record.
+func NewRetries(l RetryLimit, f *Fleet) *Retries {
+	return &Retries{limit: l, fleet: f, accounts: map[ident.Service]*account{}}
 }
 
-// RetryLimit is the limit on the retries of all daemons together.
-type RetryLimit struct {
-	Ratio  float64 // retries per request to the service
-	Slack  float64 // retries in addition to that
-	Window time.Duration
+func (r *Retries) account(s ident.Service) *account {
+	x := r.accounts[s]
+	if x == nil {
+		x = &account{}
+		r.accounts[s] = x
+	}
+	return x
 }
 
-// budgetUtilisation is the fraction of the limit that is used. Requests are spread unevenly over the daemons, and each
-// counts only its own.
-const budgetUtilisation = 0.8
-
 // CountRequest records a request to the service.
-func (b *RetryBudget) CountRequest(now mono.Time, l RetryLimit) {
-	b.requests.add(now, l.Window)
+func (r *Retries) CountRequest(now mono.Time, s ident.Service) {
+	r.account(s).requests.add(now, r.limit.Window)
 }
 
-// firstTryShare is the fraction of the budget for requests that are not caller retries. A caller retries a refused
-// request once by itself. If the daemon retries at once, each request that meets a failing server costs budget. If it
-// retries only the caller's retry, it spends half as much or less, and as many requests are served in the end.
-const firstTryShare = 0.5
-
-// Take spends one retry, or reports false if the budget is exhausted. A caller retry may use the whole budget, since
+// Take spends one retry of the service, or reports false if the budget is exhausted. A caller retry may use the whole budget, since
 // its caller will not try again.
-func (b *RetryBudget) Take(now mono.Time, daemons int, l RetryLimit, callerRetry bool) bool {
-	allowed := b.allowed(now, daemons, l)
+func (r *Retries) Take(now mono.Time, s ident.Service, callerRetry bool) bool {
+	x := r.account(s)
+	allowed := r.allowed(now, x)
 	if !callerRetry {
 		allowed *= firstTryShare
 	}
-	if b.retries.sum(now, l.Window)+1 > allowed {
-		b.denied.add(now, l.Window)
+	if x.retries.atMost(now, r.limit.Window)+1 > allowed {
+		x.denied.add(now, r.limit.Window)
 		return false
 	}
-	b.retries.add(now, l.Window)
+	x.retries.add(now, r.limit.Window)
 	return true
 }
 
-// allowed returns how many retries the budget allows in the current window.
-func (b *RetryBudget) allowed(now mono.Time, daemons int, l RetryLimit) float64 {
-	return (b.requests.sum(now, l.Window)*l.Ratio + b.slack(now, daemons, l)) * budgetUtilisation
+// ChargeOthers charges a retry that was taken for a service to the other services as well, because a server of any of them may have
+// received it.
+func (r *Retries) ChargeOthers(now mono.Time, taken ident.Service, services iter.Seq[ident.Service]) {
+	for s := range services {
+		if s != taken {
+			r.account(s).retries.add(now, r.limit.Window)
+		}
+	}
+}
+
+// allowed returns how many retries of the account are allowed in the current window.
+func (r *Retries) allowed(now mono.Time, x *account) float64 {
+	share, _ := r.slack(now)
+	return (x.requests.atLeast(now, r.limit.Window)*r.limit.Ratio + share) * budgetUtilisation
 }
 
-// slack returns this daemon's share of the slack.
-func (b *RetryBudget) slack(now mono.Time, daemons int, l RetryLimit) float64 {
-	if now.Sub(b.StartedAt) < l.Window {
-		return 0 // the previous incarnation may have spent it
+// slack returns this daemon's share of the slack, and the number of daemons that it is divided by.
+func (r *Retries) slack(now mono.Time) (share float64, daemons int) {
+	l := r.fleet.Sharers(now, r.limit.Window)
+	if len(l) == 0 {
+		return 0, 0
 	}
-	return l.Slack / float64(max(1, daemons))
+	return r.limit.Slack / float64(len(l)), len(l)
 }
 
-// counterCells is the number of cells by which the window of a windowCounter moves.
-const counterCells = 10
+// RetryUsage is this daemon's use of a service's retry budget in the current window.
+type RetryUsage struct {
+	Requests float64 // requests counted
+	Retries  float64
+	Denied   float64 // retries that the budget did not allow
+	Allowed  float64 // retries allowed, to caller retries
+	Slack    float64 // this daemon's share of the slack
+	Daemons  int     // daemons that the slack is divided by; 0 if this daemon has no share
+}
+
+// Usage returns the use of the service's budget.
+func (r *Retries) Usage(now mono.Time, s ident.Service) RetryUsage {
+	x := r.account(s)
+	share, daemons := r.slack(now)
+	return RetryUsage{
+		Requests: x.requests.atLeast(now, r.limit.Window), Retries: x.retries.atMost(now, r.limit.Window),
+		Denied: x.denied.atMost(now, r.limit.Window), Allowed: r.allowed(now, x), Slack: share, Daemons: daemons,
+	}
+}
 
-// windowCounter counts the events in a sliding window. It may include slightly older events but misses none.
+// Services returns the services with an account, in order.
+func (r *Retries) Services() []ident.Service { return slices.Sorted(maps.Keys(r.accounts)) }
+
+// RetryCause says why a request is sent again.
+type RetryCause uint8
+
+// Causes of retries: how the attempt before ended.
+const (
+	CauseUnanswered  RetryCause = iota // no usable response
+	CauseFailed                        // a response with status 5xx
+	CauseRefused                       // the server did not run the request
+	CauseMisdirected                   // the server is not the one that was meant, or doesn't hold the key
+)
+
+var causeNames = [...]string{"unanswered", "failed", "refused", "misdirected"}
+
+// String returns the cause in kebab case.
+func (c RetryCause) String() string {
+	if int(c) < len(causeNames) {
+		return causeNames[c]
+	}
+	return "unknown"
+}
+
+// counterCells is the number of cells in the window of a windowCounter.
+const counterCells = 40
+
+// windowCounter counts the events in a sliding window, which moves by one cell at a time.
 type windowCounter struct {
-	n    [counterCells + 1]float64
+	n    [counterCells + 2]float64
 	cell int64 // number of the newest cell
 }
 
-func (c *windowCounter) advance(now mono.Time, w time.Duration) int64 {
+func (c *windowCounter) advance(now mono.Time, w time.Duration) {
 	cell := int64(now) / max(1, int64(w)/counterCells)
+	if cell-c.cell > int64(len(c.n)) {
+		c.n, c.cell = [counterCells + 2]float64{}, cell
+		return
+	}
 	for c.cell < cell {
 		c.cell++
-		if cell-c.cell > counterCells {
-			c.cell = cell - counterCells
-		}
-		c.n[c.cell%(counterCells+1)] = 0
+		c.n[c.cell%int64(len(c.n))] = 0
 	}
-	return cell
 }
 
 func (c *windowCounter) add(now mono.Time, w time.Duration) {
-	c.n[c.advance(now, w)%(counterCells+1)]++
+	c.advance(now, w)
+	c.n[c.cell%int64(len(c.n))]++
+}
+
+// atMost returns the events of the window, and those of up to two cells before it: events take effect a little later than they are
+// counted.
+func (c *windowCounter) atMost(now mono.Time, w time.Duration) float64 {
+	return c.sum(now, w, len(c.n))
+}
+
+// atLeast returns the events of the window but for those of its first cell.
+func (c *windowCounter) atLeast(now mono.Time, w time.Duration) float64 {
+	return c.sum(now, w, counterCells)
 }
 
-func (c *windowCounter) sum(now mono.Time, w time.Duration) float64 {
+func (c *windowCounter) sum(now mono.Time, w time.Duration, cells int) float64 {
 	c.advance(now, w)
 	s := 0.0
-	for _, x := range c.n {
-		s += x
+	for i := range cells {
+		s += c.n[(c.cell+int64(len(c.n)-i))%int64(len(c.n))]
 	}
 	return s
 }
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -1,8 +1,8 @@
 // Package pace keeps the total of what all daemons send within a limit, by giving each daemon a share. It covers
 // requests to a cold backend server and retries.
 //
-// The daemons exchange no messages for this. Each knows the number of daemons, and the shares are counted so that
-// their sum stays within the limit in any span of time. The cost is that a share which one daemon does not use is not
+// The daemons exchange no messages for this. Each knows the daemons that may use a share, see Fleet, and the shares are counted so
+// that their sum stays within the limit in any span of time. The cost is that a share which one daemon does not use is not
 // available to the others.
 package pace
 
@@ -77,11 +77,15 @@
 	return int(math.Floor((l.Rate*l.Factor + l.Slack) * coldUtilisation))
 }
 
-// ColdShare returns how many requests this daemon may send to a cold server in any ColdWindow. A remainder of the
-// limit goes to the daemons with the highest rendezvous scores, one request each; if the limit is below the number of
-// daemons, only these send.
+// ColdShare returns how many requests this daemon may send to a cold server in any ColdWindow, of those that the daemons given may
+// send together. A remainder of the limit goes to the daemons with the highest rendezvous scores, one request each; if the limit is
+// below the number of daemons, only these send. A daemon's share with more daemons is never larger, so that the sum stays within the
+// limit if each daemon's set contains all that send.
 func ColdShare(s ident.Server, self ident.Daemon, daemons []ident.Daemon, l ColdLimit) int {
-	total, count := l.perSecond(), max(1, len(daemons))
+	if len(daemons) == 0 {
+		return 0
+	}
+	total, count := l.perSecond(), len(daemons)
 	n, remainder := total/count, total%count
 	if remainder == 0 {
 		return n
--- a/io/grant/member.go
+++ b/io/grant/member.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherrouter/core/elect"
+	"heatherrouter/core/pace"
 	"heatherrouter/core/site"
 	"heatherrouter/io/feed"
 	"heatherrouter/io/store"
@@ -15,6 +16,9 @@
 // its row again.
 const daemonGoneTimeout = 6 * time.Second
 
+// A daemon without contact stops using its shares of limits before the others divide them among themselves.
+const _ = uint(daemonGoneTimeout - pace.ShareLease - 1)
+
 // storeUnresponsiveAge is the age of the copy from which the store counts as unresponsive. While the store answers, the
 // coordinator's copy is at most 0.8 s old.
 const storeUnresponsiveAge = 1200 * time.Millisecond
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -9,7 +9,6 @@
 
 	"heatherrouter/core/admit"
 	"heatherrouter/core/crash"
-	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/pace"
 	"heatherrouter/core/report"
@@ -29,11 +28,9 @@
 	// failure domain takes 3 ms.
 	settleTime = 4 * time.Millisecond
 
-	// restartSuspicionTime is how long a server that reset a connection is sent at most one request per
-	// restartProbeInterval. It may have restarted and be cold, and its announcement takes up to a heartbeat and the delay of
-	// the store.
+	// restartSuspicionTime is how long a server that reset a connection gets only as many requests as a cold one. It may have
+	// restarted and be cold, and its announcement takes up to a heartbeat and the delay of the store.
 	restartSuspicionTime = 1500 * time.Millisecond
-	restartProbeInterval = 400 * time.Millisecond
 )
 
 // attempt sends the request to the server. It returns nil if another server should be chosen.
@@ -226,18 +223,24 @@
 			return false
 		}
 	}
-	if !s.takeWindow(r, b, x, s.daemonNames(snap), now) {
+	if !s.takeWindow(r, b, x, snap, now) {
 		return false
 	}
 	return s.o.Reports.TakeAccess(b.server)
 }
 
 // takeWindow counts the request if the server is cold or may have restarted, and reports whether it may be sent.
-func (s *Sender) takeWindow(r *request, b *backend, x *site.Server, names []ident.Daemon, now mono.Time) bool {
+func (s *Sender) takeWindow(r *request, b *backend, x *site.Server, snap *site.Snapshot, now mono.Time) bool {
+	b.mu.Lock()
+	cold := b.mayBeCold(x, now)
+	b.mu.Unlock()
+	if !cold {
+		return true
+	}
+	n := s.coldShare(x, r.service, snap, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w, n, span := s.sendLimit(b, x, r.service, names, now)
-	return w == nil || w.Take(now, n, span)
+	return b.coldWindow.Take(now, n, pace.ColdWindow)
 }
 
 // observe updates the statistics of the server, route and service after an exchange.
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -38,7 +38,7 @@
 
 	mu             sync.Mutex
 	load           choice.Load
-	coldWindow     pace.SlidingWindow // requests sent while the server is cold
+	coldWindow     pace.SlidingWindow // requests sent while the server is or may be cold
 	keyed          bool
 	cancels        map[*request]context.CancelCauseFunc // of the exchanges that may be repeated at another server
 	waitingSince   mono.Time                            // if requests are in flight: since when the server has sent nothing
@@ -47,8 +47,7 @@
 
 	findingsLoggedAt mono.Time // when values that the server sent were last logged because they aren't taken as they are
 
-	restartSuspectedUntil mono.Time          // until then the server may have restarted, and be cold, without having announced it
-	restartWindow         pace.SlidingWindow // requests sent in that time
+	restartSuspectedUntil mono.Time // until then the server may have restarted, and be cold, without having announced it
 }
 
 const (
@@ -84,6 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.relays.Retain(snap)
+	s.fleet.Prune(s.o.Clock.Now(), s.o.RetryLimit.Window)
 	maps.DeleteFunc(s.backends, func(k backendKey, b *backend) bool {
 		x := snap.Servers[k.id]
 		if x != nil && backendKeyOf(x) == k {
@@ -104,18 +104,20 @@
 	return s.daemons
 }
 
-// sendLimit returns the window that counts requests to the server, the number of requests allowed and the time span in which
-// they are. The window is nil if the server is neither cold nor suspected of a restart. The caller holds b.mu.
-func (s *Sender) sendLimit(b *backend, x *site.Server, v *site.Service, names []ident.Daemon, now mono.Time) (*pace.SlidingWindow, int, time.Duration) {
-	switch {
-	case now.Before(x.ColdUntil):
-		l := s.o.ColdLimit
-		l.Rate = v.WarmupRate
-		return &b.coldWindow, pace.ColdShare(x.ID, s.o.Self, names, l), pace.ColdWindow
-	case now.Before(b.restartSuspectedUntil):
-		return &b.restartWindow, 1, restartProbeInterval
+// mayBeCold reports whether the server is cold, or suspected of a restart. The caller holds b.mu.
+func (b *backend) mayBeCold(x *site.Server, now mono.Time) bool {
+	return now.Before(x.ColdUntil) || now.Before(b.restartSuspectedUntil)
+}
+
+// coldShare returns how many requests this daemon may send in any pace.ColdWindow to a server that may be cold.
+func (s *Sender) coldShare(x *site.Server, v *site.Service, snap *site.Snapshot, now mono.Time) int {
+	l := s.o.ColdLimit
+	l.Rate = v.WarmupRate
+	n := pace.ColdShare(x.ID, s.o.Self, s.sharers(snap, now, pace.ColdWindow), l)
+	if !now.Before(x.ColdUntil) {
+		return max(1, n) // it has not said that it is cold
 	}
-	return nil, 0, 0
+	return n
 }
 
 // keyBucket identifies a range of hold.BucketKeys keys of a service that are counted together.
@@ -133,7 +135,7 @@
 	r.counted = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retryBudget(r.service.Name).CountRequest(r.arrived, s.o.RetryLimit)
+	s.retries.CountRequest(r.arrived, r.service.Name)
 }
 
 // recordArrival counts the request for its key.
@@ -145,24 +147,28 @@
 	}
 }
 
-// retryBudget returns the service's retry budget. The caller holds s.mu.
-func (s *Sender) retryBudget(n ident.Service) *pace.RetryBudget {
-	b := s.retryBudgets[n]
-	if b == nil {
-		b = &pace.RetryBudget{StartedAt: s.started}
-		s.retryBudgets[n] = b
-	}
-	return b
+// sharers returns the daemons among which a limit on events in any span is divided; none if this daemon has no share of it.
+func (s *Sender) sharers(snap *site.Snapshot, now mono.Time, span time.Duration) []ident.Daemon {
+	names, age := s.daemonNames(snap), s.o.View.CopyAge()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Observe(now, names, age)
+	return s.fleet.Sharers(now, span)
+}
+
+// observeFleet updates what the shares of limits depend on.
+func (s *Sender) observeFleet(now mono.Time) {
+	s.sharers(s.o.View.Snapshot(), now, s.o.RetryLimit.Window)
 }
 
 // takeRetry takes a retry from the budget and reports whether it was available.
 func (s *Sender) takeRetry(r *request, now mono.Time) bool {
-	n := len(s.daemonNames(s.o.View.Snapshot()))
+	s.observeFleet(now)
 	s.mu.Lock()
-	ok := s.retryBudget(r.service.Name).Take(now, n, s.o.RetryLimit, r.callerRetry)
+	ok := s.retries.Take(now, r.service.Name, r.callerRetry)
 	s.mu.Unlock()
 	s.o.Counter.RecordRetry(r.service.Name, r.retryCause.String(), ok)
-	s.logRetryBudget(r.service.Name, now, n)
+	s.logRetryBudget(r.service.Name, now)
 	return ok
 }
 
@@ -170,14 +176,14 @@
 const budgetLogInterval = 2 * time.Second
 
 // logRetryBudget logs the use of a service's retry budget while it is used.
-func (s *Sender) logRetryBudget(n ident.Service, now mono.Time, daemons int) {
+func (s *Sender) logRetryBudget(n ident.Service, now mono.Time) {
 	s.mu.Lock()
 	if last, ok := s.budgetsLogged[n]; ok && now.Sub(last) < budgetLogInterval {
 		s.mu.Unlock()
 		return
 	}
 	s.budgetsLogged[n] = now
-	u := s.retryBudget(n).Usage(now, daemons, s.o.RetryLimit)
+	u := s.retries.Usage(now, n)
 	s.mu.Unlock()
 	s.o.Log.Info().Str("service", string(n)).Float64("requests", u.Requests).Float64("retries", u.Retries).Float64("denied", u.Denied).
 		Float64("allowed", u.Allowed).Float64("slack", u.Slack).Int("daemons", u.Daemons).Msg("retry budget in use")
@@ -190,19 +196,20 @@
 	Retries  int           `json:"retries"`
 	Denied   int           `json:"denied"`
 	Allowed  float64       `json:"allowed"`
-	Slack    float64       `json:"slack"` // this daemon's share
-	Daemons  int           `json:"daemons"`
+	Slack    float64       `json:"slack"`   // this daemon's share
+	Daemons  int           `json:"daemons"` // that the slack is divided by; 0 if this daemon has no share
 }
 
 // BudgetStates returns the retry budgets, ordered by service.
 func (s *Sender) BudgetStates() []BudgetState {
-	daemons := len(s.daemonNames(s.o.View.Snapshot()))
 	now := s.o.Clock.Now()
+	s.observeFleet(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := make([]BudgetState, 0, len(s.retryBudgets))
-	for _, n := range slices.Sorted(maps.Keys(s.retryBudgets)) {
-		u := s.retryBudgets[n].Usage(now, daemons, s.o.RetryLimit)
+	services := s.retries.Services()
+	l := make([]BudgetState, 0, len(services))
+	for _, n := range services {
+		u := s.retries.Usage(now, n)
 		l = append(l, BudgetState{
 			Service: n, Requests: int(u.Requests), Retries: int(u.Retries), Denied: int(u.Denied), Allowed: u.Allowed, Slack: u.Slack,
 			Daemons: u.Daemons,
--- a/io/send/choose.go
+++ b/io/send/choose.go
@@ -9,6 +9,7 @@
 	"heatherrouter/core/choice"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
+	"heatherrouter/core/pace"
 	"heatherrouter/core/report"
 	"heatherrouter/core/site"
 )
@@ -181,11 +182,16 @@
 
 // allowsSend reports whether the request limit of a cold or possibly restarted server allows a request now.
 func (s *Sender) allowsSend(b *backend, x *site.Server, snap *site.Snapshot, v *site.Service, now mono.Time) bool {
-	names := s.daemonNames(snap)
+	b.mu.Lock()
+	cold := b.mayBeCold(x, now)
+	b.mu.Unlock()
+	if !cold {
+		return true
+	}
+	n := s.coldShare(x, v, snap, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w, n, span := s.sendLimit(b, x, v, names, now)
-	return w == nil || w.Allows(now, n, span)
+	return b.coldWindow.Allows(now, n, pace.ColdWindow)
 }
 
 // owner returns the server that owns the request's key, or the reason why it can't be used.
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -136,13 +136,13 @@
 
 // Sender forwards requests to backend servers. It is safe for concurrent use.
 type Sender struct {
-	o       Options
-	names   conns.Names
-	started mono.Time
+	o     Options
+	names conns.Names
 
 	mu            sync.Mutex
 	backends      map[backendKey]*backend
-	retryBudgets  map[ident.Service]*pace.RetryBudget
+	fleet         *pace.Fleet
+	retries       *pace.Retries
 	budgetsLogged map[ident.Service]mono.Time
 	counts        map[keyBucket]uint32 // requests by keys since the last report to the coordinator
 	serviceTimes  map[ident.Service]*choice.Quantile
@@ -165,9 +165,10 @@
 // New returns a Sender without connections.
 func New(o Options) *Sender {
 	base, abort := context.WithCancel(context.Background())
+	fleet := pace.NewFleet(o.Self, o.Clock.Now())
 	return &Sender{
-		base: base, abort: abort, o: o, started: o.Clock.Now(), names: conns.Names{RequestID: o.Dialect.RequestID, NotRun: o.Dialect.NotRun},
-		backends: map[backendKey]*backend{}, retryBudgets: map[ident.Service]*pace.RetryBudget{}, budgetsLogged: map[ident.Service]mono.Time{}, counts: map[keyBucket]uint32{},
+		base: base, abort: abort, o: o, fleet: fleet, retries: pace.NewRetries(o.RetryLimit, fleet), names: conns.Names{RequestID: o.Dialect.RequestID, NotRun: o.Dialect.NotRun},
+		backends: map[backendKey]*backend{}, budgetsLogged: map[ident.Service]mono.Time{}, counts: map[keyBucket]uint32{},
 		serviceTimes: map[ident.Service]*choice.Quantile{}, meanSizes: map[string]float64{},
 		callerRetries: map[string]*pace.CallerRetryDetector{}, splitters: map[string]*choice.Splitter{}, relays: o.Relays,
 	}
