Misdirected requests: no repeats to the server that refused, and none at the cost of another service

Cause: 421 (Misdirected Request) changed nothing. A keyed request was sent up to three times within 85 ms to the same server, and the next request too. Where another server had taken the address, servers of another service received these repeats, and the budget that paid for them was that of the service they were meant for.

core/misdir keeps per server, and per range of keys of a keyed one, that it refuses requests as misdirected. A repeat isn't sent there. Only requests that have not been sent yet find out whether the refusal has ended, one at a time, at most every 30 to 250 ms. Others wait 0.25 s for another owner, or for the one that finds out, then they are refused at once. A repeat that such a server has received counts for the budgets of all services, unless the server has answered as itself within the time after which its address may be given to another.

--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -50,6 +50,7 @@
 	}
 	took := s.o.Clock.Now().Sub(now)
 	s.observe(r, b, x, resp, took)
+	s.observeMisdirected(r, b, x, resp)
 	s.reportToGuard(r, b, x, resp)
 	if x.Outcome == retry.Answered && !s.isFromServer(resp) {
 		x.Outcome, x.Err = retry.Unknown, errUnsigned
@@ -232,6 +233,7 @@
 // takeWindow counts the request if the server is cold or may have restarted, and reports whether it may be sent.
 func (s *Sender) takeWindow(r *request, b *backend, x *site.Server, snap *site.Snapshot, now mono.Time) bool {
 	b.mu.Lock()
+	b.misdirected.Begin(now, r.keys)
 	cold := b.mayBeCold(x, now)
 	b.mu.Unlock()
 	if !cold {
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -9,12 +9,17 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/core/admit"
 	"heatherrouter/core/choice"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/misdir"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/pace"
 	"heatherrouter/core/report"
+	"heatherrouter/core/retry"
 	"heatherrouter/core/site"
 	"heatherrouter/io/conns"
 	"heatherrouter/io/wire"
@@ -38,6 +43,7 @@
 
 	mu             sync.Mutex
 	load           choice.Load
+	misdirected    *misdir.Server
 	coldWindow     pace.SlidingWindow // requests sent while the server is or may be cold
 	keyed          bool
 	cancels        map[*request]context.CancelCauseFunc // of the exchanges that may be repeated at another server
@@ -60,14 +66,14 @@
 	maxConns = 64
 )
 
-// backend returns the state of a server's incarnation, which it creates on first use.
-func (s *Sender) backend(x *site.Server) *backend {
+// backend returns the state of a server's incarnation, which it creates on first use. The service is that of the server.
+func (s *Sender) backend(x *site.Server, keyed bool) *backend {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := backendKeyOf(x)
 	b := s.backends[k]
 	if b == nil {
-		b = &backend{server: x, load: choice.Load{Slots: x.Slots}}
+		b = &backend{server: x, load: choice.Load{Slots: x.Slots}, misdirected: misdir.New(keyed)}
 		b.pool = conns.New(conns.Options{
 			Addr: x.Addr, MaxConns: maxConns, DialTimeout: dialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxResponseBytes,
 			Names: s.names, CloseDelimited: true,
@@ -172,6 +178,34 @@
 	return ok
 }
 
+// addressReuseTime is the least time between the end of a server and the start of another one at its address.
+const addressReuseTime = 2 * time.Second
+
+// observeMisdirected records whether the server answered the request as misdirected. A retry that another server may have received
+// counts for the budgets of all services.
+func (s *Sender) observeMisdirected(r *request, b *backend, x conns.Result, resp *fasthttp.Response) {
+	if x.Outcome != retry.Answered && x.End != admit.EndRefused {
+		return
+	}
+	now := s.o.Clock.Now()
+	b.mu.Lock()
+	misdirected := resp.StatusCode() == fasthttp.StatusMisdirectedRequest
+	if misdirected {
+		b.misdirected.Misdirected(now, r.keys)
+	} else {
+		b.misdirected.Answered(now, r.keys)
+	}
+	identified := b.misdirected.Identified(now, addressReuseTime)
+	b.mu.Unlock()
+	if !misdirected || identified || len(r.sentTo) < 2 {
+		return
+	}
+	services := s.o.View.Snapshot().Config.Services
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries.ChargeOthers(now, r.service.Name, maps.Keys(services))
+}
+
 // budgetLogInterval is the least time between two log lines about the retry budget of one service.
 const budgetLogInterval = 2 * time.Second
 
--- a/io/send/choose.go
+++ b/io/send/choose.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"heatherrouter/core/choice"
+	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/misdir"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/pace"
 	"heatherrouter/core/report"
@@ -68,7 +70,7 @@
 	var backends []*backend
 	subset := s.subset(snap, r.service.Name)
 	why, unreachable := reasonNoServer, false
-	r.backoffUntil = 0
+	r.backoffUntil, r.keys = 0, hold.Range{}
 	for _, x := range snap.ServersOf(r.service.Name) {
 		if !snap.Accepts(x) {
 			continue
@@ -81,7 +83,7 @@
 			why, unreachable = reasonAllTried, true
 			continue
 		}
-		b := s.backend(x)
+		b := s.backend(x, false)
 		if !s.canReach(b) {
 			unreachable = true
 			continue
@@ -99,8 +101,11 @@
 			continue
 		}
 		b.mu.Lock()
-		load := b.load
+		load, access := b.load, b.misdirected.Access(now, r.keys, len(r.sentTo) == 0)
 		b.mu.Unlock()
+		if access != misdir.Open {
+			continue
+		}
 		l = append(l, choice.Candidate{Load: &load, Local: x.Domain == s.o.Domain, InSubset: subset[x.ID]})
 		backends = append(backends, b)
 	}
@@ -210,6 +215,7 @@
 		return nil, reasonBusy
 	}
 	id := h.Server
+	r.keys = h.Range
 	x := snap.Servers[id]
 	if x == nil || !snap.Accepts(x) {
 		return nil, reasonMoving
@@ -217,7 +223,7 @@
 	if !slices.Contains(r.sentTo, id) && distinct(r.sentTo) >= r.route.MaxAttempts {
 		return nil, reasonAttempts
 	}
-	b := s.backend(x)
+	b := s.backend(x, true)
 	if !s.canReach(b) || slices.Contains(r.unreachable, id) {
 		r.target = id
 		return nil, reasonUnreachable
@@ -231,6 +237,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.keyed = true
+	switch b.misdirected.Access(now, h.Range, len(r.sentTo) == 0) {
+	case misdir.Waiting:
+		return nil, reasonMoving
+	case misdir.Closed:
+		return nil, reasonLost
+	case misdir.Open:
+	}
 	if now.Before(b.load.AvoidUntil) {
 		return nil, reasonMoving
 	}
--- a/io/send/limit_test.go
+++ b/io/send/limit_test.go
@@ -79,7 +79,7 @@
 	require.NoError(t, err)
 	snap := (&site.Snapshot{Config: c, Servers: map[ident.Server]*site.Server{"a": x}}).BuildIndex()
 	s := New(Options{Clock: clock.New(), View: staticView{snap}, Reports: &fakeReports{}, Guard: noGuard{}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}})
-	b := s.backend(x)
+	b := s.backend(x, false)
 	r := &request{host: "h", path: "/", route: route, service: v, deadline: s.o.Clock.Now().Add(time.Minute)}
 	require.False(t, s.maySend(r, b))
 	r.serverToken = x
--- a/io/send/path_test.go
+++ b/io/send/path_test.go
@@ -29,7 +29,7 @@
 func TestOnlyLostLinksEndWaitingRequests(t *testing.T) {
 	for _, suspected := range []bool{false, true} {
 		s := New(Options{Clock: clock.New(), Paths: silentPaths{suspected: suspected}})
-		b := s.backend(&site.Server{ID: "a", Service: "s", Addr: netip.MustParseAddrPort("127.0.0.1:1")})
+		b := s.backend(&site.Server{ID: "a", Service: "s", Addr: netip.MustParseAddrPort("127.0.0.1:1")}, false)
 		r := &request{route: &site.Route{Idempotent: true}, ctx: t.Context()}
 		c, end := b.exchangeContext(r)
 		b.requestSent(1) // long ago
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -188,6 +188,7 @@
 	path     string
 	key      hold.Key
 	hasKey   bool
+	keys     hold.Range // of the key's owner, as last chosen; empty for a service without keys
 	arrived  mono.Time
 	deadline mono.Time
 	caller   context.Context // cancelled when the caller disconnects
