--- a/core/misdir/misdir.go
+++ b/core/misdir/misdir.go
@@ -18,6 +18,9 @@
 	// settleTime is the time after the first refusal in which the owner of a key usually changes or takes it.
 	settleTime = 250 * time.Millisecond
 
+	// identityTime is the time for which another response shows that the server is the one that was meant, whatever it refuses.
+	identityTime = 250 * time.Millisecond
+
 	// wholeAfter is the number of refusals without another response in between from which on they concern all keys of the server.
 	wholeAfter = 3
 
@@ -107,7 +110,7 @@
 // refusesAll reports whether the refusals concern all requests. A server that has given keys away refuses requests for these at once,
 // before it answers others that it runs.
 func (s *Server) refusesAll(now mono.Time) bool {
-	return !s.keyed || s.inARow >= wholeAfter && len(s.ranges) > 1 && !s.Identified(now, settleTime)
+	return !s.keyed || s.inARow >= wholeAfter && len(s.ranges) > 1 && !s.Identified(now, identityTime)
 }
 
 // Answered records any other response, which shows that the server is the one that was meant.
