--- /dev/null
+++ b/core/pace/cold_sim_test.go
@@ -0,0 +1,101 @@
+package pace
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+)
+
+// coldDaemon is a daemon that sends a cold server as many requests as it may.
+type coldDaemon struct {
+	name      ident.Daemon
+	fleet     *Fleet
+	sent      SlidingWindow
+	view      []ident.Daemon
+	updatedAt mono.Time
+	downUntil mono.Time
+	cutSince  mono.Time
+	cutUntil  mono.Time
+}
+
+// simulateCold returns the largest number of requests that the server gets in a second while daemons are killed and cut off. The
+// sharers are those that a daemon divides the limit among.
+func simulateCold(seed uint64, daemons int, l ColdLimit, sharers func(d *coldDaemon, now mono.Time) []ident.Daemon) int {
+	const step, length = 50 * time.Millisecond, 30 * time.Second
+	rng := rand.New(rand.NewPCG(seed, 46))
+	begin := mono.Time(time.Hour)
+	names := simNames(daemons)
+	fleet := make([]*coldDaemon, daemons)
+	for i, n := range names {
+		fleet[i] = &coldDaemon{name: n, fleet: NewFleet(n, begin.Add(-time.Minute)), view: names, updatedAt: begin}
+	}
+	var sent []mono.Time
+	var current []ident.Daemon
+	for now := begin; now < begin.Add(length); now = now.Add(step) {
+		if rng.IntN(40) == 0 {
+			for _, d := range fleet {
+				switch rng.IntN(4) {
+				case 0:
+					d.downUntil = now.Add(time.Duration(rng.Int64N(int64(20 * time.Second))))
+					d.cutSince, d.cutUntil = now, d.downUntil
+					d.fleet, d.sent = NewFleet(d.name, d.downUntil), SlidingWindow{}
+				case 1:
+					d.cutSince, d.cutUntil = now, now.Add(time.Duration(rng.Int64N(int64(20*time.Second))))
+				}
+			}
+		}
+		var seen []ident.Daemon
+		for _, d := range fleet {
+			if now >= d.cutUntil || now.Sub(d.cutSince) < simGoneAfter {
+				seen = append(seen, d.name)
+			}
+		}
+		if !slices.Equal(seen, current) {
+			current = seen
+		}
+		for _, d := range fleet {
+			if now < d.downUntil {
+				continue
+			}
+			if now >= d.cutUntil {
+				d.view, d.updatedAt = current, now
+			}
+			d.fleet.Observe(now, d.view, now.Sub(d.updatedAt))
+			for d.sent.Take(now, ColdShare("s", d.name, sharers(d, now), l), ColdWindow) {
+				sent = append(sent, now)
+			}
+		}
+	}
+	most, first := 0, 0
+	for i, t := range sent {
+		for t.Sub(sent[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against overloading a cold server while the daemons' views differ: those that stay would raise their shares before those that
+// are cut off stop using theirs, and a restarted daemon would use its share again.
+func TestColdSharesSumUpWhileViewsDiffer(t *testing.T) {
+	l := ColdLimit{Rate: 12, Factor: 1.5, Slack: 5}
+	byView := func(d *coldDaemon, _ mono.Time) []ident.Daemon { return d.view }
+	byFleet := func(d *coldDaemon, now mono.Time) []ident.Daemon { return d.fleet.Sharers(now, ColdWindow) }
+	for daemons, seeds := range map[int]int{9: 20, 72: 4, 300: 1} {
+		worst, worstByView := 0, 0
+		for seed := range uint64(seeds) {
+			worst = max(worst, simulateCold(seed, daemons, l, byFleet))
+			worstByView = max(worstByView, simulateCold(seed, daemons, l, byView))
+		}
+		t.Logf("%d daemons: at most %d requests in a second, %d if each divides by its own view", daemons, worst, worstByView)
+		require.LessOrEqual(t, float64(worst), l.Rate*l.Factor+l.Slack)
+		require.Positive(t, worst)
+	}
+}
