--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -28,9 +28,11 @@
 	// failure domain takes 3 ms.
 	settleTime = 4 * time.Millisecond
 
-	// restartSuspicionTime is how long a server that reset a connection gets only as many requests as a cold one. It may have
-	// restarted and be cold, and its announcement takes up to a heartbeat and the delay of the store.
+	// restartSuspicionTime is how long a server that reset a connection is sent at most one request per
+	// restartProbeInterval. It may have restarted and be cold, and its announcement takes up to a heartbeat and the delay of
+	// the store.
 	restartSuspicionTime = 1500 * time.Millisecond
+	restartProbeInterval = 400 * time.Millisecond
 )
 
 // attempt sends the request to the server. It returns nil if another server should be chosen.
@@ -239,10 +241,10 @@
 	if !cold {
 		return true
 	}
-	n := s.coldShare(x, r.service, snap, now)
+	w, n, span := s.sendLimit(b, x, r.service, snap, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.coldWindow.Take(now, n, pace.ColdWindow)
+	return w.Take(now, n, span)
 }
 
 // observe updates the statistics of the server, route and service after an exchange.
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -44,7 +44,7 @@
 	mu             sync.Mutex
 	load           choice.Load
 	misdirected    *misdir.Server
-	coldWindow     pace.SlidingWindow // requests sent while the server is or may be cold
+	coldWindow     pace.SlidingWindow // requests sent while the server is cold
 	keyed          bool
 	cancels        map[*request]context.CancelCauseFunc // of the exchanges that may be repeated at another server
 	waitingSince   mono.Time                            // if requests are in flight: since when the server has sent nothing
@@ -53,7 +53,8 @@
 
 	findingsLoggedAt mono.Time // when values that the server sent were last logged because they aren't taken as they are
 
-	restartSuspectedUntil mono.Time // until then the server may have restarted, and be cold, without having announced it
+	restartSuspectedUntil mono.Time          // until then the server may have restarted, and be cold, without having announced it
+	restartWindow         pace.SlidingWindow // requests sent in that time
 }
 
 const (
@@ -115,15 +116,15 @@
 	return now.Before(x.ColdUntil) || now.Before(b.restartSuspectedUntil)
 }
 
-// coldShare returns how many requests this daemon may send in any pace.ColdWindow to a server that may be cold.
-func (s *Sender) coldShare(x *site.Server, v *site.Service, snap *site.Snapshot, now mono.Time) int {
-	l := s.o.ColdLimit
-	l.Rate = v.WarmupRate
-	n := pace.ColdShare(x.ID, s.o.Self, s.sharers(snap, now, pace.ColdWindow), l)
+// sendLimit returns the window that counts requests to a server that may be cold, the number of requests allowed and the time span in
+// which they are.
+func (s *Sender) sendLimit(b *backend, x *site.Server, v *site.Service, snap *site.Snapshot, now mono.Time) (*pace.SlidingWindow, int, time.Duration) {
 	if !now.Before(x.ColdUntil) {
-		return max(1, n) // it has not said that it is cold
+		return &b.restartWindow, 1, restartProbeInterval
 	}
-	return n
+	l := s.o.ColdLimit
+	l.Rate = v.WarmupRate
+	return &b.coldWindow, pace.ColdShare(x.ID, s.o.Self, s.sharers(snap, now, pace.ColdWindow), l), pace.ColdWindow
 }
 
 // keyBucket identifies a range of hold.BucketKeys keys of a service that are counted together.
--- a/io/send/choose.go
+++ b/io/send/choose.go
@@ -11,7 +11,6 @@
 	"heatherrouter/core/ident"
 	"heatherrouter/core/misdir"
 	"heatherrouter/core/mono"
-	"heatherrouter/core/pace"
 	"heatherrouter/core/report"
 	"heatherrouter/core/site"
 )
@@ -193,10 +192,10 @@
 	if !cold {
 		return true
 	}
-	n := s.coldShare(x, v, snap, now)
+	w, n, span := s.sendLimit(b, x, v, snap, now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.coldWindow.Allows(now, n, pace.ColdWindow)
+	return w.Allows(now, n, span)
 }
 
 // owner returns the server that owns the request's key, or the reason why it can't be used.
