Misdirected requests: a repeat may go to a server that is known to be the one meant

A key's next owner may get a request just before its grant: it refuses with 421 and takes the request some milliseconds later. Such requests waited 0.25 s and were refused. A server that has answered as itself within 2 s can't have lost its address, so that a repeat there is charged to the right service and is allowed after the pause.

--- a/core/misdir/misdir.go
+++ b/core/misdir/misdir.go
@@ -24,6 +24,9 @@
 	// wholeAfter is the number of refusals without another response in between from which on they concern all keys of the server.
 	wholeAfter = 3
 
+	// reuseTime is the least time between the end of a server and the start of another one at its address.
+	reuseTime = 2 * time.Second
+
 	// forgetAfter is the time after which a refusal without requests since is forgotten.
 	forgetAfter = 10 * time.Second
 )
@@ -58,11 +61,12 @@
 func New(keyed bool) *Server { return &Server{keyed: keyed, ranges: map[hold.Range]*refusal{}} }
 
 // Access says whether a request for a key of the range may be sent. While the server refuses such requests, single ones find out
-// whether it takes them again, and only requests that have not been sent yet: these cost no retry.
+// whether it takes them again. Unless the server is known to be the one that is meant, only requests that have not been sent yet do so:
+// these cost no retry, whoever receives them.
 func (s *Server) Access(now mono.Time, r hold.Range, first bool) Access {
 	x := s.refusalOf(now, r)
 	switch {
-	case x == nil || first && !now.Before(x.probeAt):
+	case x == nil || !now.Before(x.probeAt) && (first || s.Identified(now)):
 		return Open
 	case now.Sub(x.since) < settleTime:
 		return Waiting
@@ -110,7 +114,7 @@
 // refusesAll reports whether the refusals concern all requests. A server that has given keys away refuses requests for these at once,
 // before it answers others that it runs.
 func (s *Server) refusesAll(now mono.Time) bool {
-	return !s.keyed || s.inARow >= wholeAfter && len(s.ranges) > 1 && !s.Identified(now, identityTime)
+	return !s.keyed || s.inARow >= wholeAfter && len(s.ranges) > 1 && now.Sub(s.answeredAt) >= identityTime
 }
 
 // Answered records any other response, which shows that the server is the one that was meant.
@@ -124,7 +128,8 @@
 	}
 }
 
-// Identified reports whether the server has shown within the span that it is the one that was meant.
-func (s *Server) Identified(now mono.Time, span time.Duration) bool {
-	return s.answeredAt > 0 && now.Sub(s.answeredAt) < span
+// Identified reports whether the server is the one that was meant: it has answered otherwise so lately that no other can have taken its
+// address since.
+func (s *Server) Identified(now mono.Time) bool {
+	return s.answeredAt > 0 && now.Sub(s.answeredAt) < reuseTime
 }
--- a/core/misdir/misdir_test.go
+++ b/core/misdir/misdir_test.go
@@ -72,8 +72,18 @@
 		s.Answered(begin, right)
 	}
 	require.Equal(t, Open, s.Access(begin, right, false))
-	require.True(t, s.Identified(begin.Add(time.Second), 2*time.Second))
-	require.False(t, s.Identified(begin.Add(2*time.Second), 2*time.Second))
+	require.True(t, s.Identified(begin.Add(reuseTime-1)))
+	require.False(t, s.Identified(begin.Add(reuseTime)))
+}
+
+// Guards against refusing a request whose owner takes its keys a moment after it refused the request.
+func TestRepeatMayReachServerThatIsKnown(t *testing.T) {
+	s := New(true)
+	s.Answered(begin, right)
+	s.Misdirected(begin, left)
+	require.Equal(t, Waiting, s.Access(begin.Add(minPause-1), left, false))
+	require.Equal(t, Open, s.Access(begin.Add(minPause), left, false))
+	require.Equal(t, Closed, s.Access(begin.Add(reuseTime), left, false), "another server may be at the address")
 }
 
 func TestRefusalIsForgotten(t *testing.T) {
--- a/core/pace/fleet_sim_test.go
+++ b/core/pace/fleet_sim_test.go
@@ -552,7 +552,7 @@
 func (x *trafficShares) misdirected(now mono.Time, service, server, keys int, repeat bool) {
 	s := x.server(server)
 	s.Misdirected(now, simRange(keys))
-	if repeat && !s.Identified(now, 2*time.Second) {
+	if repeat && !s.Identified(now) {
 		x.retries.ChargeOthers(now, simService(service), func(yield func(ident.Service) bool) {
 			for i := range simServices {
 				if !yield(simService(i)) {
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -179,9 +179,6 @@
 	return ok
 }
 
-// addressReuseTime is the least time between the end of a server and the start of another one at its address.
-const addressReuseTime = 2 * time.Second
-
 // observeMisdirected records whether the server answered the request as misdirected. A retry that another server may have received
 // counts for the budgets of all services.
 func (s *Sender) observeMisdirected(r *request, b *backend, x conns.Result, resp *fasthttp.Response) {
@@ -196,7 +193,7 @@
 	} else {
 		b.misdirected.Answered(now, r.keys)
 	}
-	identified := b.misdirected.Identified(now, addressReuseTime)
+	identified := b.misdirected.Identified(now)
 	b.mu.Unlock()
 	if !misdirected || identified || len(r.sentTo) < 2 {
 		return
