--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -10,7 +10,6 @@
 	"heatherrouter/core/admit"
 	"heatherrouter/core/crash"
 	"heatherrouter/core/mono"
-	"heatherrouter/core/pace"
 	"heatherrouter/core/report"
 	"heatherrouter/core/retry"
 	"heatherrouter/core/site"
@@ -85,19 +84,6 @@
 	return nil
 }
 
-// retryCause returns why a request may be sent again after an exchange.
-func retryCause(x conns.Result, resp *fasthttp.Response) pace.RetryCause {
-	switch {
-	case x.Outcome == retry.Answered:
-		return pace.CauseFailed
-	case x.End != admit.EndRefused:
-		return pace.CauseUnanswered
-	case resp.StatusCode() == fasthttp.StatusMisdirectedRequest:
-		return pace.CauseMisdirected
-	}
-	return pace.CauseRefused
-}
-
 var errUnsigned = errors.New("success response without the server's signature header")
 
 // isFromServer reports whether the backend server itself produced the response: a success must carry its signature header.
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -9,9 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"heatherrouter/core/admit"
 	"heatherrouter/core/choice"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
@@ -19,7 +16,6 @@
 	"heatherrouter/core/mono"
 	"heatherrouter/core/pace"
 	"heatherrouter/core/report"
-	"heatherrouter/core/retry"
 	"heatherrouter/core/site"
 	"heatherrouter/io/conns"
 	"heatherrouter/io/wire"
@@ -133,18 +129,6 @@
 	index   uint32
 }
 
-// countForBudget counts the request for its service's retry budget, once over all daemons that it is handed to. It counts at the daemon
-// that first sends it, which alone can use the budget, or else at the one that its caller sent it to.
-func (s *Sender) countForBudget(r *request) {
-	if r.counted || r.service == nil {
-		return
-	}
-	r.counted = true
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.retries.CountRequest(r.arrived, r.service.Name)
-}
-
 // recordArrival counts the request for its key.
 func (s *Sender) recordArrival(r *request) {
 	s.mu.Lock()
@@ -154,114 +138,6 @@
 	}
 }
 
-// sharers returns the daemons among which a limit on events in any span is divided; none if this daemon has no share of it.
-func (s *Sender) sharers(snap *site.Snapshot, now mono.Time, span time.Duration) []ident.Daemon {
-	names, age := s.daemonNames(snap), s.o.View.CopyAge()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet.Observe(now, names, age)
-	return s.fleet.Sharers(now, span)
-}
-
-// observeFleet updates what the shares of limits depend on.
-func (s *Sender) observeFleet(now mono.Time) {
-	s.sharers(s.o.View.Snapshot(), now, s.o.RetryLimit.Window)
-}
-
-// takeRetry takes a retry from the budget and reports whether it was available.
-func (s *Sender) takeRetry(r *request, now mono.Time) bool {
-	s.observeFleet(now)
-	s.mu.Lock()
-	ok := s.retries.Take(now, r.service.Name, r.callerRetry)
-	s.mu.Unlock()
-	s.o.Counter.RecordRetry(r.service.Name, r.retryCause.String(), ok)
-	s.logRetryBudget(r.service.Name, now)
-	return ok
-}
-
-// observeMisdirected records whether the server answered the request as misdirected. A retry that another server may have received
-// counts for the budgets of all services.
-func (s *Sender) observeMisdirected(r *request, b *backend, x conns.Result, resp *fasthttp.Response) {
-	if x.Outcome != retry.Answered && x.End != admit.EndRefused {
-		return
-	}
-	now := s.o.Clock.Now()
-	b.mu.Lock()
-	misdirected := resp.StatusCode() == fasthttp.StatusMisdirectedRequest
-	if misdirected {
-		b.misdirected.Misdirected(now, r.keys)
-	} else {
-		b.misdirected.Answered(now, r.keys)
-	}
-	identified := b.misdirected.Identified(now)
-	b.mu.Unlock()
-	if !misdirected || identified || len(r.sentTo) < 2 {
-		return
-	}
-	services := s.o.View.Snapshot().Config.Services
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.retries.ChargeOthers(now, r.service.Name, maps.Keys(services))
-}
-
-// budgetLogInterval is the least time between two log lines about the retry budget of one service.
-const budgetLogInterval = 2 * time.Second
-
-// logRetryBudget logs the use of a service's retry budget while it is used.
-func (s *Sender) logRetryBudget(n ident.Service, now mono.Time) {
-	s.mu.Lock()
-	if last, ok := s.budgetsLogged[n]; ok && now.Sub(last) < budgetLogInterval {
-		s.mu.Unlock()
-		return
-	}
-	s.budgetsLogged[n] = now
-	u := s.retries.Usage(now, n)
-	s.mu.Unlock()
-	s.o.Log.Info().Str("service", string(n)).Float64("requests", u.Requests).Float64("retries", u.Retries).Float64("denied", u.Denied).
-		Float64("allowed", u.Allowed).Float64("slack", u.Slack).Int("daemons", u.Daemons).Msg("retry budget in use")
-}
-
-// BudgetState is the use of a service's retry budget in the current window, for the state page.
-type BudgetState struct {
-	Service  ident.Service `json:"service"`
-	Requests int           `json:"requests"` // counted by this daemon
-	Retries  int           `json:"retries"`
-	Denied   int           `json:"denied"`
-	Allowed  float64       `json:"allowed"`
-	Slack    float64       `json:"slack"`   // this daemon's share
-	Daemons  int           `json:"daemons"` // that the slack is divided by; 0 if this daemon has no share
-}
-
-// BudgetStates returns the retry budgets, ordered by service.
-func (s *Sender) BudgetStates() []BudgetState {
-	now := s.o.Clock.Now()
-	s.observeFleet(now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	services := s.retries.Services()
-	l := make([]BudgetState, 0, len(services))
-	for _, n := range services {
-		u := s.retries.Usage(now, n)
-		l = append(l, BudgetState{
-			Service: n, Requests: int(u.Requests), Retries: int(u.Retries), Denied: int(u.Denied), Allowed: u.Allowed, Slack: u.Slack,
-			Daemons: u.Daemons,
-		})
-	}
-	return l
-}
-
-// isCallerRetry reports whether a request on the route with this remaining time is likely a caller's retry after a refusal.
-func (s *Sender) isCallerRetry(r *site.Route, remaining time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := s.callerRetries[r.Name]
-	if p == nil {
-		p = &pace.CallerRetryDetector{}
-		s.callerRetries[r.Name] = p
-	}
-	return p.Observe(remaining)
-}
-
 // TakeMeasurements returns and resets the measurements that the coordinator plans by: requests by key, and the speed of
 // servers that own keys.
 func (s *Sender) TakeMeasurements() ([]*wire.KeyCount, []*wire.ServerWork) {
@@ -318,17 +194,6 @@
 	return true
 }
 
-// noRetryReason returns the reason for refusing a request when the retry budget is exhausted. Callers of a full server
-// must not retry at once; callers of a server that refuses requests regardless of its load may.
-func (b *backend) noRetryReason(now mono.Time) reason {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.load.Full(now) {
-		return reasonFull
-	}
-	return reasonBudget
-}
-
 // maxSamples bounds the samples of a server while the coordinator doesn't collect them.
 const maxSamples = 64
 
