Stand-in of the host list: a list that was set doesn't change afterwards

The list also changed before its lag. Six of the seven tests that failed were marked by this one race as they ran at the same time (TestLeavingHost, TestHomeFreezesInSwaps, TestLostReplies, TestAcceptedConfig, TestFrozenHome, TestDrainKeyedServer). The stand-in keeps a copy; TestHostListIsACopy failed before.

--- a/io/fakes/hosts.go
+++ b/io/fakes/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +53,7 @@
 func (h *Hosts) Set(l ...hosts.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.pages = append(h.pages, datedPage{time.Now().Add(h.lag), hosts.Page{Hosts: l}})
+	h.pages = append(h.pages, datedPage{time.Now().Add(h.lag), hosts.Page{Hosts: slices.Clone(l)}})
 }
 
 // SetLag sets the lag of lists that are set from now on.
