Stand-ins: a connection's daemon is found by both its ends

Cause suspected: the soak and the linked stages looked a request's daemon up by the port from which its connection came. The connection's two ends are the key now.

Ruled out: a lost response (the daemon logged the wish at the same millisecond), a disruption of the server or the daemon (none recorded), and a second incarnation (one id, one start).

No check is changed.

--- a/io/fakes/cut/tcp.go
+++ b/io/fakes/cut/tcp.go
@@ -29,13 +29,13 @@
 
 	pairs  sync.Mutex
 	live   map[*pair]struct{}
-	onOpen func(from net.Conn, own net.Addr) // see OnOpen
+	onOpen func(from, to net.Conn) // see OnOpen
 	wg     sync.WaitGroup
 }
 
-// OnOpen sets a function that is called for each relayed connection before anything is carried, with the caller's connection and the
-// address of the relay's end of the one to the target.
-func (r *TCP) OnOpen(f func(from net.Conn, own net.Addr)) {
+// OnOpen sets a function that is called for each relayed connection before anything is carried, with the connections from the caller and
+// to the target.
+func (r *TCP) OnOpen(f func(from, to net.Conn)) {
 	r.pairs.Lock()
 	defer r.pairs.Unlock()
 	r.onOpen = f
@@ -115,7 +115,7 @@
 	f := r.onOpen
 	r.pairs.Unlock()
 	if f != nil {
-		f(from, to.LocalAddr())
+		f(from, to)
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { r.pipe(p, from, to, Forward) })
