Keys of a server after its backoff: enough that a request shows soon that it serves

The keys are cut by measured rates, and with a half-life of 0.8 s these are two or three requests: the narrowest ranges that had them have 0.9 to 1.5 on average. The server stays unused until a request happens to be for one of them.

What an unproven server gets is hold's decision now, and can be tested without a network.

Ruled out: keys not given back for lack of a plan (assigned), closed links or a probe that is refused (no request was refused or waited).

--- a/core/hold/limit_test.go
+++ b/core/hold/limit_test.go
@@ -1,6 +1,7 @@
 package hold
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -114,3 +115,33 @@
 	require.Greater(t, loadByServer(assignments, rates)["s1"], 0.4*before, "after two plans")
 	settle(t, assignments, l, rates)
 }
+
+// Guards against a server that is unused for seconds after its backoff, because hardly a request is for the keys that it gets.
+func TestUnprovenServerGetsRequestsSoon(t *testing.T) {
+	const (
+		rate, seeds = 150.0, 1000
+		halfLife    = 0.8 // seconds after which a request counts half in a measured rate
+	)
+	late := 0
+	for seed := range uint64(seeds) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		rates := make(Rates, Keys/BucketKeys)
+		for age := rng.ExpFloat64() / rate; age < 10*halfLife; age += rng.ExpFloat64() / rate {
+			rates[rng.IntN(len(rates))] += math.Ln2 / halfLife * math.Exp2(-age/halfLife)
+		}
+		l := targets(slices.Repeat([]time.Duration{5 * time.Millisecond}, 3)...)
+		assignments := settle(t, nil, l[:2], rates)
+		l[2].Unproven = true
+		assignments, _ = Plan(assignments, l, rates)
+		keys := 0
+		for _, x := range assignments {
+			if x.Owner == l[2].Incarnation {
+				keys += x.Len()
+			}
+		}
+		if rng.ExpFloat64()/(rate*float64(keys)/Keys) > time.Second.Seconds() {
+			late++
+		}
+	}
+	require.LessOrEqual(t, late, seeds/100, "seeds in which no request comes within a second")
+}
--- a/core/hold/plan.go
+++ b/core/hold/plan.go
@@ -34,6 +34,10 @@
 
 	// defaultServiceTime is assumed while no server has been measured.
 	defaultServiceTime = 200 * time.Millisecond
+
+	// probationRate is the rate of requests, per second, for which an unproven server gets keys at most. Measured rates are of few
+	// requests, and keys with as many as a few lately get fewer on average.
+	probationRate = 16
 )
 
 // Target is a server that may hold keys.
@@ -43,7 +47,8 @@
 	Slots       int
 	ServiceTime time.Duration // of a request without interference; 0 if unknown
 	Limit       float64       // requests per second that the server takes; 0 if it names no limit
-	Restored    bool          // whether the server named a limit until a short time ago
+	Unproven    bool          // whether its backoff is over and it hasn't taken a request yet
+	Restored    bool          // whether the server named a limit, or was unproven, until a short time ago
 }
 
 // planner computes one change of the assignments.
@@ -85,6 +90,9 @@
 	p.indexes = make(map[ident.Server]int, len(p.targets))
 	for i, t := range p.targets {
 		p.indexes[t.Server] = i
+		if t.Unproven && (t.Limit == 0 || t.Limit > probationRate) {
+			p.targets[i].Limit = probationRate
+		}
 	}
 	p.computeLoad(rates)
 	return p
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -168,25 +168,19 @@
 // restoreTime is how long a server counts as restored after its limit or its backoff has ended. Its keys are back after a few plans.
 const restoreTime = 10 * time.Second
 
-// probationRate is the rate of requests, per second, for which a server gets keys whose backoff is over, until it has taken a request.
-const probationRate = 4
-
 // targets returns the servers that may hold keys. It leaves out those known to have ended, which stay announced for seconds.
 func (g *Granter) targets(s *site.Snapshot, v *service, now mono.Time) []hold.Target {
 	var l []hold.Target
 	for _, x := range s.ServersOf(v.name) {
 		inc := hold.Incarnation{Server: x.ID, Born: x.Born}
 		if g.mayHold(s, x) && !v.table.HasEnded(inc) {
-			limit := g.o.Reports.Limit(x)
-			if g.o.Reports.Placement(x) == report.Unproven && (limit == 0 || limit > probationRate) {
-				limit = probationRate
-			}
-			if limit > 0 {
+			limit, unproven := g.o.Reports.Limit(x), g.o.Reports.Placement(x) == report.Unproven
+			if limit > 0 || unproven {
 				v.restoredUntil[inc] = now.Add(restoreTime)
 			}
 			l = append(l, hold.Target{
 				Incarnation: inc, Cold: now.Before(x.ColdUntil), Slots: x.Slots, ServiceTime: g.measurements.serviceTime(now, v.name, x.ID),
-				Limit: limit, Restored: limit == 0 && now.Before(v.restoredUntil[inc]),
+				Limit: limit, Unproven: unproven, Restored: limit == 0 && !unproven && now.Before(v.restoredUntil[inc]),
 			})
 		}
 	}
