--- a/core/hold/limit_test.go
+++ b/core/hold/limit_test.go
@@ -121,6 +121,7 @@
 	const (
 		rate, seeds = 150.0, 1000
 		halfLife    = 0.8 // seconds after which a request counts half in a measured rate
+		soon        = 1.0 // seconds
 	)
 	late := 0
 	for seed := range uint64(seeds) {
@@ -139,9 +140,9 @@
 				keys += x.Len()
 			}
 		}
-		if rng.ExpFloat64()/(rate*float64(keys)/Keys) > time.Second.Seconds() {
+		if rng.ExpFloat64()/(rate*float64(keys)/Keys) > soon {
 			late++
 		}
 	}
-	require.LessOrEqual(t, late, seeds/100, "seeds in which no request comes within a second")
+	require.LessOrEqual(t, late, seeds/100, "seeds in which no request comes soon")
 }
--- a/core/hold/plan.go
+++ b/core/hold/plan.go
@@ -35,8 +35,8 @@
 	// defaultServiceTime is assumed while no server has been measured.
 	defaultServiceTime = 200 * time.Millisecond
 
-	// probationRate is the rate of requests, per second, for which an unproven server gets keys at most. Measured rates are of few
-	// requests, and keys with as many as a few lately get fewer on average.
+	// probationRate bounds the requests per second for which an unproven server gets keys. Low measured rates are of two or three
+	// requests: keys chosen by them get fewer on average.
 	probationRate = 16
 )
 
