--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -10,8 +10,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -29,9 +31,11 @@
 type play func(w *world) ([]string, error)
 
 var plays = map[string]play{
-	"slow-reader":   slowReader,
-	"second-answer": secondAnswer,
-	"restart-move":  restartMove,
+	"slow-reader":    slowReader,
+	"second-answer":  secondAnswer,
+	"restart-move":   restartMove,
+	"pipelined":      pipelined,
+	"second-release": secondRelease,
 }
 
 func main() {
@@ -57,6 +61,8 @@
 		return exitNotRun
 	}
 	defer w.stop()
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
 	type result struct {
 		breaches []string
 		err      error
@@ -69,6 +75,8 @@
 	var x result
 	select {
 	case x = <-done:
+	case s := <-ends:
+		x.err = fmt.Errorf("ended by %v", s)
 	case <-time.After(limit):
 		x.err = fmt.Errorf("not finished within %v", limit)
 	}
--- a/review/_stand/second_answer.go
+++ b/review/_stand/second_answer.go
@@ -11,7 +11,7 @@
 
 const (
 	pickWork    = 150 * time.Millisecond
-	pickClients = 4 // on each daemon
+	pickClients = 4                      // on each daemon
 	thinkTime   = 350 * time.Millisecond // of a client between two requests, on average
 	pickTimeout = 5 * time.Second
 	garbleFor   = 5 * time.Second
@@ -20,21 +20,24 @@
 	garbleShare = 0.03 // of the answers of an upstream
 )
 
-// garbler decides which answers of an upstream get a second copy: refusals, as long as they are no more than the share of all answers.
+// garbler decides which answers of the upstreams get a second copy: those that it picks, as long as they are no more than the share of
+// all answers.
 type garbler struct {
+	pick func(path string, status int) bool
+
 	mu           sync.Mutex
 	on           bool
 	answers, bad int
 }
 
-func (g *garbler) spoil(status int, id string) bool {
+func (g *garbler) spoil(path string, status int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.on {
 		return false
 	}
 	g.answers++
-	if id == "" || status != http.StatusServiceUnavailable || float64(g.bad+1) > garbleShare*float64(g.answers) {
+	if !g.pick(path, status) || float64(g.bad+1) > garbleShare*float64(g.answers) {
 		return false
 	}
 	g.bad++
@@ -49,12 +52,17 @@
 
 // secondAnswer: an upstream that is full at times sends a second answer to some requests that it has refused.
 func secondAnswer(w *world) ([]string, error) {
-	g := &garbler{}
+	g := &garbler{pick: func(path string, status int) bool {
+		return strings.HasPrefix(path, "/picks/") && status == http.StatusServiceUnavailable
+	}}
 	for i, z := range []string{"za", "zb"} {
 		u := &upstream{
-			w: w, id: fmt.Sprintf("i-picks-%d", i+1), service: "picks", zone: z, keyed: true, slots: 3, queue: 1, loadless: true, spoil: g.spoil,
+			w: w, id: fmt.Sprintf("i-picks-%d", i+1), service: "picks", zone: z, keyed: true, slots: 3, queue: 1, loadless: true,
 			work: func(string) time.Duration { return pickWork },
 		}
+		if i == 0 {
+			u.spoil = g.spoil // half of the upstreams
+		}
 		w.upstreams = append(w.upstreams, u)
 		if err := u.start(true); err != nil {
 			return nil, err
--- a/review/_stand/slow_reader.go
+++ b/review/_stand/slow_reader.go
@@ -11,12 +11,13 @@
 	orderWork    = 400 * time.Millisecond
 	volumeBytes  = 2 << 20
 	slowRate     = 200 << 10 // bytes per second that the slow client reads
+	slowClients  = 3
 	keptClients  = 24
 	orderTimeout = 8 * time.Second  // as the deadline of a customer's pallet releases
 	readTimeout  = 12 * time.Second // as the deadline of a customer's order lines
 )
 
-// slowReader: a daemon gets SIGTERM while one client reads a large response slowly. Others go on to use their kept connections.
+// slowReader: a daemon gets SIGTERM while some clients read a large response slowly. Others go on to use their kept connections.
 func slowReader(w *world) ([]string, error) {
 	orders := &upstream{w: w, id: "i-orders-1", service: "orders", zone: "za", slots: 24, queue: 24, work: func(string) time.Duration { return orderWork }}
 	volumes := &upstream{w: w, id: "i-volumes-1", service: "volumes", zone: "za", slots: 4, queue: 4, size: volumeBytes, work: func(string) time.Duration { return 20 * time.Millisecond }}
@@ -39,8 +40,10 @@
 	if err != nil {
 		return nil, err
 	}
-	read := make(chan error, 1)
-	go func() { read <- w.readVolume(d) }()
+	read := make(chan error, slowClients)
+	for i := range slowClients {
+		go func() { read <- w.readVolume(d, i) }()
+	}
 	time.Sleep(time.Second)
 	termAt := time.Now()
 	w.term(d)
@@ -60,8 +63,10 @@
 		})
 	}
 	wait.Wait()
-	if err := <-read; err != nil {
-		w.add("the client that reads the volume: %v", err)
+	for range slowClients {
+		if err := <-read; err != nil {
+			w.add("a client that reads a volume: %v", err)
+		}
 	}
 	w.logLines(d, "leaving", "has left", "grace period", "no response")
 	return breaches, nil
@@ -92,13 +97,13 @@
 }
 
 // readVolume requests a large response and reads it slowly, or at once without the disruption.
-func (w *world) readVolume(d *daemon) error {
+func (w *world) readVolume(d *daemon, i int) error {
 	conn, err := dial(d.entry, 64<<10)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	x := call{method: http.MethodGet, path: "/volumes/1", id: "volume-1", key: -1, deadline: readTimeout}
+	x := call{method: http.MethodGet, path: "/volumes/1", id: fmt.Sprintf("volume-%d", i), key: -1, deadline: readTimeout}
 	if err := (&client{conn: conn}).send(x); err != nil {
 		return err
 	}
--- a/review/_stand/upstream.go
+++ b/review/_stand/upstream.go
@@ -23,12 +23,13 @@
 	keyed    bool
 	slots    int
 	queue    int
-	loadless bool                    // sends no Server-Load
+	loadless bool // sends no Server-Load
 	work     func(path string) time.Duration
 	size     int // bytes of a response's body
 
-	// spoil returns whether a second copy of an answer is to be sent late, at the point where the next answer on the connection is due.
-	spoil func(status int, id string) bool
+	// spoil returns whether a second copy of the answer to a request is to be sent late, at the point where the next answer on the
+	// connection is due.
+	spoil func(path string, status int) bool
 
 	addr string
 
@@ -41,9 +42,10 @@
 	waiting  int            // requests that run or wait
 	runs     map[string]int // by request id
 	active   map[int][]*job // by key
-	grants   []grant
-	fences   []grant // highest fences seen, by range
-	life     int     // number of starts
+	grants   []grant        // in force
+	given    []grant        // accepted, whether released or not
+	fences   []grant        // highest fences seen, by range
+	life     int            // number of starts
 }
 
 // job is a request that runs, of a key.
@@ -92,6 +94,7 @@
 	u.mu.Lock()
 	u.addr, u.born, u.sequence, u.listen, u.conns = l.Addr().String(), time.Now().UnixMilli(), 0, l, map[net.Conn]bool{}
 	u.slot, u.waiting, u.active, u.grants, u.fences = make(chan struct{}, u.slots), 0, map[int][]*job{}, nil, nil
+	u.given = nil
 	if u.runs == nil {
 		u.runs = map[string]int{}
 	}
@@ -112,13 +115,24 @@
 	u.sequence++
 	v := map[string]any{
 		"service": u.service, "address": u.addr, "zone": u.zone, "version": "v1", "slots": u.slots, "state": state,
-		"warmup_remaining_ms": 0, "sequence": u.sequence, "born": u.born,
+		"warmup_remaining_ms": u.coldFor().Milliseconds(), "sequence": u.sequence, "born": u.born,
 	}
 	u.mu.Unlock()
 	u.w.add("entry of %s: state %s, born %v", u.id, state, v["born"])
 	return u.w.store.Put("servers", u.id, v)
 }
 
+// coldFor returns how much longer the upstream is cold: one that starts again during traffic is for some seconds. The caller holds u.mu.
+func (u *upstream) coldFor() time.Duration {
+	if u.life < 2 {
+		return 0
+	}
+	return max(0, coldTime-time.Since(time.UnixMilli(u.born)))
+}
+
+// coldTime is warmup_s of the configuration.
+const coldTime = 3 * time.Second
+
 // crash ends the process of the upstream: all connections are reset, and it knows nothing of before.
 func (u *upstream) crash() {
 	u.mu.Lock()
@@ -167,7 +181,7 @@
 			return
 		}
 		if late != nil {
-			u.w.add("%s sends a second answer late, before that to %s", u.id, req.Header.Get("Request-Id"))
+			u.w.add("%s sends a second answer late, before that to %s %s", u.id, req.URL.Path, req.Header.Get("Request-Id"))
 			if _, err := c.Write(late); err != nil {
 				return
 			}
@@ -180,7 +194,7 @@
 		if _, err := c.Write(a.encode()); err != nil {
 			return
 		}
-		if u.spoil != nil && u.spoil(a.status, req.Header.Get("Request-Id")) {
+		if u.spoil != nil && u.spoil(req.URL.Path, a.status) {
 			late = a.encode()
 		}
 	}
@@ -296,17 +310,29 @@
 	return slices.ContainsFunc(u.grants, func(g grant) bool { return g.has(key) && now.Before(g.until) })
 }
 
-// working returns the requests that run on keys of a range which the upstream was granted and whose hold has not run out by its clock.
-func (u *upstream) working(first, last int) []string {
+// working returns the requests that run on keys of a range. With held, only those on keys whose hold would not have run out yet if
+// nobody had released it.
+func (u *upstream) working(first, last int, held bool) []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	now := time.Now()
 	var l []string
 	for k, js := range u.active {
-		for _, j := range js {
-			if first <= k && k <= last {
-				l = append(l, fmt.Sprintf("%s on key %d, for %d ms", j.id, k, time.Since(j.began).Milliseconds()))
+		if k < first || last < k {
+			continue
+		}
+		left := time.Duration(0)
+		for _, g := range u.given {
+			if g.has(k) {
+				left = max(left, g.until.Sub(now))
 			}
 		}
+		if held && left <= 0 {
+			continue
+		}
+		for _, j := range js {
+			l = append(l, fmt.Sprintf("%s on key %d for %d ms, whose hold would last %d ms more", j.id, k, now.Sub(j.began).Milliseconds(), left.Milliseconds()))
+		}
 	}
 	return l
 }
@@ -343,7 +369,10 @@
 		l = append(l, g.without(o.First, o.Last)...)
 	}
 	if !release {
-		l = append(l, grant{first: o.First, last: o.Last, fence: o.Fence, until: time.Now().Add(time.Duration(o.HoldMS) * time.Millisecond)})
+		now := time.Now()
+		x := grant{first: o.First, last: o.Last, fence: o.Fence, until: now.Add(time.Duration(o.HoldMS) * time.Millisecond)}
+		l = append(l, x)
+		u.given = append(slices.DeleteFunc(u.given, func(g grant) bool { return !now.Before(g.until) }), x)
 	}
 	u.grants = l
 	u.mu.Unlock()
@@ -354,7 +383,7 @@
 		u.w.granted(u, o)
 		return
 	}
-	for u.alive(life) && len(u.working(o.First, o.Last)) > 0 {
+	for u.alive(life) && len(u.working(o.First, o.Last, false)) > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	a.set("Handover", "from-"+u.id)
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start. The daemon is built as the deploy file says.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o review/_bin/ ./review/_stand
+go build -o review/_bin/stand ./review/_stand
