--- a/review/_stand/restart_move.go
+++ b/review/_stand/restart_move.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -9,12 +10,13 @@
 
 const (
 	lookupTimeout = 4 * time.Second        // as the deadline of a customer's keyed requests
-	lookupWork    = 480 * time.Millisecond // and their work
-	lookupClients = 6                      // on each daemon
+	lookupWork    = 480 * time.Millisecond // and their mean work
+	refusedPause  = 100 * time.Millisecond // of a client after a refusal
+	lookupClients = 9                      // on each daemon
 
-	cutTime      = 2500 * time.Millisecond // of the upstream from the store
+	cutTime      = 2900 * time.Millisecond // of the upstream from the store; its entry would be removed after three heartbeats of 1.5 s
 	downTime     = 100 * time.Millisecond  // of the upstream
-	evacuateLead = 150 * time.Millisecond  // from the evacuation to the end of the cut
+	evacuateLead = 60 * time.Millisecond   // from the evacuation to the end of the cut
 )
 
 // granted checks a grant: no other upstream may be at work on its keys while its own hold has not run out.
@@ -81,11 +83,14 @@
 					if err != nil {
 						continue
 					}
-					_, _, _ = c.do(call{
+					r, _, err := c.do(call{
 						method: http.MethodGet, path: "/lookup/x", id: fmt.Sprintf("lookup-%d-%d-%d", di, ci, n),
 						key: (di*7919 + ci*104729 + n*1299709) % 65536, deadline: lookupTimeout,
 					})
 					c.conn.Close()
+					if err != nil || r.StatusCode != http.StatusOK {
+						time.Sleep(refusedPause)
+					}
 				}
 			})
 		}
@@ -102,7 +107,7 @@
 	for i := range lookupUpstreams {
 		u := &upstream{
 			w: w, id: fmt.Sprintf("i-lookup-%d", i+1), service: "lookup", zone: zones[i%len(zones)], keyed: true, slots: 3, queue: 12,
-			work: func(string) time.Duration { return lookupWork },
+			work: func(string) time.Duration { return lookupWork*6/10 + rand.N(lookupWork*8/10) },
 		}
 		if i%2 == 0 {
 			u.spoil = spoil
--- a/review/_stand/second_answer.go
+++ b/review/_stand/second_answer.go
@@ -11,7 +11,7 @@
 
 const (
 	pickWork    = 150 * time.Millisecond
-	pickClients = 4                      // on each daemon
+	pickClients = 8                      // on each daemon
 	thinkTime   = 350 * time.Millisecond // of a client between two requests, on average
 	pickTimeout = 5 * time.Second
 	garbleFor   = 5 * time.Second
@@ -55,12 +55,12 @@
 	g := &garbler{pick: func(path string, status int) bool {
 		return strings.HasPrefix(path, "/picks/") && status == http.StatusServiceUnavailable
 	}}
-	for i, z := range []string{"za", "zb"} {
+	for i, z := range []string{"za", "zb", "zc", "za"} {
 		u := &upstream{
 			w: w, id: fmt.Sprintf("i-picks-%d", i+1), service: "picks", zone: z, keyed: true, slots: 3, queue: 1, loadless: true,
 			work: func(string) time.Duration { return pickWork },
 		}
-		if i == 0 {
+		if i%2 == 0 {
 			u.spoil = g.spoil // half of the upstreams
 		}
 		w.upstreams = append(w.upstreams, u)
