--- a/review/_stand/slow_reader.go
+++ b/review/_stand/slow_reader.go
@@ -53,7 +53,7 @@
 	var wait sync.WaitGroup
 	for i, c := range kept {
 		wait.Go(func() {
-			at := termAt.Add(3500*time.Millisecond + time.Duration(i)*100*time.Millisecond)
+			at := termAt.Add(4900*time.Millisecond + time.Duration(i)*45*time.Millisecond)
 			time.Sleep(time.Until(at))
 			if b := w.orderOn(c, i, termAt, orders); b != "" {
 				mu.Lock()
