--- a/review/_stand/restart_move.go
+++ b/review/_stand/restart_move.go
@@ -83,10 +83,10 @@
 					if err != nil {
 						continue
 					}
-					r, _, err := c.do(call{
-						method: http.MethodGet, path: "/lookup/x", id: fmt.Sprintf("lookup-%d-%d-%d", di, ci, n),
-						key: (di*7919 + ci*104729 + n*1299709) % 65536, deadline: lookupTimeout,
-					})
+					id, key := fmt.Sprintf("lookup-%d-%d-%d", di, ci, n), (di*7919+ci*104729+n*1299709)%65536
+					w.add("%s sent to %s, key %d", id, d.name, key)
+					r, _, err := c.do(call{method: http.MethodGet, path: "/lookup/x", id: id, key: key, deadline: lookupTimeout})
+					w.add("%s: %s", id, outcome(r, err))
 					c.conn.Close()
 					if err != nil || r.StatusCode != http.StatusOK {
 						time.Sleep(refusedPause)
--- a/review/_stand/second_answer.go
+++ b/review/_stand/second_answer.go
@@ -130,7 +130,9 @@
 		return "not connected", ""
 	}
 	defer c.conn.Close()
+	w.add("%s sent to %s, key %d", id, d.name, key)
 	r, body, err := c.do(call{method: http.MethodPost, path: "/picks/confirm", id: id, key: key, deadline: pickTimeout, body: "pick"})
+	w.add("%s: %s", id, outcome(r, err))
 	if err == nil && (r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusTooManyRequests) {
 		time.Sleep(50 * time.Millisecond)
 		if n := w.runs()[id]; n > 0 {
