--- a/core/hold/sim_test.go
+++ b/core/hold/sim_test.go
@@ -34,6 +34,7 @@
 	sharedCoordinator bool                         // at times the coordinator also renews many ranges of other services
 	faultFree         bool                         // no more faults are injected
 	ignoreEnds        bool                         // queued grants are sent after their deadline too
+	sameAddress       bool                         // restarted servers have the address of their former incarnation, where orders for it reach them
 	fault             string                       // first one detected
 }
 
@@ -235,12 +236,16 @@
 		return
 	}
 	s := w.servers[to.Server]
-	if s.incarnation != to {
-		if g, ok := o.(Grant); ok && g.Renewal {
+	renewal := false
+	if g, ok := o.(Grant); ok {
+		renewal = g.Renewal
+	}
+	if s.incarnation != to && (!w.sameAddress || renewal) {
+		if renewal {
 			w.table.ConnectionLost(w.now, to.Server) // the connection of the former incarnation is lost
 		}
 		r := Result{Outcome: NotSent}
-		if w.rnd.IntN(2) == 0 {
+		if w.rnd.IntN(2) == 0 && !w.sameAddress {
 			r.Outcome = Ended // the host refuses connections to the port
 		}
 		w.after(simStep, func() { done(r) })
@@ -400,6 +405,21 @@
 	}
 }
 
+// Guards against two servers holding one key at once, which occurs if a server restarts at its address and is granted
+// keys there before it announces its new incarnation, and these keys are taken for free once it does.
+func TestOneOwnerWhenServersRestartUnannounced(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newSimulation(seed)
+			w.sameAddress, w.sharedCoordinator = true, seed >= 40
+			w.run()
+			require.Empty(t, w.fault)
+			require.Equal(t, Keys, servedKeys(w.table.Holds()), "keys served at the end")
+		})
+	}
+}
+
 // Guards against a grant that is queued behind others for an unresponsive server and sent when the server answers again: its
 // range may have moved to another server, which relies on the grant having expired. The schedules must show that two
 // servers hold one key if the deadline Grant.Ends is ignored.
--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -433,7 +433,8 @@
 }
 
 // UpdateIncarnations updates the assignments to the incarnations that servers announce; born returns the one of a
-// server. A restarted server holds nothing that its earlier incarnation held.
+// server. A restarted server holds nothing that its earlier incarnation held, but orders for that one that were sent on
+// new connections have reached whichever incarnation had its address.
 func (t *Table) UpdateIncarnations(now mono.Time, born func(ident.Server) (int64, bool)) {
 	for _, p := range t.ranges {
 		if b, ok := born(p.Previous.Server); ok && p.Previous.Born != b {
@@ -446,10 +447,10 @@
 	}
 }
 
-// updatePreviousIncarnation records that the previous owner of a range has restarted. Its new incarnation holds
-// nothing, unless an earlier coordinator granted it the range.
+// updatePreviousIncarnation records that the previous owner of a range has restarted. Any coordinator's grant may have
+// reached its new incarnation before that was announced, so the range is released there as well.
 func (t *Table) updatePreviousIncarnation(now mono.Time, p *rangeState, born int64) {
-	if !p.prevInherited || t.prevExpired(now, p) {
+	if t.prevExpired(now, p) {
 		t.clearPrevious(now, p, "")
 		return
 	}
--- a/core/hold/table_test.go
+++ b/core/hold/table_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 )
 
@@ -102,3 +103,43 @@
 		require.Equal(t, "h", g.Handover)
 	}
 }
+
+// Guards against keys being granted to another server while their holder works on them: the holder restarted at its address,
+// was granted its keys again there, and announced its new incarnation only while they were being released.
+func TestKeysOfServerThatRestartedUnannounced(t *testing.T) {
+	now := mono.Time(time.Hour)
+	a, b := Incarnation{Server: "a", Born: 1}, Incarnation{Server: "b", Born: 1}
+	x := tableWithOwner(t, now, a)
+	x.ConnectionLost(now, a.Server)
+	l, _ := x.Orders(now)
+	require.Len(t, l, 1)
+	x.Done(now, l[0], Result{Outcome: Accepted}) // by the new incarnation
+	expired := now.Add(x.timing.ExpiryBound(x.ttl))
+
+	x.Committed(now, []Assignment{{Range: Range{First: 0, Last: Keys - 1}, Owner: b, Previous: a}}, x.Reserve(now, 1))
+	l, _ = x.Orders(now)
+	require.Len(t, l, 1)
+	unanswered := l[0]
+	require.Equal(t, a, unanswered.(Release).From)
+	restarted := Incarnation{Server: "a", Born: 2}
+	x.UpdateIncarnations(now, func(id ident.Server) (int64, bool) {
+		return restarted.Born, id == restarted.Server
+	})
+	l, _ = x.Orders(now)
+	require.Len(t, l, 1)
+	release, ok := l[0].(Release)
+	require.True(t, ok, "%T", l[0])
+	require.Equal(t, restarted, release.From)
+
+	x.Done(now, unanswered, Result{Outcome: Silent})
+	l, _ = x.Orders(now)
+	require.Empty(t, l, "the result of the release to the former incarnation frees nothing")
+
+	t.Run("released", func(t *testing.T) {
+		x.Done(now, release, Result{Outcome: Accepted})
+		l, _ := x.Orders(now)
+		require.Len(t, l, 1)
+		require.Equal(t, b, l[0].(Grant).To)
+		require.True(t, now.Before(expired))
+	})
+}
