--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -55,6 +55,7 @@
 	unanswered   bool          // the current request has no whole response
 	used         bool          // has completed an exchange
 	idleSince    time.Time
+	sent         []sentRequest // requests that may be sent again
 
 	memory       *memory.Reservation // for the body of the current response; nil for no limit
 	received     int64               // bytes since the connection was opened
@@ -195,7 +196,7 @@
 		ours = ours || ctx.Err() != nil || errors.Is(err, ErrNoLength) || errors.Is(err, memory.ErrNoMemory)
 		return c.failure(ours, err)
 	}
-	if resp.ConnectionClose() {
+	if resp.ConnectionClose() || p.options.ReuseIdentified && len(resp.Header.Peek(p.options.Names.RequestID)) == 0 {
 		c.broken = true
 	}
 	c.unanswered = streamed
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,6 +38,10 @@
 	Names          Names
 	CloseDelimited bool // accept a response without a length, which ends with its connection
 
+	// ReuseIdentified limits the reuse of a connection to responses that carry the id of their request. Without it, a late copy of a
+	// response without an id passes for the response to the next request.
+	ReuseIdentified bool
+
 	// OnIdleClosed is called when the server has closed an idle connection, as it does on a restart. It is called
 	// before the next request is sent on another connection.
 	OnIdleClosed func()
@@ -195,8 +200,9 @@
 	if call.Deadline.IsZero() {
 		return nil, Result{Outcome: retry.NotRun, End: admit.EndNoConnFree, Err: errNoDeadline}
 	}
+	id := hashID(req, p.options.Names)
 	for {
-		c, r := p.get(ctx, call)
+		c, r := p.get(ctx, call, id)
 		if c == nil {
 			r.OthersOpen = p.hasOpenConn()
 			r.ConnLimitReached = r.End == admit.EndReset && r.OthersOpen
@@ -205,6 +211,9 @@
 		used := c.used
 		r = c.do(ctx, p, call, req, resp, streamed)
 		r.Fresh = !used
+		if c.wrote {
+			c.recordSent(id, call.Deadline)
+		}
 		if r.Err == nil && (streamed || c.reusable()) {
 			return c, r
 		}
@@ -227,10 +236,10 @@
 	}
 }
 
-// get returns an idle connection that is still open, or dials one.
-func (p *Pool) get(ctx context.Context, call Call) (*conn, Result) {
+// get returns an idle connection that is still open and has not carried the request, or dials one.
+func (p *Pool) get(ctx context.Context, call Call, id requestHash) (*conn, Result) {
 	for {
-		c, err := p.take(call.ReuseOnly)
+		c, err := p.take(call.ReuseOnly, id)
 		if err != nil {
 			return nil, Result{Outcome: retry.NotRun, End: admit.EndNoConnFree, Err: err}
 		}
@@ -260,7 +269,7 @@
 // Preconnect opens a connection in advance unless an idle one is open. It reports whether an idle connection is
 // available afterwards.
 func (p *Pool) Preconnect(ctx context.Context, deadline time.Time) bool {
-	c, r := p.get(ctx, Call{Deadline: deadline})
+	c, r := p.get(ctx, Call{Deadline: deadline}, 0)
 	if r.Err != nil {
 		return false
 	}
@@ -268,26 +277,33 @@
 	return true
 }
 
-// take returns the most recently used idle connection. A nil connection reserves a place for one that the caller must
-// dial; none is reserved with reuseOnly, not even for a moment, since another caller would find the pool full.
-func (p *Pool) take(reuseOnly bool) (*conn, error) {
+// take returns the most recently used idle connection that has not carried the request. A nil connection reserves a place for
+// one that the caller must dial; none is reserved with reuseOnly, not even for a moment, since another caller would find the
+// pool full.
+func (p *Pool) take(reuseOnly bool, id requestHash) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed
 	}
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		return c, nil
+	for i, c := range slices.Backward(p.idle) {
+		if !c.hasCarried(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, nil
+		}
 	}
-	if p.open >= p.options.MaxConns {
+	full := p.open >= p.options.MaxConns
+	switch {
+	case full && len(p.idle) == 0:
 		return nil, ErrExhausted
-	}
-	if reuseOnly {
+	case reuseOnly:
 		return nil, ErrNoReuse
+	case full: // the new connection takes the place of one that has carried the request
+		p.idle[0].close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	default:
+		p.open++
 	}
-	p.open++
 	return nil, nil
 }
 
--- a/io/conns/endless_test.go
+++ b/io/conns/endless_test.go
@@ -103,7 +103,7 @@
 
 // bytesRead repeats the exchange and returns how many bytes of the response were taken from the connection.
 func bytesRead(t *testing.T, p *Pool, call Call) int64 {
-	c, r := p.get(t.Context(), call)
+	c, r := p.get(t.Context(), call, 0)
 	require.NoError(t, r.Err)
 	defer p.discard(c)
 	r = c.do(t.Context(), p, call, get("/"), &fasthttp.Response{}, false)
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -75,7 +75,7 @@
 		b = &backend{server: x, load: choice.Load{Slots: x.Slots}, misdirected: misdir.New(keyed)}
 		b.pool = conns.New(conns.Options{
 			Addr: x.Addr, MaxConns: maxConns, DialTimeout: dialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxResponseBytes,
-			Names: s.names, CloseDelimited: true,
+			Names: s.names, CloseDelimited: true, ReuseIdentified: true,
 		})
 		s.backends[k] = b
 	}
--- a/io/send/delegate_test.go
+++ b/io/send/delegate_test.go
@@ -49,9 +49,9 @@
 func newDelegateSite(t *testing.T, answer RelayResult) *delegateSite {
 	t.Helper()
 	d := &delegateSite{relay: &delegateRelay{answer: answer}}
-	addr := listen(t, func(c net.Conn, _ *fasthttp.Request) bool {
+	addr := listen(t, func(c net.Conn, req *fasthttp.Request) bool {
 		d.direct.Add(1)
-		_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 6\r\n\r\ndirect")
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nContent-Length: 6\r\n\r\ndirect", req.Header.Peek("Request-Id"))
 		return err == nil
 	})
 	parts := []site.Part{{Service: "keyed", Weight: 1}}
