--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -47,6 +47,7 @@
 	mu      sync.Mutex
 	bodies  int         // bytes of the bodies of requests in progress, if they are accounted for
 	queue   []*exchange // exchanges without a written response, in the order of the requests
+	last    bool        // no request follows those in the queue: the response to the last one closes the connection
 	closing bool        // no response follows: one with Connection: close was written, or the idle connection was closed
 	idle    bool        // waiting for the first byte of a request
 }
@@ -99,8 +100,8 @@
 		if err := c.awaitRequest(); err != nil {
 			break
 		}
-		if c.isClosing() {
-			c.discard()
+		if !c.takesRequests() {
+			c.discardRest()
 			break
 		}
 		x := acquireExchange(c.frontend.o.Memory)
@@ -110,7 +111,12 @@
 			break
 		}
 		c.pipeline <- struct{}{}
-		c.enqueue(x)
+		if !c.enqueue(x, err != nil || x.req.Header.ConnectionClose()) {
+			<-c.pipeline
+			x.release()
+			c.discardRest()
+			break
+		}
 		if err != nil {
 			c.reject(x, status, err)
 			c.discardRest()
@@ -147,14 +153,8 @@
 	}
 }
 
-// discard reads and drops data after the last response until the caller closes the connection, at most for lingerTimeout.
-func (c *conn) discard() {
-	_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection, as the read would
-	_, _ = io.Copy(io.Discard, c.br)
-}
-
-// discardRest reads and drops data after a request that was rejected, until all responses are written, as earlier requests may still be in
-// progress. The data may be a body that looks like a request.
+// discardRest reads and drops data after the last request of the connection until the caller closes it, at most for lingerTimeout after
+// the last response. The data may be the body of a rejected request and look like a request.
 func (c *conn) discardRest() {
 	for {
 		_ = c.net.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection, as the read would
@@ -236,12 +236,28 @@
 	return err
 }
 
-func (c *conn) enqueue(x *exchange) {
-	c.frontend.open.Add(1)
+// takesRequests reports whether another request may be read. Once the connection has to close, the requests in progress are its last:
+// those behind them count as not read.
+func (c *conn) takesRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = c.last || len(c.queue) > 0 && c.frontend.closesConns()
+	return !c.closing && !c.last
+}
+
+// enqueue adds a request that has been read; last means that none follows on the connection. It returns false if a response that closes
+// the connection has been written meanwhile, so that the request counts as not read.
+func (c *conn) enqueue(x *exchange, last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.frontend.open.Add(1)
 	c.queue = append(c.queue, x)
 	c.bodies += x.body
+	c.last = c.last || last
+	return true
 }
 
 // reject responds to a request that could not be read. The response closes the connection, as the start of the next request
@@ -279,17 +295,19 @@
 
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
 
-// writeResponse writes one response, unless an earlier one closed the connection: requests after that count as not read. The
-// caller holds c.mu.
+// writeResponse writes the response to the first request in the queue. Only the response to the last one closes the connection, as
+// servers may be at work on the others. The caller holds c.mu.
 func (c *conn) writeResponse(x *exchange) {
 	defer x.release()
 	if c.closing || c.ctx.Err() != nil {
 		return
 	}
-	if x.req.Header.ConnectionClose() || c.frontend.draining.Load() || c.frontend.o.CloseAfterResponse() {
+	c.last = c.last || x.resp.ConnectionClose() || c.frontend.closesConns()
+	x.resp.Header.ResetConnectionClose()
+	if c.last && len(c.queue) == 1 {
 		x.resp.SetConnectionClose()
+		c.closing = true
 	}
-	c.closing = x.resp.ConnectionClose()
 	w := writerPool.Get().(*bufio.Writer) //nolint:errcheck,forcetypeassert // the pool holds nothing else
 	defer writerPool.Put(w)
 	w.Reset(c)
--- /dev/null
+++ b/io/front/drain_test.go
@@ -0,0 +1,102 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"heatherrouter/io/memory"
+)
+
+// gate is a handler whose requests wait until they are released.
+type gate struct {
+	mu       sync.Mutex
+	handled  []string
+	released chan struct{}
+}
+
+func newGate() *gate { return &gate{released: make(chan struct{})} }
+
+func (g *gate) handle(_ context.Context, req *fasthttp.Request, resp *fasthttp.Response, _ *memory.Reservation) {
+	path := string(req.RequestURI())
+	g.mu.Lock()
+	g.handled = append(g.handled, path)
+	g.mu.Unlock()
+	<-g.released
+	resp.SetBodyString(path)
+}
+
+func (g *gate) paths() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]string(nil), g.handled...)
+}
+
+func (g *gate) awaitRequests(t *testing.T, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool { return len(g.paths()) == n }, 5*time.Second, time.Millisecond)
+}
+
+func getText(path string) string { return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path) }
+
+// Guards against requests that servers are at work on and that get no answer: a daemon that leaves closed the connection with the
+// response to the first of several requests in progress on it.
+func TestRequestsInProgressWhenDraining(t *testing.T) {
+	g := newGate()
+	f := start(t, 0, g.handle)
+	c := f.dial()
+	fmt.Fprint(c, getText("/0")+getText("/1")+getText("/2"))
+	g.awaitRequests(t, 3)
+	f.front.Drain()
+	close(g.released)
+	r := bufio.NewReader(c)
+	for i := range 3 {
+		resp := answer(t, r)
+		require.Equal(t, fmt.Sprint("/", i), string(resp.Body()))
+		require.Equal(t, i == 2, resp.ConnectionClose(), "the response to request %d closes the connection", i)
+	}
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a connection that never closes, and against a request that is passed on though no response follows: requests that
+// arrive behind those in progress while the daemon leaves count as not read.
+func TestRequestBehindThoseInProgressWhenDraining(t *testing.T) {
+	g := newGate()
+	f := start(t, 0, g.handle)
+	c := f.dial()
+	fmt.Fprint(c, getText("/0"))
+	g.awaitRequests(t, 1)
+	f.front.Drain()
+	fmt.Fprint(c, getText("/1"))
+	time.Sleep(20 * time.Millisecond)
+	close(g.released)
+	r := bufio.NewReader(c)
+	require.True(t, answer(t, r).ConnectionClose())
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, []string{"/0"}, g.paths())
+}
+
+// Guards against a request that is passed on behind one whose caller closes the connection after its response.
+func TestRequestBehindTheLastOne(t *testing.T) {
+	g := newGate()
+	f := start(t, 0, g.handle)
+	c := f.dial()
+	fmt.Fprint(c, "GET /0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"+getText("/1"))
+	g.awaitRequests(t, 1)
+	time.Sleep(20 * time.Millisecond)
+	close(g.released)
+	r := bufio.NewReader(c)
+	require.True(t, answer(t, r).ConnectionClose())
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, []string{"/0"}, g.paths())
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -100,7 +100,12 @@
 	return len(f.conns)
 }
 
-// Drain makes callers reconnect to another daemon: each connection is closed after its next response.
+// closesConns reports whether callers should use another daemon: the response to the last request in progress on a connection closes it.
+func (f *Frontend) closesConns() bool {
+	return f.draining.Load() || f.o.CloseAfterResponse()
+}
+
+// Drain makes callers reconnect to another daemon: each connection is closed after the responses to the requests in progress on it.
 func (f *Frontend) Drain() {
 	f.draining.Store(true)
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -27,6 +27,7 @@
 type testFront struct {
 	t       testing.TB
 	addr    string
+	front   *Frontend
 	memory  *memory.Budget
 	refused atomic.Int64
 }
@@ -49,6 +50,7 @@
 	}
 	g := group.New(context.Background())
 	x := New(g, o)
+	f.front = x
 	t.Cleanup(func() {
 		x.Close()
 		g.Stop()
