--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -42,6 +42,10 @@
 	// response without an id passes for the response to the next request.
 	ReuseIdentified bool
 
+	// RejectRepeats rejects a response without the id of its request if it equals an earlier one on its connection, of which it may be
+	// a copy.
+	RejectRepeats bool
+
 	// OnIdleClosed is called when the server has closed an idle connection, as it does on a restart. It is called
 	// before the next request is sent on another connection.
 	OnIdleClosed func()
@@ -130,6 +134,7 @@
 	ErrUnresponsive = trace.Errorf("connection unresponsive while other connections receive responses")
 	ErrEndless      = trace.Errorf("response exceeds the limits of its size or of the time for its header")
 	ErrIDMismatch   = trace.Errorf("response carries the id of another request")
+	ErrRepeated     = trace.Errorf("response may be a copy of an earlier one")
 	errNoDeadline   = trace.Errorf("exchange has no deadline")
 	errBodyNotRead  = trace.Errorf("response body closed before its end")
 )
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -51,11 +51,15 @@
 	Feed        *feed.Feed
 	Store       store.Store
 	OrderCodec  OrderCodec
-	Timing      hold.Timing
-	Clock       *clock.Clock
-	Paths       Paths
-	Reports     Reports
-	Log         *log.Logger
+
+	// OrderIDHeader is the header with the id of an order, which servers may echo; empty for none.
+	OrderIDHeader string
+
+	Timing  hold.Timing
+	Clock   *clock.Clock
+	Paths   Paths
+	Reports Reports
+	Log     *log.Logger
 }
 
 // Reports is the daemon's record of what backend servers say of themselves.
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -45,6 +47,7 @@
 // overloaded servers, which reset new connections.
 type link struct {
 	server       *site.Server
+	health       *conns.Pool // for health checks, whose responses must not pass for those to orders
 	releases     *conns.Pool
 	releaseSlots chan struct{} // semaphore for open releases
 
@@ -68,8 +71,10 @@
 		x.close()
 	}
 	o := conns.Options{Addr: s.Addr, MaxConns: 1, DialTimeout: orderDialTimeout, ProbeInterval: conns.NoProbes, Names: conns.NoNames}
-	x = &link{server: s, grants: conns.New(o), spare: conns.New(o)}
-	o.MaxConns, o.DialTimeout = maxReleases, backgroundDialTimeout
+	x = &link{server: s, health: conns.New(o)}
+	o.Names.RequestID = g.o.OrderIDHeader
+	x.grants, x.spare = conns.New(o), conns.New(o)
+	o.MaxConns, o.DialTimeout, o.RejectRepeats = maxReleases, backgroundDialTimeout, true
 	x.releases, x.releaseSlots = conns.New(o), make(chan struct{}, maxReleases)
 	g.links[l.Server] = x
 	return x
@@ -81,6 +86,7 @@
 	_ = x.grants.Close() // closes idle connections; one with an order in progress closes after its response
 	_ = x.spare.Close()
 	_ = x.releases.Close()
+	_ = x.health.Close()
 }
 
 // refreshSpare reopens lost spare connections in the background. The caller holds l.grantMu.
@@ -142,12 +148,27 @@
 	return hold.Incarnation{}
 }
 
+// fillOrder encodes the order into req, with an id that no other order has. A server that echoes it can't free keys by a late copy of its
+// response to an earlier release.
+func (g *Granter) fillOrder(req *fasthttp.Request, l *link, o hold.Order) {
+	switch x := o.(type) {
+	case hold.Grant:
+		g.o.OrderCodec.Grant(req, x)
+	case hold.Release:
+		g.o.OrderCodec.Release(req, x)
+	}
+	req.Header.SetHost(l.server.Addr.String())
+	if g.o.OrderIDHeader != "" {
+		req.Header.Set(g.o.OrderIDHeader, fmt.Sprintf("%016x", rand.Uint64()))
+	}
+}
+
 // exchangeOrder sends the order of d to the server and stores the result in d.
 func (g *Granter) exchangeOrder(c context.Context, l *link, d *orderResult) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetHost(l.server.Addr.String())
+	g.fillOrder(req, l, d.order)
 	var call conns.Call
 	call.Guard = func() bool { // the process may have been paused since the order was due
 		return g.maySendOrder(d.term) && time.Now().Before(call.Deadline)
@@ -156,11 +177,9 @@
 	began := g.o.Clock.Now()
 	switch x := d.order.(type) {
 	case hold.Grant:
-		g.o.OrderCodec.Grant(req, x)
 		call.Deadline, call.ReuseOnly = g.o.Clock.StdTime(x.Ends), x.Renewal
 		r, d.connLost = g.sendGrant(c, l, call, req, resp)
 	case hold.Release:
-		g.o.OrderCodec.Release(req, x)
 		l.releaseSlots <- struct{}{}
 		defer func() { <-l.releaseSlots }()
 		call.Deadline = g.releaseDeadline(x.Until)
--- a/io/grant/probe.go
+++ b/io/grant/probe.go
@@ -59,14 +59,14 @@
 	return now.Add(interval)
 }
 
-// probe asks one server for its health, over the connection that is kept open for releases.
+// probe asks one server for its health.
 func (g *Granter) probe(c context.Context, l *link, path string) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	g.o.OrderCodec.Health(req, path)
 	req.Header.SetHost(l.server.Addr.String())
-	if r := l.releases.Do(c, conns.Call{Deadline: time.Now().Add(probeTimeout)}, req, resp); r.Err != nil {
+	if r := l.health.Do(c, conns.Call{Deadline: time.Now().Add(probeTimeout)}, req, resp); r.Err != nil {
 		return // says nothing about the server: it may be busy
 	}
 	h, ok := g.o.OrderCodec.ReadHealth(resp, l.server.ID)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -133,7 +133,8 @@
 	}
 	n.granter = grant.New(grant.Options{
 		Self: s.Name, Incarnation: n.incarnation, Feed: n.feed, Store: n.o.Platform.Store, OrderCodec: n.o.Platform.OrderCodec,
-		Timing: hold.DefaultTiming(s.Limits.MaxGrantTTL), Clock: n.clock, Paths: n.paths,
+		OrderIDHeader: n.o.Platform.Dialect.RequestID,
+		Timing:        hold.DefaultTiming(s.Limits.MaxGrantTTL), Clock: n.clock, Paths: n.paths,
 		Reports: n.reports, Log: n.o.Log, Shares: s.Shares,
 	})
 	n.guard = guard.New(guard.Options{
