--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -42,11 +42,12 @@
 	cancel   context.CancelCauseFunc
 	pipeline chan struct{} // semaphore with one element per request in progress
 	answered chan struct{} // has an element if bodies may have become smaller
-	writing  writing       // of the response that is being written; guarded by mu
+	writing  writing       // of the response that is being written; used by the goroutine that set busy
 
 	mu      sync.Mutex
 	bodies  int         // bytes of the bodies of requests in progress, if they are accounted for
 	queue   []*exchange // exchanges without a written response, in the order of the requests
+	busy    bool        // a goroutine writes to the caller. It does not hold mu, as a slow caller may take long to read
 	last    bool        // no request follows those in the queue: the response to the last one closes the connection
 	closing bool        // no response follows: one with Connection: close was written, or the idle connection was closed
 	idle    bool        // waiting for the first byte of a request
@@ -143,16 +144,38 @@
 		if err := c.net.SetReadDeadline(time.Now().Add(idle)); err != nil {
 			return err
 		}
+		if c.closeIfIdle() {
+			continue
+		}
 		_, err := c.br.Peek(1)
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.pending() == 0 {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.pending() == 0 && !c.frontend.stopping.Load() {
+			return err
+		}
+		if c.isClosing() && c.pending() == 0 {
 			return err
 		}
 	}
 }
 
+// closeIfIdle closes the connection for further requests if the daemon stops and no request is in progress. Only the goroutine that
+// reads calls it.
+func (c *conn) closeIfIdle() bool {
+	if !c.frontend.stopping.Load() || c.br.Buffered() > 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || len(c.queue) > 0 {
+		return false
+	}
+	c.closing = true
+	c.halfClose()
+	return true
+}
+
 // discardRest reads and drops data after the last request of the connection until the caller closes it, at most for lingerTimeout after
 // the last response. The data may be the body of a rejected request and look like a request.
 func (c *conn) discardRest() {
@@ -228,10 +251,20 @@
 // responses are pending: callers then send the body after a short wait.
 func (c *conn) sendContinue() error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.queue) > 0 {
+	free := len(c.queue) == 0 && !c.busy
+	c.busy = c.busy || free
+	c.mu.Unlock()
+	if !free {
 		return nil
 	}
+	defer func() {
+		c.mu.Lock()
+		c.busy = false
+		c.mu.Unlock()
+	}()
+	if err := c.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	_, err := c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	return err
 }
@@ -277,37 +310,48 @@
 	c.complete(x)
 }
 
-// complete marks the exchange as done and writes all responses that are next in order.
+// complete marks the exchange as done and writes all responses that are next in order, unless another goroutine does.
 func (c *conn) complete(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x.done = true
+	if c.busy {
+		return
+	}
+	c.busy = true
 	for len(c.queue) > 0 && c.queue[0].done {
-		c.writeResponse(c.queue[0])
-		c.queue = c.queue[1:]
-		c.frontend.open.Add(-1)
-		<-c.pipeline
+		c.answerFirst()
 	}
+	c.busy = false
 	if c.closing && len(c.queue) == 0 {
 		c.halfClose()
 	}
 }
 
+// answerFirst writes the response to the first request in the queue and removes it. Only the response to the last one closes the
+// connection, as servers may be at work on the others. The caller holds c.mu, which is not held while the response is written.
+func (c *conn) answerFirst() {
+	x := c.queue[0]
+	if !c.closing && c.ctx.Err() == nil {
+		c.last = c.last || x.resp.ConnectionClose() || c.frontend.closesConns()
+		x.resp.Header.ResetConnectionClose()
+		if c.last && len(c.queue) == 1 {
+			x.resp.SetConnectionClose()
+			c.closing = true
+		}
+		c.mu.Unlock()
+		c.writeResponse(x)
+		c.mu.Lock()
+	}
+	c.queue = c.queue[1:]
+	x.release()
+	c.frontend.open.Add(-1)
+	<-c.pipeline
+}
+
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
 
-// writeResponse writes the response to the first request in the queue. Only the response to the last one closes the connection, as
-// servers may be at work on the others. The caller holds c.mu.
 func (c *conn) writeResponse(x *exchange) {
-	defer x.release()
-	if c.closing || c.ctx.Err() != nil {
-		return
-	}
-	c.last = c.last || x.resp.ConnectionClose() || c.frontend.closesConns()
-	x.resp.Header.ResetConnectionClose()
-	if c.last && len(c.queue) == 1 {
-		x.resp.SetConnectionClose()
-		c.closing = true
-	}
 	w := writerPool.Get().(*bufio.Writer) //nolint:errcheck,forcetypeassert // the pool holds nothing else
 	defer writerPool.Put(w)
 	w.Reset(c)
@@ -339,13 +383,12 @@
 	_ = c.net.Close()
 }
 
-// closeIdle closes the connection if no request is in progress and none has been partly received.
-func (c *conn) closeIdle() {
+// wakeIdle makes the connection check at once whether it is to be closed, if it waits for a request.
+func (c *conn) wakeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && len(c.queue) == 0 {
-		c.closing = true
-		c.halfClose()
+	if c.idle {
+		_ = c.net.SetReadDeadline(time.Now()) // fails only on a closed connection
 	}
 }
 
--- a/io/front/drain_test.go
+++ b/io/front/drain_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -100,3 +101,35 @@
 	require.ErrorIs(t, err, io.EOF)
 	require.Equal(t, []string{"/0"}, g.paths())
 }
+
+// Guards against idle connections that stay open, and a daemon that doesn't end within its grace period, because one caller reads its
+// response slowly.
+func TestShutdownWithSlowCaller(t *testing.T) {
+	f := start(t, 0, func(_ context.Context, req *fasthttp.Request, resp *fasthttp.Response, _ *memory.Reservation) {
+		if string(req.RequestURI()) == "/large" {
+			resp.SetBody(make([]byte, 64<<20))
+		}
+	})
+	var idle []net.Conn
+	for range 20 {
+		c := f.dial()
+		fmt.Fprint(c, getText("/"))
+		answer(t, bufio.NewReader(c))
+		idle = append(idle, c)
+	}
+	slow := f.dial()
+	fmt.Fprint(slow, getText("/large"))
+	_, err := io.ReadFull(slow, make([]byte, 1000))
+	require.NoError(t, err)
+	f.front.Drain()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	require.Error(t, f.front.Shutdown(ctx), "the slow caller's response isn't complete")
+	require.Less(t, time.Since(began), 3*time.Second)
+	for _, c := range idle {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+		_, err := c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -48,6 +48,7 @@
 type Frontend struct {
 	o        Options
 	draining atomic.Bool
+	stopping atomic.Bool  // idle connections are closed
 	open     atomic.Int64 // requests without a response
 
 	mu    sync.Mutex
@@ -114,13 +115,14 @@
 // again to wait longer.
 func (f *Frontend) Shutdown(c context.Context) error {
 	f.draining.Store(true)
+	f.stopping.Store(true)
 	err := f.o.Listen.Close()
 	if errors.Is(err, net.ErrClosed) {
 		err = nil // closed by an earlier call
 	}
 	f.mu.Lock()
 	for x := range f.conns {
-		x.closeIdle()
+		x.wakeIdle()
 	}
 	f.mu.Unlock()
 	done := make(chan struct{})
