Answer requests that have arrived unread when idle connections close

Cause, suspected: a connection counted as idle while its reader waited, even if a request had arrived and the reader had not run yet, as on a machine that is short of processor time.

Evidence: TestRequestThatArrivesBeforeShutdown fails before (2 of 50 connections with the race detector, EOF in place of the response).

Fix: the goroutine that reads a connection, which alone takes bytes from it, asks the system for unread bytes before it closes the connection as idle.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -160,10 +161,10 @@
 	}
 }
 
-// closeIfIdle closes the connection for further requests if the daemon stops and no request is in progress. Only the goroutine that
-// reads calls it.
+// closeIfIdle closes the connection for further requests if the daemon stops, no request is in progress and none has arrived, as far as
+// this side's system knows. Only the goroutine that reads calls it.
 func (c *conn) closeIfIdle() bool {
-	if !c.frontend.stopping.Load() || c.br.Buffered() > 0 {
+	if !c.frontend.stopping.Load() || c.br.Buffered() > 0 || c.hasUnread() {
 		return false
 	}
 	c.mu.Lock()
@@ -176,6 +177,23 @@
 	return true
 }
 
+// hasUnread reports whether the system holds bytes that have not been read.
+func (c *conn) hasUnread() bool {
+	s, ok := c.net.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // a descriptor
+	})
+	return err == nil && n > 0
+}
+
 // discardRest reads and drops data after the last request of the connection until the caller closes it, at most for lingerTimeout after
 // the last response. The data may be the body of a rejected request and look like a request.
 func (c *conn) discardRest() {
--- a/io/front/drain_test.go
+++ b/io/front/drain_test.go
@@ -133,3 +133,22 @@
 		require.ErrorIs(t, err, io.EOF)
 	}
 }
+
+// Guards against a request that gets no answer because it has arrived but has not been read when the daemon closes idle connections.
+func TestRequestThatArrivesBeforeShutdown(t *testing.T) {
+	for i := range 50 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			f := start(t, 0, echoSize)
+			c := f.dial()
+			r := bufio.NewReader(c)
+			fmt.Fprint(c, getText("/"))
+			answer(t, r)
+			time.Sleep(time.Millisecond)
+			_, err := c.Write([]byte(getText("/"))) // returns when the request has arrived
+			require.NoError(t, err)
+			require.NoError(t, f.front.Shutdown(t.Context()))
+			answer(t, r)
+		})
+	}
+}
