Keep a share's rest from going below zero

Cause: Split subtracts each priority's part from what is left. Rounding can leave a rest just below zero, and a priority without requests divides it by its fraction of 0. Whether it rounds so depends on how the compiler combines multiplication and addition: the test fails each time on this machine (10 of 10 runs by hand, without load) and passed on those before.

Fix: the rest is never below zero.

Measured: 20 of 20 runs of the test with the race detector. The check is as it was.

--- a/core/shares/split.go
+++ b/core/shares/split.go
@@ -34,7 +34,7 @@
 			add = 0
 		}
 		l[i] = least + add
-		left -= add * x
+		left = max(0, left-add*x) // rounding must not leave less than nothing
 	}
 	return l
 }
