--- a/io/front/write.go
+++ b/io/front/write.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"bufio"
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"heatherrouter/core/buffer"
@@ -77,3 +79,62 @@
 	}
 	return c.net.SetWriteDeadline(next)
 }
+
+// complete marks the exchange as done and writes all responses that are next in order, unless another goroutine does.
+func (c *conn) complete(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.done = true
+	if c.busy {
+		return
+	}
+	c.busy = true
+	for len(c.queue) > 0 && c.queue[0].done {
+		c.answerFirst()
+	}
+	c.busy = false
+	if c.closing && len(c.queue) == 0 {
+		c.halfClose()
+	}
+}
+
+// answerFirst writes the response to the first request in the queue and removes it. Only the response to the last one closes the
+// connection, as servers may be at work on the others. The caller holds c.mu, which is not held while the response is written.
+func (c *conn) answerFirst() {
+	x := c.queue[0]
+	if !c.closing && c.ctx.Err() == nil {
+		c.last = c.last || x.resp.ConnectionClose() || c.frontend.closesConns()
+		x.resp.Header.ResetConnectionClose()
+		if c.last && len(c.queue) == 1 {
+			x.resp.SetConnectionClose()
+			c.closing = true
+		}
+		c.mu.Unlock()
+		c.writeResponse(x)
+		c.mu.Lock()
+	}
+	c.queue = c.queue[1:]
+	x.release()
+	c.frontend.open.Add(-1)
+	<-c.pipeline
+}
+
+var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+func (c *conn) writeResponse(x *exchange) {
+	w := writerPool.Get().(*bufio.Writer) //nolint:errcheck,forcetypeassert // the pool holds nothing else
+	defer writerPool.Put(w)
+	w.Reset(c)
+	err := c.beginWrite()
+	if err == nil {
+		x.resp.SkipBody = x.resp.SkipBody || x.req.Header.IsHead()
+		err = x.resp.Write(w)
+	}
+	if err == nil {
+		err = w.Flush()
+	}
+	if err != nil {
+		c.abort() // a partial response must not be followed by another
+	}
+	w.Reset(nil)
+}
