hold, grant: log why keys are freed, and every release

A log could not tell why a range went to its next owner: 'order ended' was written only for orders that were not accepted, and nothing said which evidence freed the keys.

'keys freed' names the range, the previous owner and its incarnation, the reason (released, ended, expired) and whether orders of earlier coordinators had ended. 'order ended' is written for each release, with the term, the range, whether the response carried the id of the order and whether the connection was new. 'term began' says for how long orders of earlier coordinators are waited for.

No decision changes.

--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -61,6 +61,7 @@
 	reservation      Reservation          // as stated by the row in the store
 	longGrantsExpire mono.Time            // when the last grants with a TTL above ttl have expired; zero if there are none
 	ended            map[Incarnation]bool // incarnations known to have ended
+	freed            []Freed              // since the last call of TakeFreed
 }
 
 // New returns a table for the assignments in the store and their reservation. The table uses only fences above the
@@ -206,51 +207,6 @@
 	return l
 }
 
-// Order is a request to a backend server: a Grant or a Release.
-type Order interface {
-	order()
-}
-
-type (
-	// Grant gives keys to a server or renews them.
-	Grant struct {
-		Range
-		To       Incarnation
-		Fence    Fence
-		TTL      time.Duration
-		Handover string
-
-		// Ends is the deadline for sending the grant and for its answer. Without it, a grant queued behind others for a
-		// unresponsive server could arrive after the range has moved to another server, which relies on the grant having
-		// expired.
-		Ends mono.Time
-
-		// Renewal is set if the server has accepted a grant with this fence. A renewal must go over the same
-		// connection: a new connection could reach the next incarnation of the server, which needs a higher fence.
-		Renewal bool
-	}
-
-	// Release takes keys back. It is answered when the requests for them have ended. One release covers all adjacent
-	// ranges that leave a server together: hot keys are often neighbours, and a server overloaded by their requests
-	// resets new connections, so a dozen separate releases would not all reach it.
-	Release struct {
-		Range
-		From  Incarnation
-		Fence Fence     // highest fence of the parts
-		Until mono.Time // when the keys are guaranteed to be free without an answer
-		Parts []ReleasePart
-	}
-
-	// ReleasePart is one of the ranges that a Release covers.
-	ReleasePart struct {
-		Range
-		Fence Fence
-	}
-)
-
-func (Grant) order()   {}
-func (Release) order() {}
-
 // Orders returns the orders that are due and marks them as pending. The caller must call Done for each. It also returns
 // when to call Orders again.
 func (t *Table) Orders(now mono.Time) (l []Order, next mono.Time) {
@@ -267,7 +223,7 @@
 			flush()
 		}
 		if p.Previous != (Incarnation{}) && (t.prevExpired(now, p) || t.ended[p.Previous]) {
-			t.clearPrevious(now, p, "")
+			t.clearPrevious(now, p, t.freeReason(p), "")
 		}
 		if p.pending || p.Previous == (Incarnation{}) && t.ended[p.Owner] {
 			continue
@@ -303,50 +259,13 @@
 	return p.Previous != (Incarnation{}) && !p.pending && !now.Before(p.nextOrder) && !t.prevExpired(now, p) && !t.ended[p.Previous]
 }
 
-// with returns the release extended by p, which must come after the ranges that it covers.
-func (r *Release) with(p *rangeState, until mono.Time) *Release {
-	if r == nil {
-		r = &Release{Range: p.Range, From: p.Previous}
-	}
-	r.Last, r.Fence, r.Until = p.Last, max(r.Fence, p.fence), max(r.Until, until)
-	r.Parts = append(r.Parts, ReleasePart{Range: p.Range, Fence: p.fence})
-	return r
-}
-
 // clearPrevious records that only the owner can hold the range from now on.
-func (t *Table) clearPrevious(now mono.Time, p *rangeState, handover string) {
+func (t *Table) clearPrevious(now mono.Time, p *rangeState, r FreeReason, handover string) {
+	t.freed = append(t.freed, Freed{Range: p.Range, Previous: p.Previous, Owner: p.Owner, Reason: r})
 	p.Previous, p.handover, p.pending, p.nextOrder = Incarnation{}, handover, false, now
 	p.prevGrantsExpire, p.prevInherited, p.failed = 0, false, false
 }
 
-// Outcome is the result of an order.
-type Outcome uint8
-
-// Outcomes of orders.
-const (
-	Accepted  Outcome = iota
-	Outfenced         // the server has received a higher fence
-	Ended             // that incarnation of the server has ended
-	NotSent           // nothing reached the server
-	Silent            // no answer: the order may have been carried out, or may still be
-)
-
-var outcomeNames = [...]string{"accepted", "outfenced", "ended", "not-sent", "silent"}
-
-// String returns the outcome in kebab case.
-func (o Outcome) String() string {
-	if int(o) < len(outcomeNames) {
-		return outcomeNames[o]
-	}
-	return "unknown"
-}
-
-// Result is the outcome of an order and the data in its answer.
-type Result struct {
-	Outcome  Outcome
-	Handover string // from an accepted Release
-}
-
 // Done records the result of an order. The caller guarantees that nothing of the order reaches the server after now.
 func (t *Table) Done(now mono.Time, o Order, r Result) {
 	switch x := o.(type) {
@@ -397,10 +316,10 @@
 func (t *Table) releaseDone(now mono.Time, p *rangeState, r Result) {
 	switch r.Outcome {
 	case Accepted:
-		t.clearPrevious(now, p, r.Handover)
+		t.clearPrevious(now, p, Released, r.Handover)
 	case Ended:
 		t.markEnded(p.Previous)
-		t.clearPrevious(now, p, "")
+		t.clearPrevious(now, p, PreviousEnded, "")
 	case Outfenced, NotSent, Silent:
 		p.pending, p.failed, p.nextOrder = false, true, now.Add(t.timing.RetryDelay)
 	}
@@ -451,7 +370,7 @@
 // reached its new incarnation before that was announced, so the range is released there as well.
 func (t *Table) updatePreviousIncarnation(now mono.Time, p *rangeState, born int64) {
 	if t.prevExpired(now, p) {
-		t.clearPrevious(now, p, "")
+		t.clearPrevious(now, p, GrantsExpired, "")
 		return
 	}
 	p.Previous.Born, p.pending, p.nextOrder = born, false, now
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -197,13 +197,14 @@
 		ours = ours || ctx.Err() != nil || errors.Is(err, ErrNoLength) || errors.Is(err, memory.ErrNoMemory)
 		return c.failure(ours, err)
 	}
-	if resp.ConnectionClose() || p.options.ReuseIdentified && len(resp.Header.Peek(p.options.Names.RequestID)) == 0 {
+	identified := p.options.Names.RequestID != "" && len(resp.Header.Peek(p.options.Names.RequestID)) > 0
+	if resp.ConnectionClose() || p.options.ReuseIdentified && !identified {
 		c.broken = true
 	}
 	c.unanswered = streamed
 	p.responses.Add(1)
 	r := classify(resp, p.options.Names)
-	r.Reserved = reserved
+	r.Reserved, r.Identified = reserved, identified
 	return r
 }
 
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -120,7 +120,8 @@
 	// connection limit and has not restarted.
 	ConnLimitReached bool
 
-	Fresh      bool // a new connection was opened for the exchange
+	Fresh      bool // the connection had carried no exchange before
+	Identified bool // the response carries the id of its request
 	OthersOpen bool // the connection was reset, or no new one could be opened, while others are open
 }
 
--- a/io/grant/elect.go
+++ b/io/grant/elect.go
@@ -81,6 +81,8 @@
 	if !s.Coordinator.Clean {
 		g.earlierOrdersEnd = now.Add(authorityTTL + authorityTTL/50)
 	}
+	g.o.Log.Info().Uint64("term", uint64(g.term)).Bool("clean", s.Coordinator.Clean).Bool("without-quorum", s.Coordinator.WithoutQuorum).
+		Dur("earlier-orders-end-in", g.earlierOrdersEnd.Sub(now)).Msg("term began")
 	clear(g.unreached)
 	g.nextReachCheck = now.Add(minReachInterval)
 	g.measurements.reset()
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -149,6 +149,9 @@
 	lostPath bool  // the order may not have reached the server because of the network
 	err      error // why there is no response; nil if there is one
 	status   int   // HTTP status of the response
+
+	identified bool // the response carries the id of the order
+	freshConn  bool // no other order was sent on the connection before
 }
 
 // resultBuffer is the capacity of the channels that return results to run.
@@ -388,13 +391,26 @@
 			v.table.ConnectionLost(now, x.server)
 		}
 	}
-	if x.result.Outcome != hold.Accepted || x.connLost {
-		g.o.Log.Info().Err(x.err).Str("service", string(x.service)).Str("server", string(x.server)).
-			Int("status", x.status).Str("order", orderName(x.order)).Str("end", x.result.Outcome.String()).Bool("connection-lost", x.connLost).Msg("order ended")
-		return true
-	}
 	grant, ok := x.order.(hold.Grant)
-	return !ok || !grant.Renewal
+	if x.result.Outcome == hold.Accepted && !x.connLost && ok {
+		return !grant.Renewal
+	}
+	r := rangeOf(x.order)
+	g.o.Log.Info().Err(x.err).Str("service", string(x.service)).Str("server", string(x.server)).Uint64("term", uint64(x.term)).
+		Uint16("first", uint16(r.First)).Uint16("last", uint16(r.Last)).Int("status", x.status).Str("order", orderName(x.order)).
+		Str("end", x.result.Outcome.String()).Bool("identified", x.identified).Bool("fresh-connection", x.freshConn).
+		Bool("connection-lost", x.connLost).Msg("order ended")
+	return true
+}
+
+func rangeOf(o hold.Order) hold.Range {
+	switch x := o.(type) {
+	case hold.Grant:
+		return x.Range
+	case hold.Release:
+		return x.Range
+	}
+	return hold.Range{}
 }
 
 func orderName(o hold.Order) string {
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -186,6 +186,7 @@
 		r = l.releases.Do(c, call, req, resp)
 	}
 	d.result, d.err, d.status = g.result(d.order, r, resp), r.Err, resp.StatusCode()
+	d.identified, d.freshConn = r.Identified, r.Fresh
 	d.lostPath = r.End == admit.EndDialFailed || r.End == admit.EndTimeout || r.End == admit.EndReset
 	g.observePath(l, r, began)
 }
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -111,6 +111,7 @@
 		return now.Add(pollInterval)
 	}
 	orders, next := x.table.Orders(g.o.Clock.Now())
+	g.logFreed(x)
 	for _, o := range orders {
 		g.sendOrder(x.name, o)
 	}
@@ -120,6 +121,15 @@
 	return next
 }
 
+// logFreed logs the ranges that their previous owners hold no longer, and the evidence for it.
+func (g *Granter) logFreed(x *service) {
+	for _, f := range x.table.TakeFreed() {
+		g.o.Log.Info().Str("service", string(x.name)).Uint64("term", uint64(g.term)).Uint16("first", uint16(f.First)).Uint16("last", uint16(f.Last)).
+			Str("previous", string(f.Previous.Server)).Int64("previous-born", f.Previous.Born).Str("owner", string(f.Owner.Server)).
+			Str("reason", f.Reason.String()).Bool("earlier-orders-ended", g.earlierOrdersEnded()).Msg("keys freed")
+	}
+}
+
 // settlingInterval is the time between checks of a server that begins a backoff.
 const settlingInterval = 25 * time.Millisecond
 
