hold: the end of one incarnation frees no grants of another

Keys could be granted to the next server while their holder worked on them. A 421 at the address of an incarnation proves that this one has ended. It says nothing of another incarnation of the same server at another address, which may have been granted the keys by this coordinator before an entry that is out of date named the former one again, or by an earlier coordinator that had a newer copy of the entries.

A range is now freed by the end of its previous owner only if each grant that may be in force was sent to incarnations that have ended, and none of an earlier coordinator can be in force. Otherwise its grants have to expire.

Evidence: TestEndOfOneLifeFreesNothingOfAnother and TestEndOfLifeFreesNoGrantsOfEarlierCoordinators fail without the change (keys granted 3.06 s and 5 s too early).

--- a/core/hold/freed_test.go
+++ b/core/hold/freed_test.go
@@ -104,3 +104,30 @@
 	require.Len(t, orders, 1)
 	require.IsType(t, Release{}, orders[0])
 }
+
+// Guards against keys being granted to another server while a later incarnation of their holder works on them: the evidence
+// that an incarnation has ended, as another server has its address, says nothing of one at another address.
+func TestEndOfOneLifeFreesNothingOfAnother(t *testing.T) {
+	now := mono.Time(time.Hour)
+	x := tableWithOwner(t, now, lifeA2)
+	granted := now
+	x.UpdateIncarnations(now, announce(lifeA1)) // an entry that is out of date
+	l, _ := x.Orders(now)
+	require.Len(t, l, 1)
+	x.Done(now, l[0], Result{Outcome: Ended})
+	moveTo(now, x, lifeA1, lifeB)
+	require.GreaterOrEqual(t, grantTime(t, now, x), granted.Add(x.ttl+x.ttl/50))
+}
+
+// Guards against keys being granted to another server while their holder works on them: an earlier coordinator granted them to
+// an incarnation that this one has not heard of.
+func TestEndOfLifeFreesNoGrantsOfEarlierCoordinators(t *testing.T) {
+	now := mono.Time(time.Hour)
+	expired := now.Add(5 * time.Second)
+	x := New(now, DefaultTiming(10*time.Second), []Assignment{{Range: allKeys, Owner: lifeB, Previous: lifeA1}}, Reservation{MaxTTL: 3 * time.Second}, expired)
+	x.Committed(now, x.Assignments(), x.Reserve(now, 1))
+	l, _ := x.Orders(now)
+	require.Len(t, l, 1)
+	x.Done(now, l[0], Result{Outcome: Ended})
+	require.GreaterOrEqual(t, grantTime(t, now, x), expired)
+}
--- a/core/hold/sent.go
+++ b/core/hold/sent.go
@@ -55,3 +55,8 @@
 	}
 	return append(next, g)
 }
+
+// onlyTo reports whether all grants that have not expired were sent to incarnations for which f is true.
+func (l sentGrants) onlyTo(now mono.Time, f func(Incarnation) bool) bool {
+	return !slices.ContainsFunc(l, func(g *sentGrant) bool { return now.Before(g.expires) && !f(g.to) })
+}
--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -101,8 +101,15 @@
 	return p.prevSent.expiry()
 }
 
-// prevEnded reports whether the previous owner has ended.
-func (t *Table) prevEnded(_ mono.Time, p *rangeState) bool { return t.ended[p.Previous] }
+// prevEnded reports whether the previous owner has ended and no other incarnation of it may hold the range. That an
+// incarnation has ended is known from its address, where the grants for another one, or those of an earlier coordinator, may
+// not have been sent.
+func (t *Table) prevEnded(now mono.Time, p *rangeState) bool {
+	if !t.ended[p.Previous] || p.prevInherited && now.Before(t.inheritedExpire) {
+		return false
+	}
+	return p.prevSent.onlyTo(now, t.HasEnded)
+}
 
 // Reservation holds the bounds that the row in the store sets on the orders sent under it.
 type Reservation struct {
