hold: what was learnt while a row was written is kept

A row is planned, written and committed in some milliseconds to seconds. When it was committed, the previous owner in memory was replaced by the one in the row: a restart of that server in between was forgotten, so that the end of its former incarnation could free the keys, and a range that had been released in between was taken as moving again, which lost the handover for its next owner.

Evidence: TestRestartWhileRowIsWrittenIsKept and TestReleasedRangeStaysReleasedWhenRowIsWritten fail without the change.

--- a/core/hold/freed_test.go
+++ b/core/hold/freed_test.go
@@ -131,3 +131,30 @@
 	x.Done(now, l[0], Result{Outcome: Ended})
 	require.GreaterOrEqual(t, grantTime(t, now, x), expired)
 }
+
+// Guards against keys that are freed by the end of a former incarnation: the previous owner restarted while the row that names
+// its former incarnation was written.
+func TestRestartWhileRowIsWrittenIsKept(t *testing.T) {
+	now := mono.Time(time.Hour)
+	x := tableWithOwner(t, now, lifeA1)
+	moveTo(now, x, lifeA1, lifeB)
+	row := x.Assignments()
+	x.UpdateIncarnations(now, announce(lifeA2))
+	x.Committed(now, row, x.Reserve(now, 1))
+	require.Equal(t, lifeA2, x.Assignments()[0].Previous)
+}
+
+// Guards against a handover that is lost because the row is written again after the keys were released.
+func TestReleasedRangeStaysReleasedWhenRowIsWritten(t *testing.T) {
+	now := mono.Time(time.Hour)
+	x := tableWithOwner(t, now, lifeA1)
+	moveTo(now, x, lifeA1, lifeB)
+	row := x.Assignments()
+	l, _ := x.Orders(now)
+	require.Len(t, l, 1)
+	x.Done(now, l[0], Result{Outcome: Accepted, Handover: "h"})
+	x.Committed(now, row, x.Reserve(now, 1))
+	l, _ = x.Orders(now)
+	require.Len(t, l, 1)
+	require.Equal(t, "h", l[0].(Grant).Handover)
+}
--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -177,7 +177,7 @@
 	}
 	if len(old) == 1 && old[0].Owner == p.Owner {
 		*x = *old[0]
-		x.Assignment = p
+		x.Range = p.Range
 		x.pending = x.pending && old[0].Range == p.Range
 		return x
 	}
