grant: only an order's own response frees keys

Keys could be granted to another server while their holder worked on them. A server that echoes no ids of orders answers a release, and sends an extra response late, where the one to the next release on the connection is expected. Only a response equal byte for byte was rejected; one that differs (empty, another handover, a body, another second in its Date) counted as the answer, and a stray 421 to a release or a grant as the end of the server.

What can't be told apart by an id was told apart by its content.

A response now frees keys only if it is certain to be the order's own: it carries the id, or nothing was sent on its connection before. A connection for releases to a server that echoes no ids carries one release. A 421 to a grant that may be another order's closes the connection; the next grant goes over a new one and tells. A release that is answered 400 frees nothing any more: it carries an id now, so that 400 no longer tells a server of another service, which answers 421 as the release names its server.

The case of a release answered 400 in TestOnlyServerResponsesEndIncarnation now asks for the stricter outcome.

--- a/core/hold/sent.go
+++ b/core/hold/sent.go
@@ -25,9 +25,6 @@
 // sentGrants are the grants of a range that may not have expired.
 type sentGrants []*sentGrant
 
-// expired reports whether all grants have expired.
-func (l sentGrants) expired(now mono.Time) bool { return !now.Before(l.expiry()) }
-
 // expiry returns when all grants have expired; mono.Never while one is in progress.
 func (l sentGrants) expiry() mono.Time {
 	var t mono.Time
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -56,7 +56,6 @@
 	used         bool          // has completed an exchange
 	idleSince    time.Time
 	sent         []sentRequest // requests that may be sent again
-	responses    []uint64      // hashes of the responses without an id, if repeats are rejected
 
 	memory       *memory.Reservation // for the body of the current response; nil for no limit
 	received     int64               // bytes since the connection was opened
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -42,10 +42,6 @@
 	// response without an id passes for the response to the next request.
 	ReuseIdentified bool
 
-	// RejectRepeats rejects a response without the id of its request if it equals an earlier one on its connection, of which it may be
-	// a copy.
-	RejectRepeats bool
-
 	// OnIdleClosed is called when the server has closed an idle connection, as it does on a restart. It is called
 	// before the next request is sent on another connection.
 	OnIdleClosed func()
@@ -125,6 +121,10 @@
 	OthersOpen bool // the connection was reset, or no new one could be opened, while others are open
 }
 
+// IsOwn reports whether the response is certain to be that to the request: it carries the id, or nothing was sent on its connection
+// before. Otherwise a late response to an earlier request may have taken its place.
+func (r *Result) IsOwn() bool { return r.Err == nil && (r.Identified || r.Fresh) }
+
 // Errors of exchanges, as found in Result.Err.
 var (
 	ErrClosed       = trace.Errorf("connection pool of the backend server is closed")
@@ -135,7 +135,6 @@
 	ErrUnresponsive = trace.Errorf("connection unresponsive while other connections receive responses")
 	ErrEndless      = trace.Errorf("response exceeds the limits of its size or of the time for its header")
 	ErrIDMismatch   = trace.Errorf("response carries the id of another request")
-	ErrRepeated     = trace.Errorf("response may be a copy of an earlier one")
 	errNoDeadline   = trace.Errorf("exchange has no deadline")
 	errBodyNotRead  = trace.Errorf("response body closed before its end")
 )
--- a/io/conns/ids.go
+++ b/io/conns/ids.go
@@ -44,23 +44,3 @@
 func (c *conn) hasCarried(h requestHash) bool {
 	return h != 0 && slices.ContainsFunc(c.sent, func(s sentRequest) bool { return s.hash == h })
 }
-
-// maxUnidentified bounds the responses without an id of one connection, whose hashes are kept.
-const maxUnidentified = 64
-
-// isRepeat reports whether a response without an id equals an earlier one on the connection.
-func (c *conn) isRepeat(resp *fasthttp.Response, n Names) bool {
-	if n.RequestID != "" && len(resp.Header.Peek(n.RequestID)) > 0 {
-		return false
-	}
-	d := xxhash.New()
-	_, _ = d.Write(resp.Header.Header()) // never fails
-	_, _ = d.Write(resp.Body())
-	h := d.Sum64()
-	if slices.Contains(c.responses, h) {
-		return true
-	}
-	c.responses = append(c.responses, h)
-	c.broken = c.broken || len(c.responses) == maxUnidentified
-	return false
-}
--- a/io/conns/ids_test.go
+++ b/io/conns/ids_test.go
@@ -111,24 +111,3 @@
 		require.Equal(t, fmt.Sprint("/", i), body)
 	}
 }
-
-// Guards against a copy of an earlier response that is taken for the response to a request, and against a new connection for each
-// request to a server that doesn't echo ids: responses that differ aren't copies.
-func TestRejectRepeats(t *testing.T) {
-	a := listen(t, func(_ int, c net.Conn) {
-		readRequests(c, func(path string) { writeResponse(c, path) })
-	})
-	p := newPool(t, Options{Addr: a, RejectRepeats: true})
-	for i, path := range []string{"/a", "/b", "/c"} {
-		r, body := do(p, shortCall(), path)
-		require.NoError(t, r.Err)
-		require.Equal(t, path, body)
-		require.Equal(t, i == 0, r.Fresh)
-	}
-	r, _ := do(p, shortCall(), "/b")
-	require.Equal(t, retry.Unknown, r.Outcome)
-	require.ErrorIs(t, r.Err, ErrRepeated)
-	require.Zero(t, p.Stats().Open)
-	r, _ = do(p, shortCall(), "/b")
-	require.NoError(t, r.Err)
-}
--- a/io/conns/read.go
+++ b/io/conns/read.go
@@ -71,9 +71,6 @@
 		if err := c.readBody(p, req, resp, head, streamed && !mismatch); err != nil {
 			return err
 		}
-		if !mismatch && p.options.RejectRepeats && c.isRepeat(resp, p.options.Names) {
-			return ErrRepeated
-		}
 		if !mismatch {
 			return nil
 		}
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -31,10 +31,6 @@
 	Release(req *fasthttp.Request, r hold.Release)
 	Handover(resp *fasthttp.Response) string // handover data in the response to a release
 
-	// FromOtherService reports whether the response to a release comes from a server that holds no keys at all: the server
-	// that the release was meant for has ended, and another service uses its address.
-	FromOtherService(resp *fasthttp.Response) bool
-
 	// Health is the request for what a server says of its health, at the path of its service.
 	Health(req *fasthttp.Request, path string)
 
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -44,7 +44,8 @@
 // A spare connection for grants is kept open. Servers close the first one now and then, and a busy server takes seconds to
 // accept another: without the spare all its keys would expire when most requests need them. Grants on the spare carry a
 // higher fence, like those on any new connection. One connection for releases is kept open as well: keys are taken from
-// overloaded servers, which reset new connections.
+// overloaded servers, which reset new connections. It carries one release only, unless the server echoes the ids of orders: a
+// late response to an earlier release would pass for the one to the next.
 type link struct {
 	server       *site.Server
 	health       *conns.Pool // for health checks, whose responses must not pass for those to orders
@@ -74,7 +75,7 @@
 	x = &link{server: s, health: conns.New(o)}
 	o.Names.RequestID = g.o.OrderIDHeader
 	x.grants, x.spare = conns.New(o), conns.New(o)
-	o.MaxConns, o.DialTimeout, o.RejectRepeats = maxReleases, backgroundDialTimeout, true
+	o.MaxConns, o.DialTimeout, o.ReuseIdentified = maxReleases, backgroundDialTimeout, true
 	x.releases, x.releaseSlots = conns.New(o), make(chan struct{}, maxReleases)
 	g.links[l.Server] = x
 	return x
@@ -110,7 +111,11 @@
 	l.grantMu.Lock()
 	defer l.grantMu.Unlock()
 	r = l.grants.Do(c, call, req, resp)
-	if lost = errors.Is(r.Err, conns.ErrNoReuse) || r.End == admit.EndReset || r.End == admit.EndEndless; lost {
+	stray := r.Err == nil && resp.StatusCode() == fasthttp.StatusMisdirectedRequest && !r.IsOwn()
+	if stray {
+		l.grants.CloseIdle()
+	}
+	if lost = stray || errors.Is(r.Err, conns.ErrNoReuse) || r.End == admit.EndReset || r.End == admit.EndEndless; lost {
 		l.grants, l.spare = l.spare, l.grants
 		l.spareCheckedAt = time.Time{}
 	}
@@ -214,6 +219,9 @@
 	if r.Outcome == retry.Unknown {
 		return hold.Result{Outcome: hold.Silent}
 	}
+	if _, ok := o.(hold.Release); r.Err == nil && !r.IsOwn() && (ok || resp.StatusCode() == fasthttp.StatusMisdirectedRequest) {
+		return hold.Result{Outcome: hold.Silent} // may be a late response to an earlier order, which would free keys
+	}
 	if r.Err != nil {
 		// A refused connection doesn't prove that the server has ended: a server that is shutting down stops listening while
 		// it still works, and a device that isolates a failure domain may refuse connections for servers that run and hold keys.
@@ -227,8 +235,5 @@
 	case fasthttp.StatusMisdirectedRequest:
 		return hold.Result{Outcome: hold.Ended} // another server uses the address
 	}
-	if _, ok := o.(hold.Release); ok && g.o.OrderCodec.FromOtherService(resp) {
-		return hold.Result{Outcome: hold.Ended}
-	}
 	return hold.Result{Outcome: hold.Silent}
 }
--- a/io/grant/link_test.go
+++ b/io/grant/link_test.go
@@ -16,7 +16,6 @@
 	"heatherrouter/io/conns"
 )
 
-// fakeCodec treats status 400 as the response of a server that holds no keys.
 type fakeCodec struct{}
 
 func (fakeCodec) Grant(*fasthttp.Request, hold.Grant)     {}
@@ -26,9 +25,6 @@
 	return report.Health{}, false
 }
 func (fakeCodec) Handover(*fasthttp.Response) string { return "h" }
-func (fakeCodec) FromOtherService(r *fasthttp.Response) bool {
-	return r.StatusCode() == fasthttp.StatusBadRequest
-}
 
 // Guards against two servers that work on the same key. A failure domain is isolated by a device that refuses connections
 // for its servers. If the coordinator outside took these servers for ended, it would grant their keys to others while
@@ -37,7 +33,9 @@
 	refused := conns.Result{
 		Outcome: retry.NotRun, End: admit.EndDialFailed, Err: trace.Wrap(syscall.ECONNREFUSED, "dial"),
 	}
-	answered := conns.Result{Outcome: retry.Answered, End: admit.EndAnswered}
+	answered := conns.Result{Outcome: retry.Answered, End: admit.EndAnswered, Fresh: true}
+	identified := conns.Result{Outcome: retry.Answered, End: admit.EndAnswered, Identified: true}
+	unidentified := conns.Result{Outcome: retry.Answered, End: admit.EndAnswered}
 	tests := []struct {
 		name   string
 		o      hold.Order
@@ -49,9 +47,14 @@
 		{"release, connection refused", hold.Release{}, refused, 0, hold.NotSent},
 		{"connection reset", hold.Grant{}, conns.Result{Outcome: retry.Unknown, End: admit.EndReset, Err: syscall.ECONNRESET}, 0, hold.Silent},
 		{"address used by another server", hold.Grant{}, answered, fasthttp.StatusMisdirectedRequest, hold.Ended},
-		{"release to a server that holds no keys", hold.Release{}, answered, fasthttp.StatusBadRequest, hold.Ended},
+		{"release rejected as malformed", hold.Release{}, answered, fasthttp.StatusBadRequest, hold.Silent},
 		{"grant rejected as malformed", hold.Grant{}, answered, fasthttp.StatusBadRequest, hold.Silent},
 		{"accepted", hold.Release{}, answered, fasthttp.StatusOK, hold.Accepted},
+		{"release, response with its id", hold.Release{}, identified, fasthttp.StatusOK, hold.Accepted},
+		{"release, response may be another order's", hold.Release{}, unidentified, fasthttp.StatusOK, hold.Silent},
+		{"release, end may be another order's", hold.Release{}, unidentified, fasthttp.StatusMisdirectedRequest, hold.Silent},
+		{"grant, end may be another order's", hold.Grant{}, unidentified, fasthttp.StatusMisdirectedRequest, hold.Silent},
+		{"grant, response with its id", hold.Grant{}, identified, fasthttp.StatusMisdirectedRequest, hold.Ended},
 	}
 	for _, x := range tests {
 		t.Run(x.name, func(t *testing.T) {
