--- a/io/grant/write.go
+++ b/io/grant/write.go
@@ -114,9 +114,10 @@
 		return
 	}
 	now := g.o.Clock.Now()
-	g.earlierOrdersEnd = max(g.earlierOrdersEnd, now)
-	published := x.published
+	g.earlierOrders.SentUntil(now)
+	published, was := x.published, x.table
 	if y := g.loadService(x.name, now); y != nil {
+		y.table.Adopt(was)
 		y.published, y.replanned = published, true
 	}
 }
