grant: renewals stay on the connection that accepted the grant

A renewal has the fence of the grant that it renews, so that it must not reach the next incarnation of its server, which has seen no fence: it would hold keys by a fence that its former incarnation, or a later owner, had as well. Renewals queue behind one another. The one that finds the connection lost makes the spare connection the current one, and those behind it went over that one: they only asked for an open connection, not for the same.

Connections for grants have numbers now. A renewal names the one over which its grant was accepted, and isn't sent over another.

Evidence: TestQueuedRenewalIsNotSentOverSpareConnection fails with the check switched off (accepted where not-sent is wanted).

--- a/core/hold/orders.go
+++ b/core/hold/orders.go
@@ -6,6 +6,9 @@
 	"heatherrouter/core/mono"
 )
 
+// Connection numbers the connections for grants to one server.
+type Connection uint64
+
 // Order is a request to a backend server: a Grant or a Release.
 type Order interface {
 	order()
@@ -27,7 +30,8 @@
 
 		// Renewal is set if the server has accepted a grant with this fence. A renewal must go over the same
 		// connection: a new connection could reach the next incarnation of the server, which needs a higher fence.
-		Renewal bool
+		Renewal    bool
+		Connection Connection // over which the server has accepted the grant that is renewed
 
 		record *sentGrant
 	}
@@ -87,6 +91,7 @@
 
 // Result is the outcome of an order and the data in its answer.
 type Result struct {
-	Outcome  Outcome
-	Handover string // from an accepted Release
+	Outcome    Outcome
+	Handover   string     // from an accepted Release
+	Connection Connection // of an accepted Grant
 }
--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -40,6 +40,7 @@
 	granted       bool       // the owner holds the range by a grant with this fence or by an older one
 	nextOrder     mono.Time  // when the next order is due
 	accepted      bool       // the owner has accepted a grant with the current fence
+	connection    Connection // over which it has
 	acceptedUntil mono.Time  // when the last accepted grant has expired; requests are sent to the owner until then
 	pending       bool       // an order is in progress
 	failed        bool       // the last order was not accepted
@@ -275,7 +276,7 @@
 		record := &sentGrant{to: p.Owner, expires: mono.Never}
 		p.sent = p.sent.add(now, record)
 		l = append(l, Grant{
-			Range: p.Range, To: p.Owner, Fence: p.fence, TTL: t.ttl, Handover: p.handover, Renewal: p.accepted,
+			Range: p.Range, To: p.Owner, Fence: p.fence, TTL: t.ttl, Handover: p.handover, Renewal: p.accepted, Connection: p.connection,
 			Ends: now.Add(t.timing.Timeout), record: record,
 		})
 	}
@@ -344,7 +345,7 @@
 	p.pending, p.failed = false, r.Outcome != Accepted
 	switch r.Outcome {
 	case Accepted:
-		p.granted, p.accepted, p.handover, p.nextOrder = true, true, "", now.Add(RenewAfter(ttl))
+		p.granted, p.accepted, p.connection, p.handover, p.nextOrder = true, true, r.Connection, "", now.Add(RenewAfter(ttl))
 	case Outfenced, Silent:
 		// The next grant needs a higher fence: the server may have restarted.
 		p.fence, p.accepted, p.nextOrder = t.nextFence(), false, now.Add(t.timing.RetryDelay)
--- a/io/grant/copies_test.go
+++ b/io/grant/copies_test.go
@@ -195,7 +195,7 @@
 	grant := func() (hold.Outcome, bool) {
 		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 		g.fillOrder(req, l, hold.Grant{})
-		r, lost := g.sendGrant(t.Context(), l, orderDeadline(), req, resp)
+		r, _, lost := g.sendGrant(t.Context(), l, hold.Grant{}, orderDeadline(), req, resp)
 		return g.result(hold.Grant{}, r, resp).Outcome, lost
 	}
 	end, lost := grant()
@@ -214,3 +214,32 @@
 	}, time.Second, 10*time.Millisecond)
 	require.Equal(t, hold.Ended, end, "the response on a new connection can't be another order's")
 }
+
+// Guards against a renewal that reaches the next incarnation of a server: the connection over which the server accepted the grant is
+// lost, and the renewals queued behind the one that finds out must not be sent over the spare connection.
+func TestQueuedRenewalIsNotSentOverSpareConnection(t *testing.T) {
+	s := &extraServer{answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}
+	g, l := newTestGranter(t, s.start(t))
+	send := func(o hold.Grant) hold.Result {
+		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+		g.fillOrder(req, l, o)
+		call := orderDeadline()
+		call.ReuseOnly = o.Renewal
+		r, connection, _ := g.sendGrant(t.Context(), l, o, call, req, resp)
+		x := g.result(o, r, resp)
+		x.Connection = connection
+		return x
+	}
+	granted := send(hold.Grant{})
+	require.Equal(t, hold.Accepted, granted.Outcome)
+	require.Eventually(t, l.spare.HasIdle, time.Second, 10*time.Millisecond)
+	l.grants.CloseIdle() // as if the server had closed it
+	renewal := hold.Grant{Renewal: true, Connection: granted.Connection}
+	require.Equal(t, hold.NotSent, send(renewal).Outcome)
+	require.Equal(t, hold.NotSent, send(renewal).Outcome)
+	require.EqualValues(t, 1, s.orders.Load())
+
+	again := send(hold.Grant{})
+	require.Equal(t, hold.Accepted, again.Outcome)
+	require.Equal(t, hold.Accepted, send(hold.Grant{Renewal: true, Connection: again.Connection}).Outcome)
+}
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -97,6 +97,7 @@
 	stepDownRequests chan chan struct{}
 	loadedAt         mono.Time // when the feed had first read all tables; 0 before
 	leaving          atomic.Bool
+	connections      atomic.Uint64 // last number of a connection for grants
 
 	// State of the current term, used only by the goroutine of run.
 	term          site.Term
