conns, hold: renewals name their connection; records of grants don't grow

Renewals still reached the next incarnation of a server with the fence of the one before: the number of the connection for grants changed only when it was reported lost, but it is also replaced after a time-out, a Connection: close or an idle close (TestRenewalDoesNotUseConnectionOfLaterGrant). Connections have numbers of their own now, and a renewal goes over the one on which its grant was accepted, or not at all.

A renewal that could not be sent for that reason was tried again with the same number for ever (TestRenewalsGoOnAfterChangeOfAddress). A renewal that wasn't sent gets a new fence, and may use any connection.

The records of grants doubled whenever keys were cut out of a range and came back (TestRecordsOfGrantsDoNotGrow, TestRecordsDoNotGrowWhenRowIsReadAgain). Expired records and repeated ones are dropped. A table that is read again also keeps which incarnations have ended.

A connection on which nothing was sent, as the guard refused, counts as unused (TestConnectionOfRefusedSendIsFresh): the release's own answer was discarded.

--- a/core/hold/orders.go
+++ b/core/hold/orders.go
@@ -6,7 +6,7 @@
 	"heatherrouter/core/mono"
 )
 
-// Connection numbers the connections for grants to one server.
+// Connection identifies a connection to a server.
 type Connection uint64
 
 // Order is a request to a backend server: a Grant or a Release.
@@ -23,9 +23,8 @@
 		TTL      time.Duration
 		Handover string
 
-		// Ends is the deadline for sending the grant and for its answer. Without it, a grant queued behind others for a
-		// unresponsive server could arrive after the range has moved to another server, which relies on the grant having
-		// expired.
+		// Ends is the deadline for sending the grant and for its answer. A grant that waits behind others for an unresponsive
+		// server would keep the range from moving.
 		Ends mono.Time
 
 		// Renewal is set if the server has accepted a grant with this fence. A renewal must go over the same
--- a/core/hold/sent.go
+++ b/core/hold/sent.go
@@ -37,20 +37,15 @@
 // inProgress reports whether a grant may still be sent.
 func (l sentGrants) inProgress() bool { return l.expiry() == mono.Never }
 
-// with returns the grants and those of m.
-func (l sentGrants) with(m sentGrants) sentGrants {
-	return slices.Concat(l, m)
-}
-
-// add returns the grants that have not expired, and g.
-func (l sentGrants) add(now mono.Time, g *sentGrant) sentGrants {
+// with returns the grants of both lists that have not expired.
+func (l sentGrants) with(now mono.Time, m ...*sentGrant) sentGrants {
 	var next sentGrants
-	for _, x := range l {
-		if now.Before(x.expires) {
-			next = append(next, x)
+	for _, g := range slices.Concat(l, m) {
+		if now.Before(g.expires) && !slices.Contains(next, g) {
+			next = append(next, g)
 		}
 	}
-	return append(next, g)
+	return next
 }
 
 // onlyTo reports whether all grants that have not expired were sent to incarnations for which f is true.
--- a/core/hold/sim_test.go
+++ b/core/hold/sim_test.go
@@ -205,7 +205,7 @@
 	w.writePending = false
 	was := w.table
 	w.table = New(w.now, w.timing, w.storedRow, w.reservation, w.now.Add(w.timing.ExpiryBound(w.reservation.MaxTTL)))
-	w.table.Adopt(was)
+	w.table.Adopt(w.now, was)
 	w.commit(w.table.Assignments())
 }
 
--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -77,13 +77,15 @@
 	return x
 }
 
-// Adopt records the grants of a table that this one replaces in the same term. They may be in force, or may still be sent.
-func (t *Table) Adopt(was *Table) {
+// Adopt takes over what a table that this one replaces in the same term knows of servers: incarnations that have ended, and grants
+// that may be in force or may still be sent.
+func (t *Table) Adopt(now mono.Time, was *Table) {
+	t.ended, t.freed = was.ended, was.freed
 	for _, p := range t.ranges {
 		for _, w := range was.ranges {
 			if w.First <= p.Last && p.First <= w.Last {
-				l := w.sent.with(w.prevSent)
-				p.sent, p.prevSent = p.sent.with(l), p.prevSent.with(l)
+				l := w.sent.with(now, w.prevSent...)
+				p.sent, p.prevSent = p.sent.with(now, l...), p.prevSent.with(now, l...)
 			}
 		}
 	}
@@ -172,27 +174,26 @@
 			old = append(old, w)
 		}
 	}
-	x := &rangeState{Assignment: p, nextOrder: now}
-	for _, w := range old {
-		x.prevSent, x.prevInherited = x.prevSent.with(w.prevSent), x.prevInherited || w.prevInherited
-	}
 	if len(old) == 1 && old[0].Owner == p.Owner {
-		*x = *old[0]
+		// The previous owner in memory is newer than the one in the row: it may have released the range, or have restarted,
+		// while the row was written.
+		x := *old[0]
 		x.Range = p.Range
 		x.pending = x.pending && old[0].Range == p.Range
-		return x
+		return &x
 	}
-	x.fence, x.granted = t.nextFence(), len(old) > 0
+	x := &rangeState{Assignment: p, nextOrder: now, fence: t.nextFence(), granted: len(old) > 0}
 	for _, w := range old {
+		x.prevSent, x.prevInherited = x.prevSent.with(now, w.prevSent...), x.prevInherited || w.prevInherited
 		if w.Owner != p.Owner {
 			if w.Owner.Server == p.Previous.Server {
 				x.Previous = w.Owner // a later incarnation may have been granted the range while the row was written
 			}
 			// The former owner may hold the range until its grants have expired.
-			x.prevSent, x.prevInherited, x.granted = x.prevSent.with(w.sent), x.prevInherited || w.ownerInherited, false
+			x.prevSent, x.prevInherited, x.granted = x.prevSent.with(now, w.sent...), x.prevInherited || w.ownerInherited, false
 			continue
 		}
-		x.sent, x.ownerInherited = x.sent.with(w.sent), x.ownerInherited || w.ownerInherited
+		x.sent, x.ownerInherited = x.sent.with(now, w.sent...), x.ownerInherited || w.ownerInherited
 		x.acceptedUntil, x.granted = max(x.acceptedUntil, w.acceptedUntil), x.granted && w.granted
 	}
 	return x
@@ -274,7 +275,7 @@
 		// Recorded before the grant is sent: the range may have been split and its ends reassigned by the time of the
 		// answer.
 		record := &sentGrant{to: p.Owner, expires: mono.Never}
-		p.sent = p.sent.add(now, record)
+		p.sent = p.sent.with(now, record)
 		l = append(l, Grant{
 			Range: p.Range, To: p.Owner, Fence: p.fence, TTL: t.ttl, Handover: p.handover, Renewal: p.accepted, Connection: p.connection,
 			Ends: now.Add(t.timing.Timeout), record: record,
@@ -352,6 +353,9 @@
 	case Ended:
 		t.markEnded(p.Owner)
 	case NotSent:
+		if p.accepted { // the connection of the renewal may be lost
+			p.fence, p.accepted = t.nextFence(), false
+		}
 		p.nextOrder = now.Add(t.timing.RetryDelay)
 	}
 	if r.Outcome == Accepted {
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -44,6 +44,7 @@
 
 // conn is one connection; it carries at most one exchange at a time.
 type conn struct {
+	number       ConnNumber
 	net          *net.TCPConn
 	raw          syscall.RawConn
 	br           *bufio.Reader
@@ -53,7 +54,7 @@
 	writeErr     error         // of the current request; nil if sending failed before the connection
 	broken       bool          // must not be reused
 	unanswered   bool          // the current request has no whole response
-	used         bool          // has completed an exchange
+	used         bool          // something was sent on it
 	idleSince    time.Time
 	sent         []sentRequest // requests that may be sent again
 
@@ -93,7 +94,7 @@
 	if err != nil {
 		return nil, trace.NewAggregate(err, t.Close())
 	}
-	c := &conn{net: t, raw: raw}
+	c := &conn{number: ConnNumber(lastConn.Add(1)), net: t, raw: raw}
 	c.receiveLimit = math.MaxInt64
 	c.br = bufio.NewReaderSize(c, readBuffer)
 	c.bw = bufio.NewWriterSize(c, writeBuffer)
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -78,6 +78,11 @@
 	}
 }
 
+// ConnNumber identifies a connection among all that the process opens.
+type ConnNumber uint64
+
+var lastConn atomic.Uint64
+
 // Call holds the parameters of one exchange besides its messages.
 type Call struct {
 	Deadline time.Time // for the whole response; in DoStream for its header
@@ -96,6 +101,9 @@
 	// last one.
 	ReuseOnly bool
 
+	// OnlyOn is the number of the connection that must carry the call; 0 for any.
+	OnlyOn ConnNumber
+
 	// Guard is called right before the first byte is written and permits the send; nil for no check. It is the place
 	// to check the lease, since the process may have been paused since any earlier check.
 	Guard func() bool
@@ -116,9 +124,10 @@
 	// connection limit and has not restarted.
 	ConnLimitReached bool
 
-	Fresh      bool // the connection had carried no exchange before
-	Identified bool // the response carries the id of its request
-	OthersOpen bool // the connection was reset, or no new one could be opened, while others are open
+	Conn       ConnNumber // of the connection that carried the exchange; 0 if there was none
+	Fresh      bool       // the connection had carried no exchange before
+	Identified bool       // the response carries the id of its request
+	OthersOpen bool       // the connection was reset, or no new one could be opened, while others are open
 }
 
 // IsOwn reports whether the response is certain to be that to the request: it carries the id, or nothing was sent on its connection
@@ -215,8 +224,9 @@
 		}
 		used := c.used
 		r = c.do(ctx, p, call, req, resp, streamed)
-		r.Fresh = !used
+		r.Fresh, r.Conn = !used, c.number
 		if c.wrote {
+			c.used = true
 			c.recordSent(id, call.Deadline)
 		}
 		if r.Err == nil && (streamed || c.reusable()) {
@@ -244,7 +254,7 @@
 // get returns an idle connection that is still open and has not carried the request, or dials one.
 func (p *Pool) get(ctx context.Context, call Call, id requestHash) (*conn, Result) {
 	for {
-		c, err := p.take(call.ReuseOnly, id)
+		c, err := p.take(call, id)
 		if err != nil {
 			return nil, Result{Outcome: retry.NotRun, End: admit.EndNoConnFree, Err: err}
 		}
@@ -283,16 +293,16 @@
 }
 
 // take returns the most recently used idle connection that has not carried the request. A nil connection reserves a place for
-// one that the caller must dial; none is reserved with reuseOnly, not even for a moment, since another caller would find the
+// one that the caller must dial; none is reserved with ReuseOnly or OnlyOn, not even for a moment, since another caller would find the
 // pool full.
-func (p *Pool) take(reuseOnly bool, id requestHash) (*conn, error) {
+func (p *Pool) take(call Call, id requestHash) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed
 	}
 	for i, c := range slices.Backward(p.idle) {
-		if !c.hasCarried(id) {
+		if !c.hasCarried(id) && (call.OnlyOn == 0 || call.OnlyOn == c.number) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c, nil
 		}
@@ -301,7 +311,7 @@
 	switch {
 	case full && len(p.idle) == 0:
 		return nil, ErrExhausted
-	case reuseOnly:
+	case call.ReuseOnly || call.OnlyOn != 0:
 		return nil, ErrNoReuse
 	case full: // the new connection takes the place of one that has carried the request
 		p.idle[0].close()
@@ -324,10 +334,7 @@
 }
 
 // put returns a connection to the pool after an exchange.
-func (p *Pool) put(c *conn) {
-	c.used = true
-	p.addIdle(c)
-}
+func (p *Pool) put(c *conn) { p.addIdle(c) }
 
 // addIdle makes the connection available to other goroutines; the caller must not use it afterwards.
 func (p *Pool) addIdle(c *conn) {
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -105,10 +105,15 @@
 		readRequests(c, func(path string) { writeResponse(c, "to "+path) })
 	})
 	p := newPool(t, Options{Addr: a})
+	var conn ConnNumber
 	for i := range 10 {
 		path := fmt.Sprintf("/%d", i)
 		r, body := do(p, shortCall(), path)
-		require.Equal(t, Result{Outcome: retry.Answered, End: admit.EndAnswered, Incarnation: ident.Incarnation(7), Fresh: i == 0}, r)
+		if i == 0 {
+			conn = r.Conn
+			require.NotZero(t, conn)
+		}
+		require.Equal(t, Result{Outcome: retry.Answered, End: admit.EndAnswered, Incarnation: ident.Incarnation(7), Conn: conn, Fresh: i == 0}, r)
 		require.Equal(t, "to "+path, body)
 	}
 	require.EqualValues(t, 1, accepted.Load(), "one connection is reused")
--- a/io/grant/copies_test.go
+++ b/io/grant/copies_test.go
@@ -195,7 +195,7 @@
 	grant := func() (hold.Outcome, bool) {
 		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 		g.fillOrder(req, l, hold.Grant{})
-		r, _, lost := g.sendGrant(t.Context(), l, hold.Grant{}, orderDeadline(), req, resp)
+		r, lost := g.sendGrant(t.Context(), l, orderDeadline(), req, resp)
 		return g.result(hold.Grant{}, r, resp).Outcome, lost
 	}
 	end, lost := grant()
@@ -220,16 +220,7 @@
 func TestQueuedRenewalIsNotSentOverSpareConnection(t *testing.T) {
 	s := &extraServer{answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}
 	g, l := newTestGranter(t, s.start(t))
-	send := func(o hold.Grant) hold.Result {
-		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
-		g.fillOrder(req, l, o)
-		call := orderDeadline()
-		call.ReuseOnly = o.Renewal
-		r, connection, _ := g.sendGrant(t.Context(), l, o, call, req, resp)
-		x := g.result(o, r, resp)
-		x.Connection = connection
-		return x
-	}
+	send := func(o hold.Grant) hold.Result { return sendTestGrant(t, g, l, o) }
 	granted := send(hold.Grant{})
 	require.Equal(t, hold.Accepted, granted.Outcome)
 	require.Eventually(t, l.spare.HasIdle, time.Second, 10*time.Millisecond)
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -54,7 +54,6 @@
 
 	grantMu        sync.Mutex // held for the exchange of one grant
 	grants         *conns.Pool
-	connection     hold.Connection // the one of grants
 	spare          *conns.Pool
 	spareCheckedAt time.Time // when the spare connections were last checked
 }
@@ -73,7 +72,7 @@
 		x.close()
 	}
 	o := conns.Options{Addr: s.Addr, MaxConns: 1, DialTimeout: orderDialTimeout, ProbeInterval: conns.NoProbes, Names: conns.NoNames}
-	x = &link{server: s, health: conns.New(o), connection: g.nextConnection()}
+	x = &link{server: s, health: conns.New(o)}
 	o.Names.RequestID = g.o.OrderIDHeader
 	x.grants, x.spare = conns.New(o), conns.New(o)
 	o.MaxConns, o.DialTimeout, o.ReuseIdentified = maxReleases, backgroundDialTimeout, true
@@ -82,9 +81,6 @@
 	return x
 }
 
-// nextConnection returns a number that no earlier connection for grants has.
-func (g *Granter) nextConnection() hold.Connection { return hold.Connection(g.connections.Add(1)) }
-
 func (x *link) close() {
 	x.grantMu.Lock()
 	defer x.grantMu.Unlock()
@@ -109,29 +105,23 @@
 	})
 }
 
-// sendGrant sends a grant over the connection for grants, and returns that connection. If it is lost, the spare replaces it for later
-// grants, which have a higher fence; a renewal isn't sent over the spare.
-func (g *Granter) sendGrant(c context.Context, l *link, x hold.Grant, call conns.Call, req *fasthttp.Request, resp *fasthttp.Response) (
-	r conns.Result, connection hold.Connection, lost bool,
-) {
+// sendGrant sends a grant over the connection for grants. If that is lost, the spare replaces it for later grants, which have a higher
+// fence.
+func (g *Granter) sendGrant(c context.Context, l *link, call conns.Call, req *fasthttp.Request, resp *fasthttp.Response) (r conns.Result, lost bool) {
 	l.grantMu.Lock()
 	defer l.grantMu.Unlock()
-	if x.Renewal && x.Connection != l.connection {
-		return conns.Result{Outcome: retry.NotRun, End: admit.EndNoConnFree, Err: conns.ErrNoReuse}, l.connection, false
-	}
-	connection = l.connection
 	r = l.grants.Do(c, call, req, resp)
 	stray := r.Err == nil && resp.StatusCode() == fasthttp.StatusMisdirectedRequest && !r.IsOwn()
 	if stray {
 		l.grants.CloseIdle()
 	}
-	if lost = stray || errors.Is(r.Err, conns.ErrNoReuse) || r.End == admit.EndReset || r.End == admit.EndEndless; lost {
+	noConn := errors.Is(r.Err, conns.ErrNoReuse) && !l.grants.HasIdle() // else a later grant has opened another
+	if lost = stray || noConn || r.End == admit.EndReset || r.End == admit.EndEndless; lost {
 		l.grants, l.spare = l.spare, l.grants
-		l.connection = g.nextConnection()
 		l.spareCheckedAt = time.Time{}
 	}
 	g.refreshSpare(l)
-	return r, connection, lost
+	return r, lost
 }
 
 // sendOrder sends an order on a goroutine of its own, which returns the result on g.results.
@@ -190,12 +180,14 @@
 		return g.maySendOrder(d.term) && time.Now().Before(call.Deadline)
 	}
 	var r conns.Result
-	var connection hold.Connection
 	began := g.o.Clock.Now()
 	switch x := d.order.(type) {
 	case hold.Grant:
-		call.Deadline, call.ReuseOnly = g.o.Clock.StdTime(x.Ends), x.Renewal
-		r, connection, d.connLost = g.sendGrant(c, l, x, call, req, resp)
+		call.Deadline = g.o.Clock.StdTime(x.Ends)
+		if x.Renewal {
+			call.OnlyOn = conns.ConnNumber(x.Connection)
+		}
+		r, d.connLost = g.sendGrant(c, l, call, req, resp)
 	case hold.Release:
 		l.releaseSlots <- struct{}{}
 		defer func() { <-l.releaseSlots }()
@@ -203,7 +195,7 @@
 		r = l.releases.Do(c, call, req, resp)
 	}
 	d.result, d.err, d.status = g.result(d.order, r, resp), r.Err, resp.StatusCode()
-	d.result.Connection = connection
+	d.result.Connection = hold.Connection(r.Conn)
 	d.identified, d.freshConn = r.Identified, r.Fresh
 	d.lostPath = r.End == admit.EndDialFailed || r.End == admit.EndTimeout || r.End == admit.EndReset
 	g.observePath(l, r, began)
--- a/io/grant/succession_test.go
+++ b/io/grant/succession_test.go
@@ -244,13 +244,22 @@
 	s.conns = nil
 }
 
+// grantCall returns the call for a grant, as exchangeOrder makes it.
+func grantCall(o hold.Grant) conns.Call {
+	call := conns.Call{Deadline: time.Now().Add(200 * time.Millisecond)}
+	if o.Renewal {
+		call.OnlyOn = conns.ConnNumber(o.Connection)
+	}
+	return call
+}
+
 // sendTestGrant sends a grant as exchangeOrder does.
 func sendTestGrant(t *testing.T, g *Granter, l *link, o hold.Grant) hold.Result {
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 	g.fillOrder(req, l, o)
-	r, connection, _ := g.sendGrant(t.Context(), l, o, conns.Call{Deadline: time.Now().Add(200 * time.Millisecond), ReuseOnly: o.Renewal}, req, resp)
+	r, _ := g.sendGrant(t.Context(), l, grantCall(o), req, resp)
 	x := g.result(o, r, resp)
-	x.Connection = connection
+	x.Connection = hold.Connection(r.Conn)
 	return x
 }
 
@@ -285,7 +294,11 @@
 	s := &restartingServer{}
 	g, l := newTestGranter(t, s.start(t))
 	for i := range restarts {
-		granted := sendTestGrant(t, g, l, hold.Grant{})
+		var granted hold.Result
+		require.Eventually(t, func() bool { // the spare connection may just be opened
+			granted = sendTestGrant(t, g, l, hold.Grant{})
+			return granted.Outcome == hold.Accepted
+		}, 5*time.Second, time.Millisecond)
 		require.Eventually(t, func() bool { return l.grants.HasIdle() && l.spare.HasIdle() }, 5*time.Second, time.Millisecond)
 		s.restart()
 		s.mu.Lock()
@@ -362,9 +375,9 @@
 			req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 			o := o.(hold.Grant)
 			g.fillOrder(req, l, o)
-			r, connection, lost := g.sendGrant(t.Context(), l, o, conns.Call{Deadline: time.Now().Add(200 * time.Millisecond), ReuseOnly: o.Renewal}, req, resp)
+			r, lost := g.sendGrant(t.Context(), l, grantCall(o), req, resp)
 			y := g.result(o, r, resp)
-			y.Connection = connection
+			y.Connection = hold.Connection(r.Conn)
 			x.Done(ck.Now(), o, y)
 			if lost {
 				x.ConnectionLost(ck.Now(), "a")
--- a/io/grant/write.go
+++ b/io/grant/write.go
@@ -117,7 +117,7 @@
 	g.earlierOrders.SentUntil(now)
 	published, was := x.published, x.table
 	if y := g.loadService(x.name, now); y != nil {
-		y.table.Adopt(was)
+		y.table.Adopt(now, was)
 		y.published, y.replanned = published, true
 	}
 }
