grant: a coordinator acts on its own row only

A row of a successor that arrived between the check of a step and its work was begun as a term of this daemon, so that the wait for that successor's orders was taken for one that goes on (TestSuccessorsTermIsNotBegunAsOwn).

It now expects the revision that it knows from its own term; so do the two handovers.

A row that only becomes clean stopped all orders of a coordinator without a quorum until its outcome was known (TestRowThatOnlyBecomesCleanStopsNoOrders). Only a change of voters, or of the need for a quorum, has to.

--- a/io/grant/elect.go
+++ b/io/grant/elect.go
@@ -122,7 +122,7 @@
 	if g.term == 0 || s.Coordinator.Term != g.term {
 		return
 	}
-	row, _ := g.o.Feed.Row(feed.CoordinatorRow)
+	g.updateRev()
 	term := g.term
 	g.endTerm()
 	v, err := encodeCoordinator(elect.RowOf(s).Vacate(g.earlierOrdersEnded()))
@@ -131,7 +131,7 @@
 		return
 	}
 	rev, err := g.o.Store.Commit(c, store.Txn{
-		Expect: []store.Expect{{Key: feed.CoordinatorRow, Rev: row.Rev}},
+		Expect: []store.Expect{{Key: feed.CoordinatorRow, Rev: g.rev}},
 		Put:    []store.Row{{Key: feed.CoordinatorRow, Value: v}},
 	})
 	if err != nil {
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -97,7 +97,6 @@
 	stepDownRequests chan chan struct{}
 	loadedAt         mono.Time // when the feed had first read all tables; 0 before
 	leaving          atomic.Bool
-	connections      atomic.Uint64 // last number of a connection for grants
 
 	// State of the current term, used only by the goroutine of run.
 	term          site.Term
@@ -286,6 +285,11 @@
 	return g.coordinate(c)
 }
 
+// leads reports whether this incarnation of the daemon is the coordinator.
+func (g *Granter) leads(s *site.Snapshot) bool {
+	return s.Coordinator.Daemon == g.o.Self && s.Coordinator.Incarnation == g.o.Incarnation
+}
+
 // serversUnreachable reports whether this daemon can't reach the servers of a keyed service.
 func (g *Granter) serversUnreachable(s *site.Snapshot) bool {
 	if s.Config == nil {
@@ -305,6 +309,9 @@
 // coordinate does what is due as the coordinator and returns the time of the next step.
 func (g *Granter) coordinate(c context.Context) mono.Time {
 	s := g.o.Feed.Snapshot()
+	if !g.leads(s) {
+		return g.o.Clock.Now() // another coordinator's row has arrived since the step began
+	}
 	if s.Coordinator.Term != g.term {
 		g.endTerm()
 		g.beginTerm(s)
--- a/io/grant/member.go
+++ b/io/grant/member.go
@@ -47,8 +47,7 @@
 		return true
 	}
 	clear(g.withdrawnRows)
-	row, _ := g.o.Feed.Row(feed.CoordinatorRow)
-	return !g.takeOver(c, row.Rev, s, elect.NextTerm(g.earlierOrdersEnded(), true))
+	return !g.takeOver(c, g.rev, s, elect.NextTerm(g.earlierOrdersEnded(), true))
 }
 
 // maxDeletes bounds the rows that one transaction deletes. Each row takes two entries, and the store accepts 100 entries.
--- a/io/grant/reach.go
+++ b/io/grant/reach.go
@@ -170,7 +170,7 @@
 	if g.term == 0 || s.Coordinator.Term != g.term || s.Daemons[d] == nil {
 		return
 	}
-	row, _ := g.o.Feed.Row(feed.CoordinatorRow)
+	g.updateRev()
 	term := g.term
 	v, err := encodeCoordinator(elect.RowOf(s).HandOver(d, s.Daemons, g.earlierOrdersEnded()))
 	if err != nil {
@@ -182,7 +182,7 @@
 	x, cancel := context.WithTimeout(c, storeTimeout)
 	defer cancel()
 	rev, err := g.o.Store.Commit(x, store.Txn{
-		Expect: []store.Expect{{Key: feed.CoordinatorRow, Rev: row.Rev}},
+		Expect: []store.Expect{{Key: feed.CoordinatorRow, Rev: g.rev}},
 		Put:    []store.Row{{Key: feed.CoordinatorRow, Value: v}},
 	})
 	if err != nil {
--- a/io/grant/voters.go
+++ b/io/grant/voters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"heatherrouter/core/elect"
@@ -53,7 +54,9 @@
 	}
 	x, cancel := context.WithTimeout(c, storeTimeout)
 	defer cancel()
-	g.o.Feed.ProposeVoters(next)
+	if !slices.Equal(next, s.Voters) || row.WithoutQuorum != s.Coordinator.WithoutQuorum {
+		g.o.Feed.ProposeVoters(next)
+	}
 	rev, err := g.o.Store.Commit(x, store.Txn{
 		Expect: []store.Expect{{Key: feed.CoordinatorRow, Rev: g.rev}},
 		Put:    []store.Row{{Key: feed.CoordinatorRow, Value: v}},
