elect, hold: a release frees keys also if its server restarts

Two servers could hold one key, in random schedules and in a test of the review: a coordinator without a quorum that is cut off from the store, but not from the servers, goes on for 30 s. Its successor releases keys of a server and grants them to another. The server restarts; the first coordinator loses its connection, grants the keys again over a new one, and the new incarnation, which has seen no fence, accepts.

Cause: a release counted as final. It is, for the incarnation that answers it, and for the next one only if nobody grants anew what the release has taken back.

A coordinator without a quorum now sends grants other than renewals only within 1.2 s of the store's last confirmation; a renewal goes over the connection that accepted the grant, and so never reaches another incarnation. A successor whose row isn't clean sends the first releases to inherited owners after that time.

--- a/core/elect/term.go
+++ b/core/elect/term.go
@@ -14,13 +14,24 @@
 // server that it can't reach, when too many daemons are lost for a quorum of withdrawals.
 const AuthorityTTL = 30 * time.Second
 
+// renewOnlyAge is the time since the store last confirmed its role after which a coordinator without a quorum only renews grants.
+// A grant on a new connection could reach a server that has restarted, and so has forgotten the fences of a successor.
+const renewOnlyAge = 1200 * time.Millisecond
+
+// MayGrantAnew reports whether a coordinator may send grants other than renewals, if the store confirmed its role for the last time
+// that long ago.
+func MayGrantAnew(c site.Coordinator, confirmed time.Duration) bool {
+	return !c.WithoutQuorum || confirmed < renewOnlyAge
+}
+
 // authorityDriftDivisor is the inverse of the fraction by which another daemon's clock may run slow.
 const authorityDriftDivisor = 50
 
 // EarlierOrders is until when coordinators of earlier terms may send orders, as the coordinator of a term knows it.
 type EarlierOrders struct {
-	end  mono.Time
-	term site.Term
+	end       mono.Time
+	renewOnly mono.Time // from which those without a quorum only renew grants
+	term      site.Term
 }
 
 // Begin records that this daemon begins the term of c. If the term follows one of its own, the wait for the coordinators before
@@ -30,11 +41,12 @@
 	e.term = c.Term
 	switch {
 	case c.Clean:
-		e.end = now
+		e.end, e.renewOnly = now, now
 	case follows:
 		e.end = max(e.end, now)
 	default:
 		e.end = now.Add(AuthorityTTL + AuthorityTTL/authorityDriftDivisor)
+		e.renewOnly = now.Add(renewOnlyAge + renewOnlyAge/authorityDriftDivisor)
 	}
 }
 
@@ -44,6 +56,10 @@
 // End returns the time from which no earlier coordinator sends orders.
 func (e *EarlierOrders) End() mono.Time { return e.end }
 
+// RenewOnly returns the time from which earlier coordinators without a quorum only renew grants. A release that is sent from then on
+// frees keys even if its server restarts.
+func (e *EarlierOrders) RenewOnly() mono.Time { return e.renewOnly }
+
 // Ended reports whether no coordinator before the current or last term of this daemon sends orders any more.
 func (e *EarlierOrders) Ended(now mono.Time) bool { return !now.Before(e.end) }
 
--- a/core/elect/term_test.go
+++ b/core/elect/term_test.go
@@ -85,3 +85,18 @@
 	e.Begin(end.Add(time.Minute), site.Coordinator{Daemon: "a", Term: 7})
 	require.GreaterOrEqual(t, e.End(), end.Add(time.Minute), "orders of the own term before count as well")
 }
+
+// Guards against keys with two holders: a coordinator without a quorum that is cut off from the store grants keys, which its successor
+// has taken from a server, to that server's next incarnation, which has seen no fence.
+func TestCoordinatorWithoutStoreOnlyRenewsBeforeItsSuccessorReleases(t *testing.T) {
+	now := mono.Time(time.Hour)
+	withoutQuorum := site.Coordinator{Daemon: "a", Term: 3, WithoutQuorum: true}
+	var e EarlierOrders
+	e.Begin(now, site.Coordinator{Daemon: "b", Term: 4})
+	require.True(t, MayGrantAnew(withoutQuorum, 0))
+	require.False(t, MayGrantAnew(withoutQuorum, e.RenewOnly().Sub(now)))
+	require.True(t, MayGrantAnew(site.Coordinator{Daemon: "a", Term: 3}, AuthorityTTL-1), "with a quorum it outlasts an outage of the store")
+
+	e.Begin(now, site.Coordinator{Daemon: "b", Term: 6, Clean: true})
+	require.Equal(t, now, e.RenewOnly())
+}
--- a/core/hold/freed_test.go
+++ b/core/hold/freed_test.go
@@ -158,3 +158,19 @@
 	require.Len(t, l, 1)
 	require.Equal(t, "h", l[0].(Grant).Handover)
 }
+
+// Guards against keys with two holders: an earlier coordinator may still grant them to the next incarnation of a server that has
+// released them.
+func TestReleaseWaitsForEarlierCoordinator(t *testing.T) {
+	now := mono.Time(time.Hour)
+	x := New(now, DefaultTiming(10*time.Second), []Assignment{{Range: allKeys, Owner: lifeB, Previous: lifeA1}}, Reservation{MaxTTL: 3 * time.Second}, now.Add(time.Minute))
+	from := now.Add(time.Second)
+	x.DelayReleases(from)
+	x.Committed(now, x.Assignments(), x.Reserve(now, 1))
+	l, next := x.Orders(now)
+	require.Empty(t, l)
+	require.Equal(t, from, next)
+	l, _ = x.Orders(from)
+	require.Len(t, l, 1)
+	require.IsType(t, Release{}, l[0])
+}
--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -57,6 +57,7 @@
 	timing           Timing
 	ttl              time.Duration        // TTL of the grants that are sent
 	inheritedExpire  mono.Time            // when every grant that earlier coordinators may have sent has expired
+	releasesFrom     mono.Time            // from which owners inherited from earlier coordinators are sent releases
 	ranges           []*rangeState        // ordered by first key
 	fence            Fence                // last one used
 	reservation      Reservation          // as stated by the row in the store
@@ -77,6 +78,10 @@
 	return x
 }
 
+// DelayReleases delays the releases to owners that were inherited from earlier coordinators, as long as those may send grants that a
+// release doesn't prevent.
+func (t *Table) DelayReleases(until mono.Time) { t.releasesFrom = until }
+
 // Adopt takes over what a table that this one replaces in the same term knows of servers: incarnations that have ended, and grants
 // that may be in force or may still be sent.
 func (t *Table) Adopt(now mono.Time, was *Table) {
@@ -258,6 +263,9 @@
 		}
 		if p.Previous != (Incarnation{}) && !t.releaseDue(now, p) {
 			next = min(next, t.prevExpiry(p))
+			if now.Before(t.releasesFrom) {
+				next = min(next, t.releasesFrom)
+			}
 			if p.prevSent.inProgress() {
 				next = min(next, now.Add(grantPoll))
 			}
@@ -291,8 +299,10 @@
 // releaseDue reports whether the previous owner of a range must be sent a release now. A grant in progress must end before:
 // sent after the release was answered, it would reach the next incarnation of the server, which has seen no fence.
 func (t *Table) releaseDue(now mono.Time, p *rangeState) bool {
-	return p.Previous != (Incarnation{}) && !p.pending && !now.Before(p.nextOrder) && !p.prevSent.inProgress() && !t.prevExpired(now, p) &&
-		!t.ended[p.Previous]
+	if p.Previous == (Incarnation{}) || p.pending || now.Before(p.nextOrder) || t.ended[p.Previous] || p.prevInherited && now.Before(t.releasesFrom) {
+		return false
+	}
+	return !p.prevSent.inProgress() && !t.prevExpired(now, p)
 }
 
 // free reports whether the previous owner of a range has stopped without an answer to a release, and why.
--- a/io/grant/elect.go
+++ b/io/grant/elect.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"heatherrouter/core/elect"
+	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/site"
 	"heatherrouter/io/feed"
@@ -145,8 +146,13 @@
 // storeTimeout is the longest response time of a healthy store.
 const storeTimeout = 300 * time.Millisecond
 
-// maySendOrder reports whether this daemon may send orders in the term. It is checked right before each order: the process
+// maySendOrder reports whether this daemon may send the order in the term. It is checked right before each order: the process
 // may have been paused, and another daemon may be the coordinator by now.
-func (g *Granter) maySendOrder(term site.Term) bool {
-	return uint64(term) > g.endedTerm.Load() && g.o.Feed.HoldsTerm(term) && g.o.Feed.ControlAge() < elect.AuthorityTTL
+func (g *Granter) maySendOrder(term site.Term, o hold.Order) bool {
+	age := g.o.Feed.ControlAge()
+	if uint64(term) <= g.endedTerm.Load() || !g.o.Feed.HoldsTerm(term) || age >= elect.AuthorityTTL {
+		return false
+	}
+	x, ok := o.(hold.Grant)
+	return !ok || x.Renewal || elect.MayGrantAnew(g.o.Feed.Snapshot().Coordinator, age)
 }
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -177,7 +177,7 @@
 	g.fillOrder(req, l, d.order)
 	var call conns.Call
 	call.Guard = func() bool { // the process may have been paused since the order was due
-		return g.maySendOrder(d.term) && time.Now().Before(call.Deadline)
+		return g.maySendOrder(d.term, d.order) && time.Now().Before(call.Deadline)
 	}
 	var r conns.Result
 	began := g.o.Clock.Now()
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -63,6 +63,7 @@
 		MaxTTL: max(g.o.Timing.TTL, time.Duration(w.GetHoldMs())*time.Millisecond), //nolint:gosec // below an hour
 	}
 	x.table = hold.New(now, g.o.Timing, x.stored, r, g.earlierOrders.End().Add(g.o.Timing.ExpiryBound(r.MaxTTL)))
+	x.table.DelayReleases(g.earlierOrders.RenewOnly())
 	g.services[n] = x
 	return x
 }
