conns: a response that is reset before its end is not whole

Callers saw: a 200 with an empty or short body, framed as whole, when a server answered a request before it had read all of it, without a length, and the connection was reset before the end of that answer.

Cause: a response without a length ends with its connection, and only the error of the read tells a reset from the end. The system reports a reset once. While a request is still sent, the write may receive it; the read then finds the end of the data.

Evidence: TestCutAnswerToUnreadRequestIsNotWhole cuts a response at each byte behind a request of 8 MB, large by its body or by its header. Before the change it failed for all eight combinations with a response that ends with its connection, and passed for all others: with a length, with chunks, after interim responses, 204, 304. TestCutResponseIsNotWhole and TestCutStreamIsNotWhole cut 18 responses at each byte, with a close or a reset, at once or after a pause, on new and kept connections; they passed before the change: a head that ends early is an error and never a body that ends with its connection.

Fix: if a response ends with its connection and a write failed, the error of the write decides. After the end of the other side's data the system reports EPIPE to the write, so that a whole response is still taken (TestEarlyResponseThatEndsWithItsData); any other error of the system comes before that end. The write has ended when it is looked at.

Measured: the four tests pass three times with the race detector, as does io/conns.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -53,6 +53,7 @@
 	writeErr     error         // of the current request; nil if sending failed before the connection
 	broken       bool          // must not be reused
 	unanswered   bool          // the current request has no whole response
+	untilClose   bool          // the body of the current response ends with the connection
 	used         bool          // has completed an exchange
 	idleSince    time.Time
 	sent         []sentRequest // requests that may be sent again
@@ -190,6 +191,9 @@
 	if (!streamed || err != nil) && !c.stopCancel() {
 		c.broken = true // the cancellation is closing or has closed the connection
 	}
+	if err == nil && c.untilClose && isReset(c.writeErr) {
+		err = c.writeErr
+	}
 	reserved := c.memory.Held() - held
 	c.memory = nil
 	if err != nil {
@@ -340,6 +344,14 @@
 	return len(id) > 0 && !bytes.Equal(id, req.Header.Peek(n.RequestID))
 }
 
+// isReset reports whether a write failed because the connection had failed before the other side ended its data. The system
+// reports that once: a later read finds the end of the data, as if the response were whole. After the end of its data the
+// error would be EPIPE.
+func isReset(err error) bool {
+	var e syscall.Errno
+	return errors.As(err, &e) && e != syscall.EPIPE
+}
+
 func hasBody(status int) bool {
 	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
 }
--- a/io/conns/read.go
+++ b/io/conns/read.go
@@ -86,6 +86,7 @@
 // readHead reads the header of the final response and the interim responses before it, and returns their size in bytes.
 func (c *conn) readHead(resp *fasthttp.Response) (size int64, err error) {
 	resp.Reset()
+	c.untilClose = false
 	from := c.consumed()
 	for i := 0; ; i++ {
 		if err := c.readLines(resp.Header.Read, from); err != nil {
@@ -130,7 +131,7 @@
 		if !p.options.CloseDelimited || streamed {
 			return ErrNoLength
 		}
-		c.broken = true // the response ends with its connection; a reset before its end is an error
+		c.broken, c.untilClose = true, true // a reset before the end is an error
 	}
 	resp.StreamBody = streamed
 	switch {
