conns: a connection on which a request wasn't sent whole is not reused

Callers saw: nothing that is known; found by the tests of cut responses.

Cause: if a large request and the response to it are sent at the same time, the connection counted as broken when the write went on after the response, but not when the write had failed by then and the response was whole. It became an idle one.

Evidence: TestCutAnswerToUnreadRequestIsNotWhole now wants the connection closed. After a reset the connection was found dead before its next use. By reading the code: a write that fails at the deadline, just after the response has arrived, would leave the connection alive, and the server would take the next request for the rest of the body. No run shows that.

Fix: a failed write makes the connection unusable, as for small requests.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -247,6 +247,7 @@
 	err := c.read(p, req, resp, call.Deadline, false)
 	select {
 	case serr := <-sent:
+		c.broken = c.broken || serr != nil
 		if err != nil && serr != nil {
 			return serr
 		}
--- a/io/conns/cut_test.go
+++ b/io/conns/cut_test.go
@@ -202,6 +202,7 @@
 				for n := max(0, len(x.head)-20); n <= len(x.head)+len(x.body); n++ {
 					req.SetRequestURI(fmt.Sprintf("/cut/%d", n))
 					r := p.Do(t.Context(), cutCall(), req, resp)
+					require.Zero(t, p.Stats().Open, "the connection must not be reused")
 					if r.Outcome == retry.Answered {
 						require.True(t, x.whole(n, true), "%d bytes: %q", n, resp.Body())
 						require.Equal(t, x.content, string(resp.Body()))
