conns: a response with the ids of two requests is no response

Callers saw: nothing that is known; found while cutting heads. The body of another request's response would come under the caller's own id.

Cause: only the first id of a response was compared. If a server breaks off a head in the middle of a value and goes on with the response to another request, the parser takes both heads for one: the first id is the caller's own, and the length and the body are the other's.

Evidence: TestHeadContinuedByOtherResponseIsNoResponse failed in four of its six cases, whole and streamed; with a head that was broken off before its id it passed.

Fix: each id in the response must be the request's own.

Measured: the test passes.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -342,8 +342,13 @@
 	if n.RequestID == "" {
 		return false
 	}
-	id := resp.Header.Peek(n.RequestID)
-	return len(id) > 0 && !bytes.Equal(id, req.Header.Peek(n.RequestID))
+	own := req.Header.Peek(n.RequestID)
+	for _, id := range resp.Header.PeekAll(n.RequestID) { // a server may break off a header and go on with that of another response
+		if len(id) > 0 && !bytes.Equal(id, own) {
+			return true
+		}
+	}
+	return false
 }
 
 // isReset reports whether a write failed because the connection had failed before the other side ended its data. The system
--- a/io/conns/head_test.go
+++ b/io/conns/head_test.go
@@ -133,3 +133,31 @@
 		require.ErrorIs(t, err, syscall.ECONNRESET)
 	}
 }
+
+// Guards against a head that a server breaks off in the middle and continues with the response to another request: the caller would get
+// that response's body under its own id.
+func TestHeadContinuedByOtherResponseIsNoResponse(t *testing.T) {
+	const other = okHead + "Heatherrouter-Request-Id: other\r\nContent-Length: 5\r\n\r\nother"
+	for _, begun := range []string{okHead + "Heatherrouter-Request-Id: own\r\nX: ", okHead + "Heatherrouter-Request-Id: own\r\nX: a", okHead + "X: "} {
+		for name, streamed := range map[string]bool{"whole": false, "streamed": true} {
+			t.Run(name+" "+begun, func(t *testing.T) {
+				a := listen(t, func(_ int, c net.Conn) {
+					readRequest(c)
+					_, _ = io.WriteString(c, begun+other)
+				})
+				p := newPool(t, Options{Addr: a, CloseDelimited: true, DialTimeout: 5 * time.Second})
+				req, resp := get("/"), &fasthttp.Response{}
+				req.Header.Set(HeaderRequestID, "own")
+				var r Result
+				if streamed {
+					_, r = p.DoStream(t.Context(), cutCall(), req, resp)
+				} else {
+					r = p.Do(t.Context(), cutCall(), req, resp)
+				}
+				require.Equal(t, retry.Unknown, r.Outcome, "passed on: %q", resp.Body())
+				require.ErrorIs(t, r.Err, ErrIDMismatch)
+				require.Zero(t, p.Stats().Open)
+			})
+		}
+	}
+}
