--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -54,6 +54,7 @@
 	writeErr     error         // of the current request; nil if sending failed before the connection
 	broken       bool          // must not be reused
 	unanswered   bool          // the current request has no whole response
+	untilClose   bool          // the body of the current response ends with the connection
 	used         bool          // something was sent on it
 	idleSince    time.Time
 	sent         []sentRequest // requests that may be sent again
@@ -61,6 +62,7 @@
 	memory       *memory.Reservation // for the body of the current response; nil for no limit
 	received     int64               // bytes since the connection was opened
 	receiveLimit int64               // of received, while a body without a stated length is read
+	readErr      error               // of the connection, which reports a reset once and then the end of the data
 	readBy       time.Time           // read deadline of the response that is being read
 	inHead       bool                // a header or trailers are being read
 	headBegun    bool                // some of them has been received
@@ -190,6 +192,9 @@
 	if (!streamed || err != nil) && !c.stopCancel() {
 		c.broken = true // the cancellation is closing or has closed the connection
 	}
+	if err == nil && c.untilClose && isReset(c.writeErr) {
+		err = c.writeErr
+	}
 	reserved := c.memory.Held() - held
 	c.memory = nil
 	if err != nil {
@@ -243,6 +248,7 @@
 	err := c.read(p, req, resp, call.Deadline, false)
 	select {
 	case serr := <-sent:
+		c.broken = c.broken || serr != nil
 		if err != nil && serr != nil {
 			return serr
 		}
@@ -336,8 +342,21 @@
 	if n.RequestID == "" {
 		return false
 	}
-	id := resp.Header.Peek(n.RequestID)
-	return len(id) > 0 && !bytes.Equal(id, req.Header.Peek(n.RequestID))
+	own := req.Header.Peek(n.RequestID)
+	for _, id := range resp.Header.PeekAll(n.RequestID) { // a server may break off a header and go on with that of another response
+		if len(id) > 0 && !bytes.Equal(id, own) {
+			return true
+		}
+	}
+	return false
+}
+
+// isReset reports whether a write failed because the connection had failed before the other side ended its data. The system
+// reports that once: a later read finds the end of the data, as if the response were whole. After the end of its data the
+// error would be EPIPE.
+func isReset(err error) bool {
+	var e syscall.Errno
+	return errors.As(err, &e) && e != syscall.EPIPE
 }
 
 func hasBody(status int) bool {
--- a/io/conns/read.go
+++ b/io/conns/read.go
@@ -31,6 +31,9 @@
 
 // Read reads from the connection within the limits of the response that is being read.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.readErr != nil {
+		return 0, c.readErr
+	}
 	if c.received >= c.receiveLimit {
 		return 0, ErrEndless
 	}
@@ -46,6 +49,9 @@
 	if c.inHead && errors.Is(err, os.ErrDeadlineExceeded) && !c.headBy.IsZero() && c.headBy.Before(c.readBy) {
 		return n, ErrEndless
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.readErr = err
+	}
 	return n, err
 }
 
@@ -83,12 +89,19 @@
 // readHead reads the header of the final response and the interim responses before it, and returns their size in bytes.
 func (c *conn) readHead(resp *fasthttp.Response) (size int64, err error) {
 	resp.Reset()
+	c.untilClose = false
 	from := c.consumed()
+	read := func(r *bufio.Reader) error {
+		if err := checkHead(r); err != nil {
+			return err
+		}
+		return resp.Header.Read(r)
+	}
 	for i := 0; ; i++ {
-		if err := c.readLines(resp.Header.Read, from); err != nil {
+		if err := c.readLines(read, from); err != nil {
 			return 0, err
 		}
-		if s := resp.StatusCode(); s >= 200 || s < 100 {
+		if resp.StatusCode() >= 200 {
 			return c.consumed() - from, nil
 		}
 		if i == maxInterim {
@@ -127,7 +140,7 @@
 		if !p.options.CloseDelimited || streamed {
 			return ErrNoLength
 		}
-		c.broken = true // the response ends with its connection; a reset before its end is an error
+		c.broken, c.untilClose = true, true // a reset before the end is an error
 	}
 	resp.StreamBody = streamed
 	switch {
