io/send: the sender of the tests can look for relays

Under load a test of io/send ended the run of the package with a nil dereference in reach.Relays.Pick: 3 of 4 runs of TestMemoryOfFailedAttempts (-race, -count 500 each, GOMAXPROCS 1 and 2) beside four busy processes at load 21 to 27. The whole stack was kept of one of them. One run without the busy processes passed.

Cause: a dial to 127.0.0.1 took more than the dial timeout of 250 ms. A trial copy that prints failed dials had "i/o timeout" right before the panic in 3 of 3 runs. The sender then looks for a peer that reaches the server, and newTestSender set no Relays. The daemon always sets them (io/node), so only the tests were affected.

newTestSender now has Relays that know no other daemon, as in the other tests of the package, so such a dial gives a refusal that the test can judge. No check changes. ./io/send passes 3 of 3 with -race at load 23.

--- a/io/send/endless_test.go
+++ b/io/send/endless_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strings"
@@ -20,6 +21,7 @@
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
 	"heatherrouter/core/pace"
+	"heatherrouter/core/reach"
 	"heatherrouter/core/report"
 	"heatherrouter/core/site"
 	"heatherrouter/io/clock"
@@ -82,7 +84,7 @@
 	defer time.Sleep(2 * retryWindow)
 	return New(Options{
 		Self: "self", Clock: clock.New(), View: staticView{s: snap.BuildIndex()}, Counter: noCounter{}, Reports: openReports{}, Guard: noGuard{}, Paths: noPaths{},
-		RetryLimit: pace.RetryLimit{Ratio: 0.2, Slack: 20, Window: retryWindow}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+		Relays: reach.NewRelays("self", nil, rand.IntN), RetryLimit: pace.RetryLimit{Ratio: 0.2, Slack: 20, Window: retryWindow}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		Dialect: Dialect{
 			RequestID: "Request-Id", Deadline: "Deadline", Key: "Key", ExpectedServer: "Expected", NotRun: "Not-Run", Signature: "Signature", RetryAfter: "Retry-After",
 			ReadReport: func(*fasthttp.Response) (report.Report, check.Findings) { return report.Report{}, nil },
