io/send: the test of failed attempts sends to the failing server first

No memory was lost or reserved wrongly: the figures that the test checks before were right in each failing run.

Cause: the test left to chance which of two equal servers gets a request first. choice.Pick starts at a random candidate, so the failing server gets none of six requests in 1 of 64 runs.

The healthy server is now avoided before each request, so that each of the six fails at one server and is answered by the other, and both counts are checked each time: before, one failed attempt in six was enough.

With the release of a failed attempt's memory taken out of releaseResponse the test fails in 20 of 20 runs.

--- a/io/send/memory_test.go
+++ b/io/send/memory_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -26,6 +27,15 @@
 	})}
 }
 
+// connect opens a connection to each server in advance. On a busy machine a dial can time out, and the request would then go elsewhere.
+func connect(t *testing.T, s *Sender, servers ...*site.Server) {
+	for _, x := range servers {
+		require.Eventually(t, func() bool {
+			return s.backend(x, false).pool.Preconnect(t.Context(), time.Now().Add(time.Second))
+		}, 10*time.Second, time.Millisecond)
+	}
+}
+
 func newMemory(limit buffer.Bytes) *memory.Budget {
 	return memory.New(memory.Options{Limit: limit, Clock: clock.New(), Refused: func(int) {}})
 }
@@ -63,17 +73,21 @@
 	x, y := respond(t, 500, 300<<10, &failed), respond(t, 200, 100<<10, &served)
 	x.ID, y.ID = "a", "b"
 	s := newTestSender(t, x, y)
-	for range 6 {
+	for i := range 6 {
+		connect(t, s, x, y)
+		s.backend(x, false).load.AvoidUntil = 0
+		s.backend(y, false).load.AvoidUntil = s.o.Clock.Now().Add(time.Minute) // so that the request goes to the failing server first
 		m, resp := &memory.Reservation{Budget: newMemory(1 << 20)}, &fasthttp.Response{}
 		s.Handle(t.Context(), testRequest("/safe/x"), resp, m)
 		require.Equal(t, fasthttp.StatusOK, resp.StatusCode())
 		require.Equal(t, 100<<10, m.Held(), "only what the caller receives")
 		m.ReleaseAll()
 		require.Zero(t, m.Budget.State().Held)
-		s.backend(x, false).load.AvoidUntil = 0
+		require.EqualValues(t, i+1, failed.Load(), "each request failed at one server")
+		require.EqualValues(t, i+1, served.Load(), "and was answered by the other")
 	}
-	require.Positive(t, failed.Load())
 	s = newTestSender(t, x)
+	connect(t, s, x)
 	m, resp := &memory.Reservation{Budget: newMemory(1 << 20)}, &fasthttp.Response{}
 	s.Handle(t.Context(), testRequest("/safe/x"), resp, m)
 	require.Equal(t, fasthttp.StatusInternalServerError, resp.StatusCode())
