core/owner: a home with a fast clock releases a shard only after its requests

A search with TestFreshSchedules (-rapid.) found "at 11636: shard 0 runs on server 0 epoch 1 and on server 1 epoch 2": two backend servers at work on one shard.

Cause, by a trace of releases and runs: the home, whose clock is 1 % fast, sent a request with 977.5 ms left, a deadline that the model and io/home convert to the wall clock. The server's wall clock is 50 ms behind, so the request ended at 1638.1 ms. The home counted it as in flight to the deadline plus the skew by its own clock, which read that at 1627.9 ms, and released the shard at 1628.1 ms. The allowance for the skew was there, the one for the drift over the time left wasn't. Ruled out, by arithmetic: the lease, which ends late enough for any drift (Terms.Lapse).

A request now counts as in flight longer by the drift of the time left, the skew included: at the most 15 ms with a lease of 1.5 s.

TestRequestWithoutResponseDelaysRelease expected the release at the deadline plus the skew, which is too early; it now expects it later by 1 %, and not before. It and the schedule in TestSchedulesThatOnceFailed fail without the change and pass with it.

--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -135,6 +135,9 @@
 // Skew returns how far the backend server's wall clock may be behind the holder's.
 func (h *Holder) Skew() time.Duration { return h.terms.Skew }
 
+// Drift returns how far each clock may run fast or slow, as a share of 1.
+func (h *Holder) Drift() float64 { return h.terms.Drift }
+
 // Holds reports whether the holder may send now. Check it right before every send.
 func (h *Holder) Holds(now mono.Time) bool { return !h.stopped && now.Before(h.until) }
 
--- a/core/lease/model_test.go
+++ b/core/lease/model_test.go
@@ -119,6 +119,16 @@
 		{AtMS: 173, Kind: freezeHome, A: 1, B: 15, ForMS: 1900},
 		{AtMS: 2023, Kind: killStandby, A: 1, B: 15, ForMS: 4000},
 	}},
+	// A home with a fast clock released a shard before the deadline of a request by the wall clock, at a server whose clock is behind.
+	{Seed: 0xc7f80a23, Servers: 2, Shards: 2, Apart: true, Wall: true, Skewed: true, Faults: []fault{
+		{AtMS: 0, Kind: moveHome, A: 1, B: 4, ForMS: 1},
+		{AtMS: 778, Kind: freezeStandby, A: 1, B: 0, ForMS: 1400},
+		{AtMS: 3, Kind: killDaemon, A: 1, B: 0, ForMS: 1600},
+		{AtMS: 20, Kind: freezeStandby, A: 0, B: 0, ForMS: 50},
+		{AtMS: 51, Kind: freezeWitness, A: 0, B: 0, ForMS: 1600},
+		{AtMS: 0, Kind: moveTwice, A: 2, B: 15, ForMS: 1400},
+		{AtMS: 300, Kind: moveTwice, A: 2, B: 15, ForMS: 300},
+	}},
 }
 
 func TestSchedulesThatOnceFailed(t *testing.T) {
--- a/core/owner/gate.go
+++ b/core/owner/gate.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"heatherrouter/core/ident"
 	"heatherrouter/core/lease"
@@ -30,7 +31,7 @@
 	shard    ident.Shard
 	epoch    ident.Epoch
 	deadline mono.Time
-	endsBy   mono.Time // when even a server whose clock is behind has ended it
+	endsBy   mono.Time // when even a server whose clock is behind has ended it, by this process's clock if that is fast
 }
 
 // NewGate returns the gate of a server.
@@ -115,8 +116,11 @@
 	if !now.Before(g.holder.Until().Add(-skew)) {
 		return Start{}, NoLease
 	}
+	// The time left is converted to the wall clock. If this process's clock is fast, it reaches the deadline before the wall clock does.
+	left := d.Add(skew).Sub(now)
+	endsBy := now.Add(left + time.Duration(float64(left)*g.holder.Drift()))
 	g.last++
-	g.inFlight[g.last] = flight{shard: s, epoch: e, deadline: d, endsBy: d.Add(skew)}
+	g.inFlight[g.last] = flight{shard: s, epoch: e, deadline: d, endsBy: endsBy}
 	return Start{Token: g.last, Epoch: g.holder.Epoch(), Deadline: d}, NotRefused
 }
 
--- a/core/owner/gate_test.go
+++ b/core/owner/gate_test.go
@@ -219,9 +219,11 @@
 	h.SetRows(2, rows(owner.Row{Owner: "svc/b", Epoch: 2, Previous: "svc/a"}))
 	h.renew(2)
 	w := owner.ReleaseRequest{Shard: 0, Epoch: 2, Previous: "svc/a", Rev: 2}
-	s.now = s.now.Add(700*ms + h.Skew() - 1)
+	ends := 700*ms + h.Skew()
+	ends += ends / 100 // the home's clock may run 1 % fast
+	s.now = s.now.Add(ends - 1)
 	h.renew(2)
-	require.False(t, h.MayRelease(s.now, w), "the server's clock may be behind")
+	require.False(t, h.MayRelease(s.now, w), "the server's clock may be behind, and the home's fast")
 	s.now = s.now.Add(1)
 	require.True(t, h.MayRelease(s.now, w))
 }
