Revert "core/lease: the model's judge decides on going back when a home gets its lease"

It doesn't cover the finding.

What the judge should take as known when a row is written is a question of what is promised, and not settled here: the judge stays as it was, and the finding is listed.

--- a/core/lease/daemon_test.go
+++ b/core/lease/daemon_test.go
@@ -229,11 +229,7 @@
 	if d.w.off[floor] {
 		g.Rev = min(g.Rev, d.copy.rev)
 	}
-	held := h.Holds(d.clock())
 	h.Answered(sent, x.name, g)
-	if !held && h.Holds(d.clock()) {
-		d.w.judge.leased(serverIndex(h.Server()), homeLog{epoch: h.Epoch(), home: d.id, life: d.life})
-	}
 	if s != nil {
 		d.install(s)
 	}
--- a/core/lease/server_test.go
+++ b/core/lease/server_test.go
@@ -103,12 +103,11 @@
 	})
 }
 
-// judge reads the servers' logs and, for what is forgotten, the table and when homes got their leases.
+// judge reads the servers' logs and nothing else.
 type judge struct {
 	w      *world
 	shards []shardLog
-	homes  []homeLog // with the highest epoch
-	back   []homeLog // that got a lease under an older epoch when nothing told of the highest
+	homes  []homeLog
 	fault  string
 	runs   int
 }
@@ -146,15 +145,14 @@
 		l.first = j.w.now
 	}
 	h := &j.homes[r.server]
-	log := homeLog{epoch: r.epoch, home: r.home, life: r.life}
-	if r.epoch < h.epoch && (h.home != r.home || h.life != r.life) && !j.forgotten(r.server) && j.back[r.server] != log {
+	if r.epoch < h.epoch && (h.home != r.home || h.life != r.life) && !j.forgotten(r.server) {
 		j.failf("server %d went back from home %d epoch %d to home %d epoch %d", r.server, h.home, h.epoch, r.home, r.epoch)
 	}
 	if r.epoch == h.epoch && h.home != r.home {
 		j.failf("server %d took epoch %d from home %d and from home %d", r.server, r.epoch, h.home, r.home)
 	}
 	if r.epoch >= h.epoch {
-		*h, j.back[r.server] = log, homeLog{}
+		*h = homeLog{epoch: r.epoch, home: r.home, life: r.life}
 	}
 }
 
@@ -165,18 +163,6 @@
 	return j.homes[server].epoch > j.w.table.homes[server].Epoch && j.w.amnesia
 }
 
-// leased takes note of a home that had no lease and has got one. Under an older epoch it may use this lease to its end when nothing is
-// left that could tell of the highest one, also if a row that does is written meanwhile.
-func (j *judge) leased(server int, l homeLog) {
-	switch {
-	case l.epoch >= j.homes[server].epoch:
-	case j.forgotten(server):
-		j.back[server] = l
-	default:
-		j.back[server] = homeLog{}
-	}
-}
-
 func (j *judge) failf(format string, args ...any) {
 	if j.fault == "" {
 		j.fault = fmt.Sprintf("at %v: ", j.w.now/ms) + fmt.Sprintf(format, args...)
--- a/core/lease/world_test.go
+++ b/core/lease/world_test.go
@@ -45,7 +45,7 @@
 
 func newWorld(x schedule, off [nRules]bool) *world {
 	w := &world{sim: newSim(x.Seed), off: off, noise: x.Noise}
-	w.judge = judge{w: w, shards: make([]shardLog, x.Shards), homes: make([]homeLog, x.Servers), back: make([]homeLog, x.Servers)}
+	w.judge = judge{w: w, shards: make([]shardLog, x.Shards), homes: make([]homeLog, x.Servers)}
 	w.cutTable = make([]bool, nDaemons)
 	w.now = 10 * sec
 	t := &snapshot{rev: 1, shards: map[ident.Shard]owner.Row{}}
