--- /dev/null
+++ b/core/hold/succession_daemon_test.go
@@ -0,0 +1,733 @@
+package hold_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"heatherrouter/core/elect"
+	"heatherrouter/core/hold"
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/core/site"
+	"heatherrouter/core/source"
+)
+
+const ms = time.Millisecond
+
+// host is a host that runs a daemon. Its clocks go on while the daemon is restarted.
+type host struct {
+	w             *succession
+	index         int
+	id            ident.Daemon
+	offset        time.Duration
+	rate          float64
+	suspended     time.Duration // for which the clock without suspensions stood still
+	storeCutUntil mono.Time
+	frozenUntil   mono.Time
+	side          int // daemons with the same number reach each other
+	last          ident.Incarnation
+	d             *daemon // nil while none runs
+}
+
+// daemon is one incarnation of a daemon: its copy of the store, its promise, and what it does as the coordinator.
+type daemon struct {
+	*feedState
+	w         *succession
+	host      *host
+	inc       ident.Incarnation
+	ended     bool
+	leaving   bool
+	blocked   bool // waits for the store
+	inbox     []func()
+	steppedAt mono.Time
+	woken     bool
+
+	// State of the term, as in io/grant.
+	term             site.Term
+	endedTerm        site.Term
+	surrendered      site.Term
+	rev              int // of the coordinator's row
+	keys             *keys
+	links            map[ident.Server]*link
+	entries          map[ident.Server]row
+	earlierOrdersEnd mono.Time
+	plannedAt        mono.Time
+	termStarted      time.Duration
+	supportedAt      mono.Time
+	votersRevisedAt  mono.Time
+	nextTakeOver     mono.Time
+
+	withdrawnRows map[ident.Daemon]int
+	withdrawTerm  site.Term
+	withdrawalsAt mono.Time
+}
+
+// keys is the assignment of the service in the current term.
+type keys struct {
+	table          *hold.Table
+	rev            int
+	stored         []hold.Assignment
+	fencesReserved bool
+	writing        bool
+	writeStartedAt mono.Time
+	firstSeenAt    mono.Time
+}
+
+func (w *succession) start(h *host) {
+	h.last++
+	d := &daemon{w: w, host: h, inc: h.last}
+	d.feedState = newFeedState(d)
+	h.d = d
+	w.logf("%s starts", d.name())
+	for n := range tables {
+		d.poll(n)
+	}
+	w.after(w.between(0, 400*ms), d, d.announce)
+	w.after(w.between(0, 100*ms), d, d.sync)
+	w.after(w.between(0, tick), d, d.run)
+}
+
+// kill ends the daemon at once. What it has sent still arrives.
+func (w *succession) kill(h *host) {
+	if h.d == nil {
+		return
+	}
+	w.logf("%s ends", h.d.name())
+	h.d.ended, h.d = true, nil
+	w.after(w.between(200*ms, 4*time.Second), nil, func() { w.start(h) })
+}
+
+func (d *daemon) name() string { return fmt.Sprintf("%s/%d", d.host.id, d.inc) }
+
+// now is the clock that stands still while the host is suspended, and boot the one that doesn't.
+func (d *daemon) now() mono.Time { return mono.Time(d.boot() - d.host.suspended) }
+
+func (d *daemon) boot() time.Duration {
+	return d.host.offset + time.Duration(float64(d.w.now)*d.host.rate)
+}
+
+// until is the time until a moment by the daemon's clock.
+func (d *daemon) until(t mono.Time) time.Duration {
+	return time.Duration(float64(t.Sub(d.now())) / d.host.rate)
+}
+
+// run calls step when something has changed or is due.
+func (d *daemon) run() {
+	d.w.after(tick, d, d.run)
+	if d.blocked {
+		return
+	}
+	for len(d.inbox) > 0 && !d.blocked {
+		f := d.inbox[0]
+		d.inbox = d.inbox[1:]
+		f()
+	}
+	if d.blocked || !d.leads() && !d.woken && d.now().Sub(d.steppedAt) < pollInterval {
+		return
+	}
+	d.steppedAt, d.woken = d.now(), false
+	d.step()
+}
+
+// onRun calls f once the daemon isn't waiting for the store.
+func (d *daemon) onRun(f func()) {
+	if d.blocked {
+		d.inbox = append(d.inbox, f)
+		return
+	}
+	f()
+}
+
+// step is step in io/grant/grant.go.
+func (d *daemon) step() {
+	if !d.loaded[control] || !d.loaded[servers] {
+		return
+	}
+	now := d.now()
+	if d.loadedAt == 0 {
+		d.loadedAt = now
+	}
+	s := d.snapshot()
+	copyAge, contactAge := d.ages()
+	st := elect.State{
+		Self: d.host.id, Incarnation: d.inc, Leaving: d.leaving, Snapshot: s, CopyAge: copyAge, SinceContact: contactAge, SinceLoaded: now.Sub(d.loadedAt),
+	}
+	if st.IsCoordinator() && s.Coordinator.Term == d.surrendered && !d.leaving {
+		d.takeOver(s, ownNewTerm(d.earlierOrdersEnded()))
+		return
+	}
+	if st.IsCoordinator() && (!d.leaving || d.term != 0) {
+		d.coordinate()
+		return
+	}
+	d.endTerm()
+	switch x := st.Decide().(type) {
+	case elect.RequestWithdrawals:
+		if d.requestWithdrawals(s) {
+			d.takeOver(s, takeOverAfterWithdrawals(x))
+		}
+	case elect.TakeOver:
+		clear(d.withdrawnRows)
+		d.takeOver(s, x)
+	}
+}
+
+// call commits a transaction while the daemon does nothing else.
+func (d *daemon) call(x txn, timeout time.Duration, done func(rev int, err storeError)) {
+	d.blocked = true
+	d.w.commit(d, x, timeout, func(rev int, err storeError) {
+		d.blocked = false
+		done(rev, err)
+	})
+}
+
+// takeOver is takeOver in io/grant/elect.go.
+func (d *daemon) takeOver(s *site.Snapshot, t elect.TakeOver) {
+	now := d.now()
+	if now.Before(d.nextTakeOver) {
+		return
+	}
+	d.nextTakeOver = now.Add(takeOverRetryDelay)
+	c := takeOverRow(d.host.id, d.inc, s.Coordinator, t, elect.Voters(d.host.id, s.Daemons))
+	x := txn{expect: map[string]int{coordKey: d.row(coordKey).rev}, put: map[string]row{coordKey: {coord: c}}}
+	for _, v := range s.Voters {
+		if r := d.withdrawnRows[v]; r > 0 {
+			x.expect[daemonKey(v)] = r
+		}
+	}
+	requested := d.boot()
+	d.call(x, time.Second, func(rev int, err storeError) {
+		if err != stored {
+			clear(d.withdrawnRows)
+			return
+		}
+		d.confirmed = max(d.confirmed, requested)
+		d.applyWritten(map[string]row{coordKey: {rev: rev, coord: c}})
+	})
+}
+
+// requestWithdrawals is requestWithdrawals in io/grant/withdraw.go.
+func (d *daemon) requestWithdrawals(s *site.Snapshot) bool {
+	term, now := s.Coordinator.Term, d.now()
+	if d.withdrawTerm != term {
+		d.withdrawTerm, d.withdrawnRows, d.withdrawalsAt = term, map[ident.Daemon]int{}, 0
+	}
+	if now.Sub(d.withdrawalsAt) >= withdrawInterval {
+		d.withdrawalsAt = now
+		if slices.Contains(s.Voters, d.host.id) && d.withdraw(term) {
+			d.recordWithdrawal(term, d.host.id, d.row(daemonKey(d.host.id)).rev)
+		}
+		for _, v := range s.Voters {
+			if v == d.host.id || d.withdrawnRows[v] > 0 || s.Daemons[v] == nil {
+				continue
+			}
+			rev := d.row(daemonKey(v)).rev
+			var given bool
+			d.w.ask(d, v, withdrawTimeout, func(p *daemon) time.Duration { return 0 }, func(p *daemon) { given = p.withdraw(term) }, func(ok bool) {
+				if ok && given {
+					d.onRun(func() { d.recordWithdrawal(term, v, rev) })
+				}
+			})
+		}
+	}
+	n := 0
+	for _, v := range s.Voters {
+		if d.withdrawnRows[v] > 0 {
+			n++
+		}
+	}
+	return elect.IsQuorum(n, len(s.Voters))
+}
+
+func (d *daemon) recordWithdrawal(term site.Term, from ident.Daemon, rev int) {
+	if term == d.withdrawTerm && rev > 0 {
+		d.withdrawnRows[from] = rev
+		d.woken = true
+	}
+}
+
+// beginTerm is beginTerm in io/grant/elect.go.
+func (d *daemon) beginTerm(s *site.Snapshot) {
+	now := d.now()
+	d.term, d.rev, d.keys = s.Coordinator.Term, d.row(coordKey).rev, nil
+	d.links, d.entries = map[ident.Server]*link{}, map[ident.Server]row{}
+	d.earlierOrdersEnd = earlierOrdersEnd(now, s.Coordinator.Clean)
+	d.plannedAt, d.termStarted, d.supportedAt = 0, d.boot(), now
+	d.w.logf("%s begins term %d: clean %v without-quorum %v, earlier orders end in %.1f s", d.name(), d.term, s.Coordinator.Clean,
+		s.Coordinator.WithoutQuorum, d.earlierOrdersEnd.Sub(now).Seconds())
+}
+
+func (d *daemon) earlierOrdersEnded() bool { return !d.now().Before(d.earlierOrdersEnd) }
+
+func (d *daemon) endTerm() {
+	if d.term == 0 {
+		return
+	}
+	d.w.logf("%s ends term %d", d.name(), d.term)
+	d.endedTerm = d.term
+	for _, l := range d.links {
+		l.close()
+	}
+	d.term, d.keys, d.links = 0, nil, nil
+}
+
+// handOver is handOver in io/grant/elect.go.
+func (d *daemon) handOver(done func()) {
+	s := d.snapshot()
+	if d.term == 0 || s.Coordinator.Term != d.term {
+		done()
+		return
+	}
+	rev, term := d.row(coordKey).rev, d.term
+	d.endTerm()
+	c := handOverRow(d.host.id, term, s.Voters, d.earlierOrdersEnded())
+	d.call(txn{expect: map[string]int{coordKey: rev}, put: map[string]row{coordKey: {coord: c}}}, time.Second, func(rev int, err storeError) {
+		if err == stored {
+			d.applyWritten(map[string]row{coordKey: {rev: rev, coord: c}})
+		}
+		done()
+	})
+}
+
+// handOverTo is handOverTo in io/grant/reach.go.
+func (d *daemon) handOverTo(to ident.Daemon) {
+	s := d.snapshot()
+	if d.term == 0 || s.Coordinator.Term != d.term || s.Daemons[to] == nil {
+		return
+	}
+	r, term := d.row(coordKey), d.term
+	c := handOverToRow(r.coord, to, s.Daemons, d.earlierOrdersEnded())
+	d.endTerm()
+	d.surrendered = term
+	d.call(txn{expect: map[string]int{coordKey: r.rev}, put: map[string]row{coordKey: {coord: c}}}, storeTimeout, func(rev int, err storeError) {
+		if err == stored {
+			d.applyWritten(map[string]row{coordKey: {rev: rev, coord: c}})
+		}
+	})
+}
+
+// shutDown is Shutdown in io/node: the daemon hands over its role and ends.
+func (d *daemon) shutDown() {
+	d.leaving = true
+	d.w.logf("%s is leaving", d.name())
+	end := func() {
+		x := txn{expect: map[string]int{daemonKey(d.host.id): d.row(daemonKey(d.host.id)).rev}, drop: []string{daemonKey(d.host.id)}}
+		d.w.commit(d, x, 200*ms, func(int, storeError) { d.w.kill(d.host) })
+	}
+	var wait func()
+	began := d.now()
+	wait = func() {
+		if !d.leads() || d.now().Sub(began) > 10*time.Second {
+			d.onRun(func() { d.handOver(func() { d.w.after(d.w.between(0, 3*time.Second), d, end) }) })
+			return
+		}
+		d.w.read(d, control, 0, func(_ table, ok bool) {
+			if ok {
+				d.onRun(func() { d.handOver(func() { d.w.after(d.w.between(0, 3*time.Second), d, end) }) })
+				return
+			}
+			d.w.after(pollInterval, d, wait)
+		})
+	}
+	wait()
+}
+
+// updateMembers is updateMembers in io/grant/member.go. It reports whether the term goes on.
+func (d *daemon) updateMembers(s *site.Snapshot) bool {
+	now := d.now()
+	if copyAge, _ := d.ages(); copyAge > storeUnresponsiveAge {
+		return true
+	}
+	supported := d.supported()
+	d.replaceVoters(s, supported)
+	if s.Coordinator.WithoutQuorum || supported {
+		d.supportedAt = now
+		if !d.blocked {
+			d.deleteGone()
+		}
+		return true
+	}
+	if d.blocked {
+		return true
+	}
+	if elect.NeedsNewTerm(now.Sub(d.supportedAt), d.quorumInContact(elect.ContactTimeout(s))) {
+		d.w.logf("%s takes a new term after %d", d.name(), d.term)
+		d.surrendered = d.term
+		d.endTerm()
+		return false
+	}
+	if now.Sub(d.supportedAt) < elect.NoQuorumTimeout {
+		return true
+	}
+	clear(d.withdrawnRows)
+	d.takeOver(s, ownTermWithoutQuorum())
+	return false
+}
+
+// replaceVoters is replaceVoters in io/grant/voters.go.
+func (d *daemon) replaceVoters(s *site.Snapshot, supported bool) {
+	now, next := d.now(), d.proposed
+	first := next == nil
+	if first {
+		var changed bool
+		next, changed = elect.ReplaceVoters(d.host.id, s.Voters, s.Daemons)
+		if due := changed || s.Coordinator.WithoutQuorum && supported; !due || now.Sub(d.votersRevisedAt) < replaceVotersDelay {
+			return
+		}
+	}
+	if d.keys != nil && d.keys.writing {
+		return
+	}
+	d.votersRevisedAt, d.proposed = now, next
+	c := replaceVotersRow(coordRow{Coordinator: s.Coordinator, Voters: s.Voters}, next, supported)
+	d.call(txn{expect: map[string]int{coordKey: d.rev}, put: map[string]row{coordKey: {coord: c}}}, storeTimeout, func(rev int, err storeError) {
+		if err != stored {
+			if first && err == notApplied {
+				d.proposed = nil
+			}
+			return
+		}
+		d.applyWritten(map[string]row{coordKey: {rev: rev, coord: c}})
+		d.updateRev()
+	})
+}
+
+// deleteGone is deleteGoneDaemons in io/grant/member.go.
+func (d *daemon) deleteGone() {
+	x := txn{expect: map[string]int{coordKey: d.rev}}
+	for _, v := range slices.Sorted(slices.Values(d.support.Unresponsive(d.boot(), d.termStarted, daemonGoneTimeout, d.host.id, d.snapshot().Daemons))) {
+		if r := d.row(daemonKey(v)); r.rev > 0 {
+			x.expect[daemonKey(v)], x.drop = r.rev, append(x.drop, daemonKey(v))
+		}
+	}
+	if len(x.drop) == 0 {
+		return
+	}
+	d.call(x, time.Second, func(rev int, err storeError) {
+		if err != stored {
+			return
+		}
+		d.w.logf("%s deletes %v", d.name(), x.drop)
+		m := map[string]row{}
+		for _, k := range x.drop {
+			m[k] = row{rev: rev, gone: true}
+		}
+		d.applyWritten(m)
+	})
+}
+
+func (d *daemon) updateRev() {
+	if r := d.row(coordKey); r.coord.Term == d.term {
+		d.rev = max(d.rev, r.rev)
+	}
+}
+
+func daemonKey(d ident.Daemon) string { return "daemon/" + string(d) }
+
+// feedState is a daemon's copy of the store and what it knows of the others, as in io/feed.
+type feedState struct {
+	d            *daemon
+	copies       [tables]table
+	asOf         [tables]mono.Time
+	loaded       [tables]bool
+	loadedAt     mono.Time
+	seen         mono.Time // coordinatorSeen
+	answeredAt   mono.Time // by any peer
+	announcedRev int
+
+	promise      elect.Promise
+	support      elect.Support
+	proposed     []ident.Daemon
+	syncedAt     map[ident.Daemon]mono.Time
+	greeted      map[ident.Daemon]bool
+	stamp        time.Duration
+	stampTerm    site.Term
+	stampPromise time.Duration
+	confirmed    time.Duration // when the store last confirmed the control table
+}
+
+func newFeedState(d *daemon) *feedState {
+	f := &feedState{d: d, seen: d.now(), promise: elect.Promise{StartedAt: d.boot()}, syncedAt: map[ident.Daemon]mono.Time{}, greeted: map[ident.Daemon]bool{}}
+	for n := range f.copies {
+		f.copies[n] = newTable()
+	}
+	return f
+}
+
+func (f *feedState) row(k string) row { return f.copies[control].get(k) }
+
+func (f *feedState) leads() bool {
+	c := f.row(coordKey).coord
+	return c.Daemon == f.d.host.id && c.Incarnation == f.d.inc
+}
+
+func (f *feedState) snapshot() *site.Snapshot {
+	c := f.row(coordKey).coord
+	s := &site.Snapshot{Daemons: map[ident.Daemon]*site.Daemon{}, Coordinator: c.Coordinator, Voters: c.Voters}
+	for _, h := range f.d.w.hosts {
+		if r := f.row(daemonKey(h.id)); r.rev > 0 {
+			s.Daemons[h.id] = &site.Daemon{Name: h.id, Domain: ident.Domain(fmt.Sprint(h.index % 3)), Incarnation: r.incarnation, Capacity: 1000 + h.index}
+		}
+	}
+	return s
+}
+
+func (f *feedState) ages() (copied, coordinator time.Duration) {
+	now := f.d.now()
+	copied = now.Sub(f.asOf[servers])
+	switch {
+	case !f.leads():
+		coordinator = now.Sub(f.seen)
+	case copied > f.staleAfter():
+		coordinator = copied
+	}
+	return copied, coordinator
+}
+
+func (f *feedState) staleAfter() time.Duration { return source.StaleAge(f.snapshot(), f.d.host.id) }
+
+func (f *feedState) supported() bool {
+	return f.support.HasQuorum(f.d.boot(), f.d.host.id, f.voters(), f.proposed)
+}
+
+func (f *feedState) voters() []ident.Daemon { return f.row(coordKey).coord.Voters }
+
+func (f *feedState) quorumInContact(x time.Duration) bool {
+	n, l := 0, f.voters()
+	for _, v := range l {
+		if at, ok := f.syncedAt[v]; v == f.d.host.id || ok && f.d.now().Sub(at) < x {
+			n++
+		}
+	}
+	return elect.IsQuorum(n, len(l))
+}
+
+func (f *feedState) withdraw(t site.Term) bool {
+	return !f.leads() && f.promise.Withdraw(f.d.boot(), t)
+}
+
+// update takes newer rows into the copy.
+func (f *feedState) update(n int, rows map[string]row) {
+	was := f.row(coordKey).coord.Coordinator
+	for k, r := range rows {
+		if r.rev <= f.copies[n].rows[k].rev {
+			continue
+		}
+		f.copies[n].rows[k] = r
+		if k == coordKey {
+			f.proposed = nil
+		}
+		f.d.woken = true
+	}
+	if c := f.row(coordKey).coord; c.Term != was.Term || c.Daemon != was.Daemon || c.Incarnation != was.Incarnation {
+		f.seen = f.d.now()
+		f.support.Reset()
+		clear(f.syncedAt)
+		clear(f.greeted)
+	}
+}
+
+func (f *feedState) applyWritten(rows map[string]row) { f.update(control, rows) }
+
+func (f *feedState) applyPage(n int, t table, asOf mono.Time) {
+	f.update(n, t.rows)
+	f.copies[n].rev, f.asOf[n], f.loaded[n] = max(f.copies[n].rev, t.rev), max(f.asOf[n], asOf), true
+}
+
+// poll follows a table in the store while the daemon is the coordinator or its copy is old.
+func (d *daemon) poll(n int) {
+	w := d.w
+	again := func(x time.Duration) { w.after(x, d, func() { d.poll(n) }) }
+	age := d.now().Sub(d.asOf[n])
+	unresponsive := n == control && d.now().Sub(d.answeredAt) > 500*ms
+	if d.loaded[n] && !d.leads() && age < d.staleAfter() && !unresponsive {
+		again(50 * ms)
+		return
+	}
+	asked, boot := d.now(), d.boot()
+	hold := w.between(0, 300*ms)
+	if !d.loaded[n] || !d.leads() {
+		hold = 0
+	}
+	first := !d.loaded[n]
+	w.read(d, n, hold, func(t table, ok bool) {
+		if !ok {
+			again(w.between(50*ms, 800*ms))
+			return
+		}
+		d.applyPage(n, t, asked)
+		if n == control && !first {
+			d.confirmed = max(d.confirmed, boot)
+		}
+		again(w.between(50*ms, 250*ms))
+	})
+}
+
+// announce writes the daemon's row, and again whenever it was deleted.
+func (d *daemon) announce() {
+	r := row{incarnation: d.inc}
+	d.w.commit(d, txn{put: map[string]row{daemonKey(d.host.id): r}}, time.Second, func(rev int, err storeError) {
+		if err != stored {
+			d.w.after(d.w.between(250*ms, 750*ms), d, d.announce)
+			return
+		}
+		r.rev, d.announcedRev = rev, rev
+		d.applyWritten(map[string]row{daemonKey(d.host.id): r})
+		var watch func()
+		watch = func() {
+			if d.row(daemonKey(d.host.id)).rev == 0 && !d.leaving {
+				d.announce()
+				return
+			}
+			d.w.after(100*ms, d, watch)
+		}
+		watch()
+	})
+}
+
+// ask sends a request to a peer, which begins to answer after the time that wait returns. The answer is made by answer.
+func (w *succession) ask(d *daemon, to ident.Daemon, timeout time.Duration, wait func(p *daemon) time.Duration, answer func(p *daemon), done func(ok bool)) {
+	finished := false
+	finish := func(ok bool) {
+		if !finished {
+			finished = true
+			done(ok)
+		}
+	}
+	w.after(timeout, d, func() { finish(false) })
+	i := slices.IndexFunc(w.hosts, func(h *host) bool { return h.id == to })
+	h := w.hosts[i]
+	cut := func() bool { return h.side != d.host.side || w.faults.peerLosses && !w.quiet && w.oneIn(12) }
+	p := h.d
+	if p == nil || cut() {
+		return
+	}
+	w.after(w.between(ms, 15*ms), p, func() {
+		w.after(wait(p), p, func() {
+			answer(p)
+			if cut() {
+				return
+			}
+			delay := w.between(ms, 15*ms)
+			if w.faults.peerLosses && !w.quiet && w.oneIn(10) {
+				delay = w.between(0, 300*ms)
+			}
+			w.after(delay, d, func() { finish(true) })
+		})
+	})
+}
+
+// syncReply is a peer's answer to sync.
+type syncReply struct {
+	term              site.Term
+	copyAge, coordAge time.Duration
+	stamp, promise    time.Duration
+	copies            [tables]table
+}
+
+// sync gets changes from the coordinator, or from another peer if that doesn't answer.
+func (d *daemon) sync() {
+	w, c := d.w, d.row(coordKey).coord
+	again := func(x time.Duration) { w.after(x, d, d.sync) }
+	if d.leads() || !d.loaded[control] || c.Term == 0 {
+		again(100 * ms)
+		return
+	}
+	to := c.Daemon
+	if l := d.peers(); len(l) > 0 && (to == "" || to == d.host.id || d.now().Sub(d.answeredAt) > 500*ms && w.oneIn(2)) {
+		to = l[w.rnd.IntN(len(l))]
+	}
+	if to == "" || to == d.host.id {
+		again(100 * ms)
+		return
+	}
+	var stamp, promised time.Duration
+	if to == c.Daemon && d.stampTerm == c.Term {
+		stamp, promised = d.stamp, d.stampPromise
+	}
+	var r syncReply
+	w.ask(d, to, elect.SyncWait(d.snapshot(), d.host.id)+source.ResponseTimeout, func(p *daemon) time.Duration {
+		return p.receiveSync(d.host.id, c.Term, stamp, promised)
+	}, func(p *daemon) { r = p.reply() }, func(ok bool) {
+		if !ok {
+			again(w.between(50*ms, 200*ms))
+			return
+		}
+		d.applyReply(r)
+		again(0)
+	})
+}
+
+// peers returns the other daemons that the daemon knows.
+func (d *daemon) peers() []ident.Daemon {
+	var l []ident.Daemon
+	for _, h := range d.w.hosts {
+		if h != d.host && d.row(daemonKey(h.id)).rev > 0 {
+			l = append(l, h.id)
+		}
+	}
+	return l
+}
+
+// receiveSync is recordRequest in io/feed/sync.go. It returns how long the request is held open.
+func (d *daemon) receiveSync(from ident.Daemon, term site.Term, stamp, promised time.Duration) time.Duration {
+	t := d.row(coordKey).coord.Term
+	if d.leads() && term == t {
+		d.syncedAt[from] = d.now()
+		if stamp > 0 {
+			d.support.Confirm(from, stamp, promised)
+		}
+		if stamp == 0 && !d.greeted[from] {
+			d.greeted[from] = true
+			return 0
+		}
+	}
+	return d.w.between(0, elect.SyncWait(d.snapshot(), from))
+}
+
+func (d *daemon) reply() syncReply {
+	r := syncReply{term: d.row(coordKey).coord.Term}
+	r.copyAge, r.coordAge = d.ages()
+	if d.leads() {
+		r.stamp, r.promise = d.boot(), elect.PromiseDuration(d.snapshot())
+	}
+	for n := range tables {
+		r.copies[n] = d.copies[n].clone()
+	}
+	return r
+}
+
+// applyReply is applyReply in io/feed/sync.go.
+func (d *daemon) applyReply(r syncReply) {
+	now := d.now()
+	asOf := now.Add(-r.copyAge)
+	for n := range tables {
+		d.update(n, r.copies[n].rows)
+		d.copies[n].rev, d.asOf[n] = max(d.copies[n].rev, r.copies[n].rev), max(d.asOf[n], asOf)
+	}
+	if d.row(coordKey).coord.Term == r.term {
+		d.seen = max(d.seen, now.Add(-r.coordAge))
+	}
+	if r.stamp > 0 {
+		d.answeredAt = now
+	}
+	able := r.copyAge < d.staleAfter() || now.Sub(d.asOf[servers]) > d.staleAfter()
+	able = able && d.announcedRev > 0 && d.copies[control].rev >= d.announcedRev
+	if able && r.stamp > 0 && d.promise.Renew(d.boot(), r.term, r.promise) {
+		d.stamp, d.stampTerm, d.stampPromise = r.stamp, r.term, r.promise
+	}
+}
+
+// dump returns the trace of what led to the fault.
+func (w *succession) dump(last time.Duration) string {
+	var b strings.Builder
+	for _, x := range w.trace {
+		if x.at.Add(last).Before(w.now) || x.keyed && !overlap(x.keys, w.on) {
+			continue
+		}
+		fmt.Fprintf(&b, "%9.3f %s\n", time.Duration(x.at).Seconds(), x.text)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/core/hold/succession_test.go
@@ -0,0 +1,422 @@
+package hold_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/hold"
+	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+)
+
+// faults are the classes of faults that a schedule plays.
+type faults struct {
+	storeCuts      bool // daemons are cut off from the store
+	peerCuts       bool // daemons are cut off from each other
+	peerLosses     bool // exchanges between daemons are lost or late
+	freezes        bool // daemons freeze, or their hosts are suspended
+	restarts       bool // daemons end without warning and start again
+	handOvers      bool // daemons are shut down and start again
+	namedHandOvers bool // the coordinator hands its role to a named daemon
+	storeOutcomes  bool // transactions are lost, or their answers, or they are applied late
+
+	orderDelays  bool // orders arrive late, up to their deadline
+	lostAnswers  bool // answers to orders are lost
+	lateOrders   bool // servers carry out orders seconds later
+	unresponsive bool // servers don't answer
+	slowAnswers  bool // servers answer late, so that orders queue
+
+	sameAddress    bool // servers restart at their address
+	otherAddress   bool // servers restart at another address, and another server takes the former one
+	entriesRemoved bool // entries of servers vanish while these go on
+	extraResponses bool // late responses to earlier orders
+
+	sharedCoordinator bool // at times the coordinator also renews many ranges of other services
+}
+
+const tick = 20 * ms
+
+func newSuccession(seed uint64, f faults) *succession {
+	w := &succession{
+		rnd: rand.New(rand.NewPCG(seed, 3)), faults: f, timing: hold.DefaultTiming(10 * time.Second), now: mono.Time(time.Minute),
+		listen: map[int]*server{}, barred: map[ident.Server]bool{}, seen: map[string]int{},
+	}
+	for n := range w.store {
+		w.store[n] = newTable()
+	}
+	w.changeRates()
+	for i := range 3 + w.rnd.IntN(3) {
+		h := &host{w: w, index: i, id: ident.Daemon(fmt.Sprintf("d%d", i)), offset: w.between(time.Hour, 2*time.Hour), rate: 0.999 + 0.002*w.rnd.Float64()}
+		w.hosts = append(w.hosts, h)
+		w.after(w.between(0, 300*ms), nil, func() { w.start(h) })
+	}
+	for i := range 3 + w.rnd.IntN(3) {
+		s := w.startServer(ident.Server(fmt.Sprintf("s%d", i)), 1, w.newAddr())
+		w.slots = append(w.slots, &serverSlot{s: s, id: s.id})
+		w.announce(s, false)
+	}
+	w.after(tick, nil, w.tick)
+	return w
+}
+
+func (w *succession) newAddr() int {
+	w.addrs++
+	return w.addrs
+}
+
+// changeRates changes which keys are requested, so that ranges move.
+func (w *succession) changeRates() {
+	w.rates = make(hold.Rates, hold.Keys/64)
+	for range 12 {
+		w.rates[w.rnd.IntN(len(w.rates))] = 10 * w.rnd.Float64()
+	}
+}
+
+func (w *succession) tick() {
+	w.after(tick, nil, w.tick)
+	for _, s := range w.servers {
+		if !s.dead && w.once(300*ms) {
+			s.startWork()
+		}
+	}
+	if w.quiet || w.now < faultsBegin {
+		return
+	}
+	if w.once(3 * time.Second) {
+		w.changeRates()
+	}
+	if w.once(4 * time.Second) {
+		id := w.slots[w.rnd.IntN(len(w.slots))].id
+		w.barred = map[ident.Server]bool{id: true}
+	}
+	if w.once(4 * time.Second) {
+		clear(w.barred)
+	}
+	w.disturbDaemons()
+	w.disturbServers()
+}
+
+// after faultsBegin faults are played.
+const (
+	faultsBegin = mono.Time(time.Minute + 6*time.Second)
+	faultsEnd   = mono.Time(time.Minute + 100*time.Second)
+	servedBy    = mono.Time(time.Minute + 200*time.Second)
+)
+
+func (w *succession) randomHost() *host { return w.hosts[w.rnd.IntN(len(w.hosts))] }
+
+// leader returns the host of a daemon that takes itself for the coordinator, or any.
+func (w *succession) leader() *host {
+	for _, i := range w.rnd.Perm(len(w.hosts)) {
+		if h := w.hosts[i]; h.d != nil && h.d.term != 0 {
+			return h
+		}
+	}
+	return w.randomHost()
+}
+
+func (w *succession) someHost() *host {
+	if w.oneIn(2) {
+		return w.leader()
+	}
+	return w.randomHost()
+}
+
+func (w *succession) disturbDaemons() {
+	f := w.faults
+	if f.storeCuts && w.once(10*time.Second) {
+		h := w.someHost()
+		w.cutStore(h, w.long(300*ms, 40*time.Second))
+	}
+	if f.peerCuts && w.once(10*time.Second) {
+		w.cutPeers(f.storeCuts && w.oneIn(3))
+	}
+	if f.freezes && w.once(8*time.Second) {
+		h := w.someHost()
+		d := w.long(100*ms, 20*time.Second)
+		h.frozenUntil = w.now.Add(d)
+		suspended := w.oneIn(3)
+		if suspended {
+			h.suspended += time.Duration(float64(d) * h.rate)
+		}
+		w.logf("%s is frozen for %.2f s, suspended %v", h.id, d.Seconds(), suspended)
+	}
+	if f.restarts && w.once(10*time.Second) {
+		w.kill(w.someHost())
+	}
+	if f.handOvers && w.once(8*time.Second) {
+		if h := w.someHost(); h.d != nil && !h.d.leaving {
+			w.after(0, h.d, h.d.shutDown)
+		}
+	}
+	if f.namedHandOvers && w.once(6*time.Second) {
+		if d := w.leader().d; d != nil {
+			to := w.randomHost().id
+			w.after(0, d, func() {
+				d.onRun(func() {
+					if !d.leaving && to != d.host.id {
+						d.handOverTo(to)
+					}
+				})
+			})
+		}
+	}
+}
+
+func (w *succession) cutStore(h *host, d time.Duration) {
+	h.storeCutUntil = w.now.Add(d)
+	w.logf("%s is cut off from the store for %.2f s", h.id, d.Seconds())
+}
+
+// cutPeers cuts some daemons off from the others, alone or together, and from the store as well if both is set.
+func (w *succession) cutPeers(both bool) {
+	d := w.long(300*ms, 40*time.Second)
+	together := w.oneIn(2)
+	w.addrs++
+	side := w.addrs
+	for i := range 1 + w.rnd.IntN(len(w.hosts)-1) {
+		h := w.randomHost()
+		if i == 0 {
+			h = w.someHost()
+		}
+		if !together {
+			w.addrs++
+			side = w.addrs
+		}
+		own := side
+		h.side = own
+		w.logf("%s is cut off from daemons for %.2f s, side %d", h.id, d.Seconds(), own)
+		w.after(d, nil, func() {
+			if h.side == own {
+				h.side = 0
+			}
+		})
+		if both {
+			w.cutStore(h, d)
+		}
+	}
+}
+
+func (w *succession) disturbServers() {
+	f, s := w.faults, w.slots[w.rnd.IntN(len(w.slots))].s
+	if f.lateOrders && w.once(6*time.Second) {
+		s.lateUntil = w.now.Add(3 * time.Second)
+	}
+	if f.unresponsive && w.once(6*time.Second) {
+		s.unresponsiveUntil = w.now.Add(w.long(100*ms, 6*time.Second))
+		w.logf("%s is unresponsive for %.2f s", s.name(), s.unresponsiveUntil.Sub(w.now).Seconds())
+	}
+	if f.slowAnswers && w.once(6*time.Second) {
+		s.slowUntil = w.now.Add(w.long(100*ms, 6*time.Second))
+	}
+	if f.sameAddress && w.once(6*time.Second) {
+		w.restartServer(s, s.addr)
+	}
+	if f.otherAddress && w.once(6*time.Second) {
+		w.restartServer(s, w.newAddr())
+	}
+	if f.entriesRemoved && w.once(8*time.Second) {
+		w.announce(s, true)
+		w.after(w.long(200*ms, 20*time.Second), nil, func() {
+			if !s.dead {
+				w.announce(s, false)
+			}
+		})
+	}
+}
+
+// restartServer ends a server and starts it again, under its id; it is announced later.
+func (w *succession) restartServer(old *server, addr int) {
+	for _, x := range w.slots {
+		if x.s != old {
+			continue
+		}
+		old.dead = true
+		delete(w.listen, old.addr)
+		w.logf("%s ends", old.name())
+		if addr != old.addr && w.oneIn(2) {
+			w.after(w.between(0, time.Second), nil, func() {
+				if w.listen[old.addr] == nil {
+					w.startServer(ident.Server(fmt.Sprintf("other%d", old.addr)), 1, old.addr)
+				}
+			})
+		}
+		born := old.born + 1
+		s := w.newServer(old.id, born, addr)
+		x.s = s
+		w.after(w.between(0, 300*ms), nil, func() {
+			w.listen[addr] = s
+			w.logf("%s starts", s.name())
+			d := w.between(0, 900*ms)
+			if w.faults.entriesRemoved && w.oneIn(4) {
+				d = w.long(200*ms, 15*time.Second) // cut off from the store
+			}
+			w.after(d, nil, func() {
+				if !s.dead {
+					w.announce(s, false)
+				}
+			})
+		})
+	}
+}
+
+// endFaults ends all faults.
+func (w *succession) endFaults() {
+	w.quiet = true
+	clear(w.barred)
+	w.logf("faults end")
+	for _, h := range w.hosts {
+		h.storeCutUntil, h.side = 0, 0
+	}
+	for _, x := range w.slots {
+		x.s.unresponsiveUntil, x.s.lateUntil, x.s.slowUntil = 0, 0, 0
+	}
+}
+
+// play plays the schedule, with faults and then without.
+func (w *succession) play() {
+	w.runUntil(faultsEnd)
+	if w.fault != "" {
+		return
+	}
+	w.endFaults()
+	for t := faultsEnd; t < servedBy && w.fault == ""; t = t.Add(time.Second) {
+		w.runUntil(t)
+		if w.served() {
+			return
+		}
+	}
+	if w.fault == "" {
+		w.recordFault(hold.Range{Last: hold.Keys - 1}, "%d keys are served after the faults", w.heldKeys())
+	}
+}
+
+// served reports whether all keys are held and the coordinator knows it.
+func (w *succession) served() bool {
+	for _, h := range w.hosts {
+		if h.d == nil || h.d.term == 0 || h.d.keys == nil || h.d.row(coordKey).rev != w.store[control].get(coordKey).rev {
+			continue
+		}
+		n := 0
+		for _, x := range h.d.keys.table.Holds() {
+			if x.Server != "" {
+				n += x.Len()
+			}
+		}
+		if n == hold.Keys && w.heldKeys() == hold.Keys {
+			return true
+		}
+	}
+	return false
+}
+
+var (
+	seedCount = flag.Uint64("succession.seeds", 0, "schedules of each class of faults; 0 for the usual number")
+	firstSeed = flag.Uint64("succession.first", 0, "first seed")
+	traceTime = flag.Duration("succession.trace", 45*time.Second, "how much of the trace to print")
+)
+
+// playSeeds plays schedules of one class of faults.
+func playSeeds(t *testing.T, usual uint64, f faults) {
+	n := usual
+	if *seedCount > 0 {
+		n = *seedCount
+	}
+	for seed := *firstSeed; seed < *firstSeed+n; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newSuccession(seed, f)
+			w.play()
+			require.Empty(t, w.fault, "%s", w.dump(*traceTime))
+		})
+	}
+}
+
+// Guards against a test that fails by itself.
+func TestOneOwnerWithoutFaults(t *testing.T) {
+	playSeeds(t, 5, faults{})
+}
+
+// Guards against a coordinator that sends orders after its successor counts on its having stopped.
+func TestOneOwnerWhenCoordinatorsLoseStore(t *testing.T) {
+	playSeeds(t, 3, faults{storeCuts: true})
+}
+
+// Guards against two coordinators that both have support, and against the earlier one being forgotten.
+func TestOneOwnerWhenCoordinatorsLosePeers(t *testing.T) {
+	playSeeds(t, 3, faults{peerCuts: true, peerLosses: true})
+}
+
+// Guards against a chain of coordinators that forgets one without a quorum that may still send orders.
+func TestOneOwnerWhenCoordinatorsLoseStoreAndPeers(t *testing.T) {
+	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true})
+}
+
+// Guards against orders that a daemon sends when it wakes up.
+func TestOneOwnerWhenDaemonsFreeze(t *testing.T) {
+	playSeeds(t, 3, faults{freezes: true, peerLosses: true})
+}
+
+// Guards against promises and terms that a daemon has forgotten.
+func TestOneOwnerWhenDaemonsRestart(t *testing.T) {
+	playSeeds(t, 3, faults{restarts: true, peerLosses: true})
+}
+
+// Guards against a handover within the time in which earlier coordinators may send orders.
+func TestOneOwnerAfterHandOvers(t *testing.T) {
+	playSeeds(t, 3, faults{handOvers: true, namedHandOvers: true, peerLosses: true})
+}
+
+// Guards against decisions that rely on a transaction having failed that is applied later.
+func TestOneOwnerWhenTransactionsAreLate(t *testing.T) {
+	playSeeds(t, 3, faults{storeOutcomes: true, handOvers: true, namedHandOvers: true, restarts: true})
+}
+
+// Guards against a chain of coordinators, by any of their ways, that forgets one that may still send orders.
+func TestOneOwnerInChainsOfCoordinators(t *testing.T) {
+	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true, freezes: true, restarts: true, handOvers: true, namedHandOvers: true})
+}
+
+// Guards against orders that servers get or carry out late, and that queue until their range has moved.
+func TestOneOwnerWhenOrdersAreLate(t *testing.T) {
+	playSeeds(t, 3, faults{orderDelays: true, lostAnswers: true, lateOrders: true, unresponsive: true, slowAnswers: true, handOvers: true, sharedCoordinator: true})
+}
+
+// Guards against keys of a server that restarted at its address and has grants before it is announced.
+func TestOneOwnerWhenServersRestart(t *testing.T) {
+	playSeeds(t, 3, faults{sameAddress: true, handOvers: true, namedHandOvers: true, restarts: true})
+}
+
+// Guards against a 421 of the server at a former address that frees keys held at another one.
+func TestOneOwnerWhenServersMoveToOtherAddresses(t *testing.T) {
+	playSeeds(t, 3, faults{otherAddress: true, handOvers: true, namedHandOvers: true, restarts: true})
+}
+
+// Guards against keys of a server that goes on without its entry.
+func TestOneOwnerWhenEntriesVanish(t *testing.T) {
+	playSeeds(t, 3, faults{entriesRemoved: true, sameAddress: true, otherAddress: true, handOvers: true, restarts: true})
+}
+
+// Guards against a response to an earlier order that counts as the answer to a release.
+func TestOneOwnerWhenServersRepeatResponses(t *testing.T) {
+	playSeeds(t, 3, faults{extraResponses: true})
+}
+
+// Guards against fences that a server forgets by a restart while an earlier coordinator without a quorum still sends orders.
+func TestOneOwnerWhenServersRestartBesideCoordinatorsWithoutQuorum(t *testing.T) {
+	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true, sameAddress: true})
+}
+
+// Guards against combinations of the faults above, except extra responses.
+func TestOneOwnerUnderAllFaults(t *testing.T) {
+	playSeeds(t, 3, faults{
+		storeCuts: true, peerCuts: true, peerLosses: true, freezes: true, restarts: true, handOvers: true, namedHandOvers: true, storeOutcomes: true,
+		orderDelays: true, lostAnswers: true, lateOrders: true, unresponsive: true, slowAnswers: true, sameAddress: true, otherAddress: true,
+		entriesRemoved: true, sharedCoordinator: true,
+	})
+}
