--- a/core/hold/succession_daemon_test.go
+++ b/core/hold/succession_daemon_test.go
@@ -26,7 +26,8 @@
 	suspended     time.Duration // for which the clock without suspensions stood still
 	storeCutUntil mono.Time
 	frozenUntil   mono.Time
-	side          int // daemons with the same number reach each other
+	side          int                        // daemons with the same number reach each other
+	serverCuts    map[ident.Server]mono.Time // until when servers aren't reached
 	last          ident.Incarnation
 	d             *daemon // nil while none runs
 }
@@ -430,6 +431,7 @@
 type feedState struct {
 	d            *daemon
 	copies       [tables]table
+	cached       *site.Snapshot
 	asOf         [tables]mono.Time
 	loaded       [tables]bool
 	loadedAt     mono.Time
@@ -464,6 +466,9 @@
 }
 
 func (f *feedState) snapshot() *site.Snapshot {
+	if f.cached != nil {
+		return f.cached
+	}
 	c := f.row(coordKey).coord
 	s := &site.Snapshot{Daemons: map[ident.Daemon]*site.Daemon{}, Coordinator: c.Coordinator, Voters: c.Voters}
 	for _, h := range f.d.w.hosts {
@@ -471,6 +476,7 @@
 			s.Daemons[h.id] = &site.Daemon{Name: h.id, Domain: ident.Domain(fmt.Sprint(h.index % 3)), Incarnation: r.incarnation, Capacity: 1000 + h.index}
 		}
 	}
+	f.cached = s
 	return s
 }
 
@@ -515,7 +521,7 @@
 		if r.rev <= f.copies[n].rows[k].rev {
 			continue
 		}
-		f.copies[n].rows[k] = r
+		f.copies[n].rows[k], f.cached = r, nil
 		if k == coordKey {
 			f.proposed = nil
 		}
--- a/core/hold/succession_orders_test.go
+++ b/core/hold/succession_orders_test.go
@@ -262,10 +262,20 @@
 	}
 }
 
+// reaches reports whether the network between the daemon and a server is up.
+func (d *daemon) reaches(s *server) bool {
+	for _, x := range d.w.slots {
+		if x.s == s {
+			return x.side == d.host.side && !d.w.now.Before(d.host.serverCuts[x.id])
+		}
+	}
+	return true
+}
+
 // dial connects to whichever server listens at the address; nil if none answers.
 func (d *daemon) dial(l *link) *conn {
 	s := d.w.listen[l.entry.addr]
-	if s == nil || s.dead || d.w.now.Before(s.unresponsiveUntil) && d.w.oneIn(2) {
+	if s == nil || s.dead || !d.reaches(s) || d.w.now.Before(s.unresponsiveUntil) && d.w.oneIn(2) {
 		return nil
 	}
 	return &conn{to: s}
@@ -386,6 +396,9 @@
 		return
 	}
 	w.after(delay, nil, func() {
+		if !d.reaches(c.to) {
+			return
+		}
 		if c.to.dead {
 			w.after(w.between(ms, 10*ms), d, func() { finish(hold.Result{Outcome: hold.Silent}, true, true) })
 			return
@@ -399,6 +412,9 @@
 				back = w.between(20*ms, 450*ms)
 			}
 			w.after(back, d, func() {
+				if !d.reaches(c.to) {
+					return
+				}
 				c.last = &r
 				finish(hold.Result{Outcome: r.outcome, Handover: r.handover}, false, false)
 			})
--- a/core/hold/succession_server_test.go
+++ b/core/hold/succession_server_test.go
@@ -26,8 +26,9 @@
 
 // serverSlot is what stays over the restarts of a server.
 type serverSlot struct {
-	id ident.Server
-	s  *server
+	id   ident.Server
+	s    *server
+	side int // daemons with the same number reach the server
 }
 
 type held struct {
--- a/core/hold/succession_store_test.go
+++ b/core/hold/succession_store_test.go
@@ -157,7 +157,9 @@
 		}
 		e.f()
 	}
-	w.now = t
+	if w.fault == "" {
+		w.now = t
+	}
 }
 
 // between returns a random duration.
--- a/core/hold/succession_test.go
+++ b/core/hold/succession_test.go
@@ -19,6 +19,7 @@
 	storeCuts      bool // daemons are cut off from the store
 	peerCuts       bool // daemons are cut off from each other
 	peerLosses     bool // exchanges between daemons are lost or late
+	serverCuts     bool // daemons are cut off from servers, and servers are on the same side of a cut as some daemons
 	freezes        bool // daemons freeze, or their hosts are suspended
 	restarts       bool // daemons end without warning and start again
 	handOvers      bool // daemons are shut down and start again
@@ -51,7 +52,7 @@
 	}
 	w.changeRates()
 	for i := range 3 + w.rnd.IntN(3) {
-		h := &host{w: w, index: i, id: ident.Daemon(fmt.Sprintf("d%d", i)), offset: w.between(time.Hour, 2*time.Hour), rate: 0.999 + 0.002*w.rnd.Float64()}
+		h := &host{w: w, index: i, id: ident.Daemon(fmt.Sprintf("d%d", i)), serverCuts: map[ident.Server]mono.Time{}, offset: w.between(time.Hour, 2*time.Hour), rate: 0.999 + 0.002*w.rnd.Float64()}
 		w.hosts = append(w.hosts, h)
 		w.after(w.between(0, 300*ms), nil, func() { w.start(h) })
 	}
@@ -136,6 +137,11 @@
 	if f.peerCuts && w.once(10*time.Second) {
 		w.cutPeers(f.storeCuts && w.oneIn(3))
 	}
+	if f.serverCuts && w.once(5*time.Second) {
+		h, id, d := w.someHost(), w.slots[w.rnd.IntN(len(w.slots))].id, w.long(300*ms, 20*time.Second)
+		h.serverCuts[id] = w.now.Add(d)
+		w.logf("%s is cut off from %s for %.2f s", h.id, id, d.Seconds())
+	}
 	if f.freezes && w.once(8*time.Second) {
 		h := w.someHost()
 		d := w.long(100*ms, 20*time.Second)
@@ -179,6 +185,16 @@
 	together := w.oneIn(2)
 	w.addrs++
 	side := w.addrs
+	if together && w.faults.serverCuts {
+		x := w.slots[w.rnd.IntN(len(w.slots))]
+		x.side = side
+		w.logf("%s is cut off for %.2f s, side %d", x.id, d.Seconds(), side)
+		w.after(d, nil, func() {
+			if x.side == side {
+				x.side = 0
+			}
+		})
+	}
 	for i := range 1 + w.rnd.IntN(len(w.hosts)-1) {
 		h := w.randomHost()
 		if i == 0 {
@@ -272,8 +288,10 @@
 	w.logf("faults end")
 	for _, h := range w.hosts {
 		h.storeCutUntil, h.side = 0, 0
+		clear(h.serverCuts)
 	}
 	for _, x := range w.slots {
+		x.side = 0
 		x.s.unresponsiveUntil, x.s.lateUntil, x.s.slowUntil = 0, 0, 0
 	}
 }
@@ -332,7 +350,9 @@
 			t.Parallel()
 			w := newSuccession(seed, f)
 			w.play()
-			require.Empty(t, w.fault, "%s", w.dump(*traceTime))
+			if w.fault != "" {
+				require.Fail(t, w.fault, "%s", w.dump(*traceTime))
+			}
 		})
 	}
 }
@@ -344,17 +364,17 @@
 
 // Guards against a coordinator that sends orders after its successor counts on its having stopped.
 func TestOneOwnerWhenCoordinatorsLoseStore(t *testing.T) {
-	playSeeds(t, 3, faults{storeCuts: true})
+	playSeeds(t, 3, faults{storeCuts: true, serverCuts: true})
 }
 
 // Guards against two coordinators that both have support, and against the earlier one being forgotten.
 func TestOneOwnerWhenCoordinatorsLosePeers(t *testing.T) {
-	playSeeds(t, 3, faults{peerCuts: true, peerLosses: true})
+	playSeeds(t, 3, faults{peerCuts: true, peerLosses: true, serverCuts: true})
 }
 
 // Guards against a chain of coordinators that forgets one without a quorum that may still send orders.
 func TestOneOwnerWhenCoordinatorsLoseStoreAndPeers(t *testing.T) {
-	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true})
+	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true, serverCuts: true})
 }
 
 // Guards against orders that a daemon sends when it wakes up.
@@ -379,7 +399,7 @@
 
 // Guards against a chain of coordinators, by any of their ways, that forgets one that may still send orders.
 func TestOneOwnerInChainsOfCoordinators(t *testing.T) {
-	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true, freezes: true, restarts: true, handOvers: true, namedHandOvers: true})
+	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true, serverCuts: true, freezes: true, restarts: true, handOvers: true, namedHandOvers: true})
 }
 
 // Guards against orders that servers get or carry out late, and that queue until their range has moved.
@@ -415,7 +435,7 @@
 // Guards against combinations of the faults above, except extra responses.
 func TestOneOwnerUnderAllFaults(t *testing.T) {
 	playSeeds(t, 3, faults{
-		storeCuts: true, peerCuts: true, peerLosses: true, freezes: true, restarts: true, handOvers: true, namedHandOvers: true, storeOutcomes: true,
+		storeCuts: true, peerCuts: true, peerLosses: true, serverCuts: true, freezes: true, restarts: true, handOvers: true, namedHandOvers: true, storeOutcomes: true,
 		orderDelays: true, lostAnswers: true, lateOrders: true, unresponsive: true, slowAnswers: true, sameAddress: true, otherAddress: true,
 		entriesRemoved: true, sharedCoordinator: true,
 	})
