--- a/core/hold/succession_store_test.go
+++ b/core/hold/succession_store_test.go
@@ -104,13 +104,14 @@
 
 // succession plays daemons that succeed one another as the coordinator, their store, and servers.
 type succession struct {
-	rnd    *rand.Rand
-	faults faults
-	timing hold.Timing
-	now    mono.Time
-	queue  events
-	seq    int
-	quiet  bool // no more faults
+	rnd       *rand.Rand
+	faults    faults
+	timing    hold.Timing
+	now       mono.Time
+	queue     events
+	seq       int
+	quiet     bool // no more faults
+	isolating bool // isolate is in progress
 
 	store   [tables]table
 	hosts   []*host
--- a/core/hold/succession_test.go
+++ b/core/hold/succession_test.go
@@ -24,6 +24,7 @@
 	restarts       bool // daemons end without warning and start again
 	handOvers      bool // daemons are shut down and start again
 	namedHandOvers bool // the coordinator hands its role to a named daemon
+	lostQuorums    bool // a daemon loses the others, takes over without a quorum, and loses the store; it keeps a server, with serverCuts
 	storeOutcomes  bool // transactions are lost, or their answers, or they are applied late
 
 	orderDelays  bool // orders arrive late, up to their deadline
@@ -142,6 +143,9 @@
 		h.serverCuts[id] = w.now.Add(d)
 		w.logf("%s is cut off from %s for %.2f s", h.id, id, d.Seconds())
 	}
+	if f.lostQuorums && w.once(20*time.Second) && !w.isolating {
+		w.isolate()
+	}
 	if f.freezes && w.once(8*time.Second) {
 		h := w.someHost()
 		d := w.long(100*ms, 20*time.Second)
@@ -179,6 +183,40 @@
 	w.logf("%s is cut off from the store for %.2f s", h.id, d.Seconds())
 }
 
+// isolate makes a daemon the coordinator without a quorum and then cuts it off from the store.
+func (w *succession) isolate() {
+	h, x := w.someHost(), w.slots[w.rnd.IntN(len(w.slots))]
+	w.addrs++
+	side, d := w.addrs, w.between(25*time.Second, 50*time.Second)
+	w.isolating, h.side = true, side
+	if w.faults.serverCuts {
+		x.side = side
+	}
+	w.logf("%s is cut off from daemons for %.2f s with %s %v, side %d", h.id, d.Seconds(), x.id, w.faults.serverCuts, side)
+	end := w.now.Add(d)
+	var watch func()
+	watch = func() {
+		if w.quiet || !w.now.Before(end) || h.side != side {
+			return
+		}
+		if c := w.store[control].get(coordKey).coord; c.Daemon == h.id && c.WithoutQuorum {
+			w.after(w.between(300*ms, 4*time.Second), nil, func() { w.cutStore(h, end.Sub(w.now)) })
+			return
+		}
+		w.after(tick, nil, watch)
+	}
+	watch()
+	w.after(d, nil, func() {
+		w.isolating = false
+		if h.side == side {
+			h.side = 0
+		}
+		if x.side == side {
+			x.side = 0
+		}
+	})
+}
+
 // cutPeers cuts some daemons off from the others, alone or together, and from the store as well if both is set.
 func (w *succession) cutPeers(both bool) {
 	d := w.long(300*ms, 40*time.Second)
@@ -367,39 +405,74 @@
 	playSeeds(t, 3, faults{storeCuts: true, serverCuts: true})
 }
 
-// Guards against two coordinators that both have support, and against the earlier one being forgotten.
+// Guards against two coordinators that both have support.
 func TestOneOwnerWhenCoordinatorsLosePeers(t *testing.T) {
 	playSeeds(t, 3, faults{peerCuts: true, peerLosses: true, serverCuts: true})
 }
 
-// Guards against a chain of coordinators that forgets one without a quorum that may still send orders.
-func TestOneOwnerWhenCoordinatorsLoseStoreAndPeers(t *testing.T) {
-	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true, serverCuts: true})
-}
-
 // Guards against orders that a daemon sends when it wakes up.
 func TestOneOwnerWhenDaemonsFreeze(t *testing.T) {
-	playSeeds(t, 3, faults{freezes: true, peerLosses: true})
+	playSeeds(t, 3, faults{freezes: true, peerLosses: true, serverCuts: true})
 }
 
 // Guards against promises and terms that a daemon has forgotten.
 func TestOneOwnerWhenDaemonsRestart(t *testing.T) {
-	playSeeds(t, 3, faults{restarts: true, peerLosses: true})
+	playSeeds(t, 3, faults{restarts: true, peerLosses: true, serverCuts: true})
 }
 
-// Guards against a handover within the time in which earlier coordinators may send orders.
+// Guards against orders of a coordinator that has handed over its role.
 func TestOneOwnerAfterHandOvers(t *testing.T) {
-	playSeeds(t, 3, faults{handOvers: true, namedHandOvers: true, peerLosses: true})
+	playSeeds(t, 3, faults{handOvers: true, namedHandOvers: true, peerLosses: true, serverCuts: true})
 }
 
 // Guards against decisions that rely on a transaction having failed that is applied later.
 func TestOneOwnerWhenTransactionsAreLate(t *testing.T) {
-	playSeeds(t, 3, faults{storeOutcomes: true, handOvers: true, namedHandOvers: true, restarts: true})
+	playSeeds(t, 3, faults{storeOutcomes: true, handOvers: true, namedHandOvers: true, restarts: true, serverCuts: true})
+}
+
+// chain is a coordinator without a quorum that may send orders while others succeed one another.
+var chain = faults{lostQuorums: true, serverCuts: true, peerLosses: true}
+
+// Guards against forgetting the orders of a coordinator without a quorum when its successor loses others.
+func TestOneOwnerWhenSuccessorIsCutOff(t *testing.T) {
+	f := chain
+	f.peerCuts, f.storeCuts = true, true
+	playSeeds(t, 3, f)
+}
+
+// Guards against forgetting the orders of a coordinator without a quorum when its successor restarts.
+func TestOneOwnerWhenSuccessorRestarts(t *testing.T) {
+	f := chain
+	f.restarts = true
+	playSeeds(t, 3, f)
+}
+
+// Guards against forgetting the orders of a coordinator without a quorum when its successor freezes.
+func TestOneOwnerWhenSuccessorFreezes(t *testing.T) {
+	f := chain
+	f.freezes = true
+	playSeeds(t, 3, f)
+}
+
+// Guards against forgetting the orders of a coordinator without a quorum when its successor shuts down.
+func TestOneOwnerWhenSuccessorShutsDown(t *testing.T) {
+	f := chain
+	f.handOvers = true
+	playSeeds(t, 3, f)
 }
 
-// Guards against a chain of coordinators, by any of their ways, that forgets one that may still send orders.
+// Guards against forgetting the orders of a coordinator without a quorum when its successor hands over to a named daemon.
+func TestOneOwnerWhenSuccessorNamesAnother(t *testing.T) {
+	f := chain
+	f.namedHandOvers = true
+	playSeeds(t, 3, f)
+}
+
+// Guards against forgetting them in any combination of these ways.
 func TestOneOwnerInChainsOfCoordinators(t *testing.T) {
-	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true, serverCuts: true, freezes: true, restarts: true, handOvers: true, namedHandOvers: true})
+	f := chain
+	f.peerCuts, f.storeCuts, f.freezes, f.restarts, f.handOvers, f.namedHandOvers, f.storeOutcomes = true, true, true, true, true, true, true
+	playSeeds(t, 3, f)
 }
 
 // Guards against orders that servers get or carry out late, and that queue until their range has moved.
@@ -412,6 +485,11 @@
 	playSeeds(t, 3, faults{sameAddress: true, handOvers: true, namedHandOvers: true, restarts: true})
 }
 
+// Guards against a grant that waits in the queue of a server, whose range moves meanwhile, and reaches the next incarnation.
+func TestOneOwnerWhenServersRestartAndAnswerSlowly(t *testing.T) {
+	playSeeds(t, 3, faults{sameAddress: true, slowAnswers: true, orderDelays: true})
+}
+
 // Guards against a 421 of the server at a former address that frees keys held at another one.
 func TestOneOwnerWhenServersMoveToOtherAddresses(t *testing.T) {
 	playSeeds(t, 3, faults{otherAddress: true, handOvers: true, namedHandOvers: true, restarts: true})
@@ -429,14 +507,15 @@
 
 // Guards against fences that a server forgets by a restart while an earlier coordinator without a quorum still sends orders.
 func TestOneOwnerWhenServersRestartBesideCoordinatorsWithoutQuorum(t *testing.T) {
-	playSeeds(t, 3, faults{storeCuts: true, peerCuts: true, peerLosses: true, sameAddress: true})
+	playSeeds(t, 3, faults{lostQuorums: true, peerLosses: true, sameAddress: true})
 }
 
-// Guards against combinations of the faults above, except extra responses.
+// Guards against combinations of all faults above but three that are known to break the rule by themselves: a server that restarts beside a
+// coordinator without a quorum, and extra responses.
 func TestOneOwnerUnderAllFaults(t *testing.T) {
 	playSeeds(t, 3, faults{
-		storeCuts: true, peerCuts: true, peerLosses: true, serverCuts: true, freezes: true, restarts: true, handOvers: true, namedHandOvers: true, storeOutcomes: true,
-		orderDelays: true, lostAnswers: true, lateOrders: true, unresponsive: true, slowAnswers: true, sameAddress: true, otherAddress: true,
-		entriesRemoved: true, sharedCoordinator: true,
+		storeCuts: true, peerCuts: true, peerLosses: true, serverCuts: true, freezes: true, restarts: true, handOvers: true, namedHandOvers: true,
+		storeOutcomes: true, orderDelays: true, lostAnswers: true, lateOrders: true, unresponsive: true, slowAnswers: true, sameAddress: true,
+		otherAddress: true, entriesRemoved: true, sharedCoordinator: true,
 	})
 }
