--- a/core/hold/succession_test.go
+++ b/core/hold/succession_test.go
@@ -303,6 +303,9 @@
 		s := w.newServer(old.id, born, addr)
 		x.s = s
 		w.after(w.between(0, 300*ms), nil, func() {
+			if s.dead {
+				return // ended before it listened
+			}
 			w.listen[addr] = s
 			w.logf("%s starts", s.name())
 			d := w.between(0, 900*ms)
