--- a/core/hold/succession_store_test.go
+++ b/core/hold/succession_store_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"heatherrouter/core/hold"
@@ -283,3 +284,15 @@
 		w.after(w.between(ms, 15*ms), d, func() { done(t, true) })
 	})
 }
+
+// dump returns the trace of what led to the fault.
+func (w *succession) dump(last time.Duration) string {
+	var b strings.Builder
+	for _, x := range w.trace {
+		if x.at.Add(last).Before(w.now) || x.keyed && !overlap(x.keys, w.on) {
+			continue
+		}
+		fmt.Fprintf(&b, "%9.3f %s\n", time.Duration(x.at).Seconds(), x.text)
+	}
+	return b.String()
+}
