--- a/core/hold/succession_daemon_test.go
+++ b/core/hold/succession_daemon_test.go
@@ -44,19 +44,20 @@
 	woken     bool
 
 	// State of the term, as in io/grant.
-	term             site.Term
-	endedTerm        site.Term
-	surrendered      site.Term
-	rev              int // of the coordinator's row
-	keys             *keys
-	links            map[ident.Server]*link
-	entries          map[ident.Server]row
-	earlierOrdersEnd mono.Time
-	plannedAt        mono.Time
-	termStarted      time.Duration
-	supportedAt      mono.Time
-	votersRevisedAt  mono.Time
-	nextTakeOver     mono.Time
+	term            site.Term
+	endedTerm       site.Term
+	surrendered     site.Term
+	rev             int // of the coordinator's row
+	keys            *keys
+	links           map[ident.Server]*link
+	entries         map[ident.Server]row
+	earlierOrders   elect.EarlierOrders
+	connections     hold.Connection // last number of a connection for grants
+	plannedAt       mono.Time
+	termStarted     time.Duration
+	supportedAt     mono.Time
+	votersRevisedAt mono.Time
+	nextTakeOver    mono.Time
 
 	withdrawnRows map[ident.Daemon]int
 	withdrawTerm  site.Term
@@ -154,7 +155,7 @@
 		Self: d.host.id, Incarnation: d.inc, Leaving: d.leaving, Snapshot: s, CopyAge: copyAge, SinceContact: contactAge, SinceLoaded: now.Sub(d.loadedAt),
 	}
 	if st.IsCoordinator() && s.Coordinator.Term == d.surrendered && !d.leaving {
-		d.takeOver(s, ownNewTerm(d.earlierOrdersEnded()))
+		d.takeOver(s, elect.NextTerm(d.earlierOrdersEnded(), false))
 		return
 	}
 	if st.IsCoordinator() && (!d.leaving || d.term != 0) {
@@ -165,7 +166,7 @@
 	switch x := st.Decide().(type) {
 	case elect.RequestWithdrawals:
 		if d.requestWithdrawals(s) {
-			d.takeOver(s, takeOverAfterWithdrawals(x))
+			d.takeOver(s, elect.TakeOver{Clean: x.Clean})
 		}
 	case elect.TakeOver:
 		clear(d.withdrawnRows)
@@ -189,7 +190,7 @@
 		return
 	}
 	d.nextTakeOver = now.Add(takeOverRetryDelay)
-	c := takeOverRow(d.host.id, d.inc, s.Coordinator, t, elect.Voters(d.host.id, s.Daemons))
+	c := t.Row(d.host.id, d.inc, s)
 	x := txn{expect: map[string]int{coordKey: d.row(coordKey).rev}, put: map[string]row{coordKey: {coord: c}}}
 	for _, v := range s.Voters {
 		if r := d.withdrawnRows[v]; r > 0 {
@@ -252,13 +253,13 @@
 	now := d.now()
 	d.term, d.rev, d.keys = s.Coordinator.Term, d.row(coordKey).rev, nil
 	d.links, d.entries = map[ident.Server]*link{}, map[ident.Server]row{}
-	d.earlierOrdersEnd = earlierOrdersEnd(now, s.Coordinator.Clean)
+	d.earlierOrders.Begin(now, s.Coordinator)
 	d.plannedAt, d.termStarted, d.supportedAt = 0, d.boot(), now
 	d.w.logf("%s begins term %d: clean %v without-quorum %v, earlier orders end in %.1f s", d.name(), d.term, s.Coordinator.Clean,
-		s.Coordinator.WithoutQuorum, d.earlierOrdersEnd.Sub(now).Seconds())
+		s.Coordinator.WithoutQuorum, d.earlierOrders.End().Sub(now).Seconds())
 }
 
-func (d *daemon) earlierOrdersEnded() bool { return !d.now().Before(d.earlierOrdersEnd) }
+func (d *daemon) earlierOrdersEnded() bool { return d.earlierOrders.Ended(d.now()) }
 
 func (d *daemon) endTerm() {
 	if d.term == 0 {
@@ -279,9 +280,9 @@
 		done()
 		return
 	}
-	rev, term := d.row(coordKey).rev, d.term
+	rev := d.row(coordKey).rev
 	d.endTerm()
-	c := handOverRow(d.host.id, term, s.Voters, d.earlierOrdersEnded())
+	c := elect.RowOf(s).Vacate(d.earlierOrdersEnded())
 	d.call(txn{expect: map[string]int{coordKey: rev}, put: map[string]row{coordKey: {coord: c}}}, time.Second, func(rev int, err storeError) {
 		if err == stored {
 			d.applyWritten(map[string]row{coordKey: {rev: rev, coord: c}})
@@ -297,7 +298,7 @@
 		return
 	}
 	r, term := d.row(coordKey), d.term
-	c := handOverToRow(r.coord, to, s.Daemons, d.earlierOrdersEnded())
+	c := elect.RowOf(s).HandOver(to, s.Daemons, d.earlierOrdersEnded())
 	d.endTerm()
 	d.surrendered = term
 	d.call(txn{expect: map[string]int{coordKey: r.rev}, put: map[string]row{coordKey: {coord: c}}}, storeTimeout, func(rev int, err storeError) {
@@ -361,7 +362,7 @@
 		return true
 	}
 	clear(d.withdrawnRows)
-	d.takeOver(s, ownTermWithoutQuorum())
+	d.takeOver(s, elect.NextTerm(d.earlierOrdersEnded(), true))
 	return false
 }
 
@@ -372,15 +373,18 @@
 	if first {
 		var changed bool
 		next, changed = elect.ReplaceVoters(d.host.id, s.Voters, s.Daemons)
-		if due := changed || s.Coordinator.WithoutQuorum && supported; !due || now.Sub(d.votersRevisedAt) < replaceVotersDelay {
+		if due := changed || elect.RowOf(s).NeedsRevision(supported, d.earlierOrdersEnded()); !due || now.Sub(d.votersRevisedAt) < replaceVotersDelay {
 			return
 		}
 	}
 	if d.keys != nil && d.keys.writing {
 		return
 	}
-	d.votersRevisedAt, d.proposed = now, next
-	c := replaceVotersRow(coordRow{Coordinator: s.Coordinator, Voters: s.Voters}, next, supported)
+	d.votersRevisedAt = now
+	c := elect.RowOf(s).Revise(next, supported, d.earlierOrdersEnded())
+	if !slices.Equal(next, s.Voters) || c.WithoutQuorum != s.Coordinator.WithoutQuorum {
+		d.proposed = next
+	}
 	d.call(txn{expect: map[string]int{coordKey: d.rev}, put: map[string]row{coordKey: {coord: c}}}, storeTimeout, func(rev int, err storeError) {
 		if err != stored {
 			if first && err == notApplied {
--- a/core/hold/succession_orders_test.go
+++ b/core/hold/succession_orders_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"heatherrouter/core/elect"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -25,6 +26,7 @@
 // conn is a connection to one incarnation of a server.
 type conn struct {
 	to     *server
+	number hold.Connection
 	closed bool
 	last   *response // to the last order on it; nil if it is new
 }
@@ -73,8 +75,9 @@
 	res.MaxTTL = max(d.w.timing.TTL, res.MaxTTL)
 	d.keys = &keys{
 		rev: r.rev, stored: r.assignments,
-		table: hold.New(now, d.w.timing, r.assignments, res, inheritedExpire(d.w.timing, d.earlierOrdersEnd, res)),
+		table: hold.New(now, d.w.timing, r.assignments, res, inheritedExpire(d.w.timing, d.earlierOrders.End(), res)),
 	}
+	d.keys.table.DelayReleases(d.earlierOrders.RenewOnly())
 }
 
 // updateKeys is updateService in io/grant/service.go.
@@ -193,8 +196,10 @@
 		// adoptRow
 		d.w.logf("%s reads the assignment again", d.name())
 		now := d.now()
-		d.earlierOrdersEnd = adoptedOrdersEnd(now, d.earlierOrdersEnd)
+		d.earlierOrders.SentUntil(now)
+		was := d.keys.table
 		d.loadKeys(now)
+		d.keys.table.Adopt(now, was)
 	}
 }
 
@@ -278,7 +283,8 @@
 	if s == nil || s.dead || !d.reaches(s) || d.w.now.Before(s.unresponsiveUntil) && d.w.oneIn(2) {
 		return nil
 	}
-	return &conn{to: s}
+	d.connections++
+	return &conn{to: s, number: d.connections}
 }
 
 // nextGrant sends the next grant of the queue, over the connection for grants.
@@ -290,6 +296,9 @@
 	o := l.queue[0]
 	l.queue = l.queue[1:]
 	done := func(r hold.Result, lost bool) {
+		if l.grants != nil {
+			r.Connection = l.grants.number
+		}
 		if lost {
 			l.grants, l.spare, l.spareCheckedAt = l.spare, l.grants, 0
 		}
@@ -298,18 +307,18 @@
 		d.finish(term, o, r, lost)
 		d.nextGrant(l, term)
 	}
+	if o.Renewal && (!l.grants.alive() || l.grants.number != o.Connection) {
+		done(hold.Result{Outcome: hold.NotSent}, !l.grants.alive())
+		return
+	}
 	if !l.grants.alive() {
 		l.grants = nil
-		if o.Renewal {
-			done(hold.Result{Outcome: hold.NotSent}, true)
-			return
-		}
 		if l.grants = d.dial(l); l.grants == nil {
 			d.w.after(d.w.between(ms, min(300*ms, max(2*ms, d.until(o.Ends)))), d, func() { done(hold.Result{Outcome: hold.NotSent}, false) })
 			return
 		}
 	}
-	if !d.maySend(term) || !d.now().Before(o.Ends) {
+	if !d.maySend(term) || !d.now().Before(o.Ends) || !o.Renewal && !elect.MayGrantAnew(d.snapshot().Coordinator, d.boot()-d.confirmed) {
 		done(hold.Result{Outcome: hold.NotSent}, false)
 		return
 	}
@@ -358,9 +367,7 @@
 		return
 	}
 	d.exchange(c, o, d.until(end), func(r hold.Result, _ bool) {
-		if c.alive() {
-			l.releases = append(l.releases, c)
-		}
+		c.closed = true // the server echoes no ids
 		d.finish(term, o, r, false)
 	})
 }
@@ -385,6 +392,10 @@
 			if !finished {
 				w.logKeys(rangeOf(o), "", "%s takes a late response (%v) for that to %s %v fence %d", d.name(), x.outcome, id, rangeOf(o), fenceOf(o))
 			}
+			if x.outcome == hold.Ended {
+				finish(hold.Result{Outcome: hold.Silent}, true, true) // may be another order's
+				return
+			}
 			finish(hold.Result{Outcome: x.outcome, Handover: x.handover}, false, true)
 		})
 	}
@@ -415,6 +426,10 @@
 				if !d.reaches(c.to) {
 					return
 				}
+				if r.outcome == hold.Ended && c.last != nil {
+					finish(hold.Result{Outcome: hold.Silent}, true, true) // may be another order's
+					return
+				}
 				c.last = &r
 				finish(hold.Result{Outcome: r.outcome, Handover: r.handover}, false, false)
 			})
--- a/core/hold/succession_store_test.go
+++ b/core/hold/succession_store_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"heatherrouter/core/elect"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -18,7 +19,7 @@
 	rev  int
 	gone bool
 
-	coord       coordRow
+	coord       elect.Row
 	assignments []hold.Assignment
 	reservation hold.Reservation
 	incarnation ident.Incarnation // of a daemon
