grant: a conflicting takeover reads who the coordinator is

A daemon whose request for changes hangs since an outage of the store tried in vain to become the coordinator: its transactions conflicted with a row that it didn't know, for up to the wait of that request. After a conflict it now reads the changes of the control table at once, beside that request.

--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -227,3 +227,22 @@
 	f.applyPage(t, p, true, asked, fromStore)
 	return nil
 }
+
+// ReadControl reads the changes of the control table at once, beside a request that the store may hold open. Callers use it after a
+// conflict, which shows that the copy is old.
+func (f *Feed) ReadControl(c context.Context) error {
+	f.mu.Lock()
+	rev := f.tables[store.Control].rev
+	f.mu.Unlock()
+	asked, boot := f.o.Clock.Now(), f.o.Clock.SinceBoot()
+	p, err := f.o.Store.Follow(c, store.Control, rev, 0)
+	if errors.Is(err, store.ErrHistoryTruncated) {
+		return f.readFull(c, store.Control, asked)
+	}
+	if err != nil {
+		return err
+	}
+	f.applyPage(store.Control, p, false, asked, fromStore)
+	f.ConfirmControl(boot)
+	return nil
+}
--- a/io/grant/elect.go
+++ b/io/grant/elect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -65,7 +66,13 @@
 	if rev, err = g.o.Store.Commit(c, x); err != nil {
 		g.o.Log.Info().Err(err).Uint64("term", uint64(next.Term)).Msg("did not become the coordinator")
 		clear(g.withdrawnRows) // a voter may have restarted
-		return false           // if the row was written after all, the feed receives it
+		if errors.Is(err, store.ErrConflict) {
+			// The feed's own request for changes may hang since an outage of the store.
+			if err = g.o.Feed.ReadControl(c); err != nil {
+				g.o.Log.Warn().Err(err).Msg("control table not read after a conflict")
+			}
+		}
+		return false // if the row was written after all, the feed receives it
 	}
 	g.o.Log.Info().Uint64("term", uint64(next.Term)).Bool("clean", t.Clean).Bool("without-quorum", t.WithoutQuorum).Str("before", string(prev.Daemon)).
 		Msg("became the coordinator")
