--- a/core/elect/term.go
+++ b/core/elect/term.go
@@ -69,7 +69,7 @@
 	Voters []ident.Daemon
 }
 
-// RowOf returns the row as a daemon knows it.
+// RowOf returns the row that a daemon has read last.
 func RowOf(s *site.Snapshot) Row { return Row{Coordinator: s.Coordinator, Voters: s.Voters} }
 
 // Row returns the row of the daemon that takes over.
@@ -80,7 +80,7 @@
 	}
 }
 
-// NextTerm returns the decision of a coordinator to take a new term after its own, in which it sends no more orders.
+// NextTerm returns the decision of a coordinator to take a new term after its own.
 func NextTerm(earlierOrdersEnded, withoutQuorum bool) TakeOver {
 	return TakeOver{Clean: earlierOrdersEnded, WithoutQuorum: withoutQuorum}
 }
--- a/core/hold/table.go
+++ b/core/hold/table.go
@@ -156,7 +156,8 @@
 	return l
 }
 
-// Committed records that the store holds the assignments l and the reservation r.
+// Committed records that the store holds the assignments l and the reservation r. What was learnt of servers while the row was
+// written is kept.
 func (t *Table) Committed(now mono.Time, l []Assignment, r Reservation) {
 	t.reservation = r
 	if t.longGrantsExpire == 0 || t.ttl == r.MaxTTL {
@@ -251,7 +252,7 @@
 		if release != nil && (p.Previous != release.From || !t.releaseDue(now, p)) {
 			flush()
 		}
-		if r, ok := t.free(now, p); ok {
+		if r, ok := t.prevStopped(now, p); ok {
 			t.clearPrevious(now, p, r, "")
 		}
 		if p.pending || p.Previous == (Incarnation{}) && t.ended[p.Owner] {
@@ -305,8 +306,8 @@
 	return !p.prevSent.inProgress() && !t.prevExpired(now, p)
 }
 
-// free reports whether the previous owner of a range has stopped without an answer to a release, and why.
-func (t *Table) free(now mono.Time, p *rangeState) (FreeReason, bool) {
+// prevStopped reports whether the previous owner of a range has stopped holding it without an answer to a release, and why.
+func (t *Table) prevStopped(now mono.Time, p *rangeState) (FreeReason, bool) {
 	switch {
 	case p.Previous == (Incarnation{}):
 		return 0, false
