--- a/io/grant/copies_test.go
+++ b/io/grant/copies_test.go
@@ -165,7 +165,7 @@
 		"another handover": "HTTP/1.1 200 OK\r\nHandover: h2\r\nContent-Length: 0\r\n\r\n",
 		"with a body":      "HTTP/1.1 200 OK\r\nHandover: h1\r\nContent-Length: 2\r\n\r\nok",
 		"misdirected":      "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
-		"malformed":        "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"malformed":        "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &extraServer{answer: first, extra: extra}
