peer: messages tell when they were sent, by the receiver's clock; requests that lay unread are logged

Observability for the incident; no decision changes. A daemon could not tell whether a peer's request had just been sent or had lain in the socket of a paused process, so the log didn't separate the hypotheses of docs/incidents/requests-sent-after-the-answer.md.

Every call and reply carries its sender's clock (of the host, which runs while a host is suspended). A link keeps a lower bound of its peer's clock from these readings, with allowance for drift, and puts the time of sending on the receiver's clock into each call; a reply has the time by the caller's own clock. So the age of a message is known to its receiver, at the least, without synchronised clocks and whatever process was paused.

New lines: "request of a peer lay unread" (200 ms or more), and "not served by a peer" for delegates as well, with the time that it took.

--- a/io/clock/clock.go
+++ b/io/clock/clock.go
@@ -45,6 +45,11 @@
 	return time.Duration(t.Nano())
 }
 
+// FromBoot converts a time since the start of the host. It counts the time for which the host was suspended since then.
+func (c *Clock) FromBoot(t time.Duration) mono.Time {
+	return c.Now().Add(t - c.SinceBoot())
+}
+
 // Sleep waits for d, at most until the context ends.
 func Sleep(c context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -155,7 +155,7 @@
 	})
 	var err error
 	d.peers, err = peer.New(d.group.Context(), peer.Options{
-		Self: s.Name, Listen: s.Peer, Resolver: d.members, TLS: d.keys, Handler: d.handler(), Log: d.log,
+		Self: s.Name, Listen: s.Peer, Resolver: d.members, TLS: d.keys, Handler: d.handler(), Clock: d.clock, Log: d.log,
 	})
 	return err
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -56,7 +56,7 @@
 // Peers carries exchanges to the homes at other daemons.
 type Peers interface {
 	Call(c context.Context, to ident.Daemon, m *wire.Call) (*wire.Reply, error)
-	OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange) (*peer.Exchange, error)
+	OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange, asOf time.Duration) (*peer.Exchange, error)
 
 	// Unreachable reports whether the last attempt to reach the daemon failed a moment ago.
 	Unreachable(d ident.Daemon) bool
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -124,7 +124,7 @@
 	return nil, &peer.Error{Err: io.EOF}
 }
 
-func (noPeers) OpenExchange(context.Context, ident.Daemon, *wire.Exchange) (*peer.Exchange, error) {
+func (noPeers) OpenExchange(context.Context, ident.Daemon, *wire.Exchange, time.Duration) (*peer.Exchange, error) {
 	return nil, &peer.Error{Err: io.EOF}
 }
 
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -89,13 +89,14 @@
 		return nil, retry.SendEnded{Outcome: retry.NotRun}
 	}
 	r.tried.add(t)
+	asOf := e.o.Clock.SinceBoot()
 	h := e.address(r, head, t)
 	var a *answer
 	var err error
 	if t.daemon == e.o.Self {
 		a, err = e.openLocal(h, body)
 	} else {
-		a, err = e.openPeer(t, h, body)
+		a, err = e.openPeer(t, h, asOf, body)
 	}
 	if err != nil {
 		return nil, e.outcome(nil, err)
@@ -109,9 +110,9 @@
 	return a, v
 }
 
-func (e *Entry) openPeer(t target, h *wire.Exchange, body io.Reader) (*answer, error) {
+func (e *Entry) openPeer(t target, h *wire.Exchange, asOf time.Duration, body io.Reader) (*answer, error) {
 	c, cancel := context.WithCancel(context.Background())
-	x, err := e.o.Peers.OpenExchange(c, t.daemon, h)
+	x, err := e.o.Peers.OpenExchange(c, t.daemon, h, asOf)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/io/node/handler.go
+++ b/io/node/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -115,6 +116,6 @@
 type exchanger struct{ n *Node }
 
 // OpenExchange implements relay.Exchanger.
-func (e exchanger) OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange) (*peer.Exchange, error) {
-	return e.n.peers.OpenExchange(c, to, head)
+func (e exchanger) OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange, asOf time.Duration) (*peer.Exchange, error) {
+	return e.n.peers.OpenExchange(c, to, head, asOf)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -150,7 +150,7 @@
 		Clock:      n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Reports: n.reports, Guard: n.guard, Paths: n.paths, Health: n.o.Platform.OrderCodec,
 		Relays: reach.NewRelays(s.Name, s.Regions, rand.IntN), Relay: relay.NewClient(n.clock, exchanger{n}), MaxCopyAge: s.Limits.MaxCopyAge, Shares: s.Shares,
 	})
-	n.relay = relay.NewServer(n.clock, n.sender, n.memory)
+	n.relay = relay.NewServer(n.clock, n.sender, n.memory, n.o.Log)
 	if n.id, err = newIdentity(s.Name, n.feed.Snapshot); err != nil {
 		return err
 	}
@@ -159,7 +159,7 @@
 		return err
 	}
 	n.peers, err = peer.New(n.group.Context(), peer.Options{
-		Self: s.Name, Listen: s.Peer, Resolver: addressBook{n.feed.Snapshot}, TLS: n.id, Log: n.o.Log,
+		Self: s.Name, Listen: s.Peer, Resolver: addressBook{n.feed.Snapshot}, TLS: n.id, Clock: n.clock, Log: n.o.Log,
 		Handler: peerHandler{n, n.feed, n.limiter, n.reports, n.relay},
 	})
 	if err != nil {
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -19,15 +20,24 @@
 // A body ends with its direction of the stream; a reset marks a truncated body. So a body that ends early cannot be
 // taken for a whole one.
 type Exchange struct {
-	Head *wire.Exchange // set on the serving side only
-
-	stream *quic.Stream
-	reader *bufio.Reader
+	// Head and SentAt are set on the serving side only. SentAt is when the durations in the head count from, at the earliest, as the
+	// time since the start of this host; 0 if the peer doesn't know this host's clock.
+	Head   *wire.Exchange
+	SentAt time.Duration
+
+	transport *Transport
+	link      *link         // on the calling side
+	call      *wire.Call    // on the serving side
+	received  time.Duration // on the serving side: since the start of the host
+	stream    *quic.Stream
+	reader    *bufio.Reader
 }
 
 // WriteResponse sends the head of the response. A body follows with Write and ends with Close or Abort.
 func (x *Exchange) WriteResponse(a *wire.ExchangeAnswer) error {
-	return x.send(&wire.Reply{Body: &wire.Reply_Exchange{Exchange: a}})
+	m := &wire.Reply{Body: &wire.Reply_Exchange{Exchange: a}}
+	x.transport.stampReply(m, x.call, x.received)
+	return x.send(m)
 }
 
 // ReadResponse reads the head of the response; Read then reads its body.
@@ -36,6 +46,7 @@
 	if err := readFrame(x.reader, m); err != nil {
 		return nil, &Error{Sent: true, Err: err}
 	}
+	x.link.observeReply(m)
 	if a := m.GetExchange(); a != nil {
 		return a, nil
 	}
@@ -80,12 +91,17 @@
 }
 
 // OpenExchange starts a streamed exchange with a peer. The request body is written to the result and ended with
-// Close.
-func (t *Transport) OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange) (*Exchange, error) {
+// Close. The durations in the head count from asOf, as the time since the start of this host, whenever the peer reads them.
+func (t *Transport) OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange, asOf time.Duration) (*Exchange, error) {
 	l, err := t.link(c, to)
 	if err != nil {
 		return nil, &Error{Sent: false, Err: err}
 	}
+	if err := l.readClock(c); err != nil {
+		return nil, &Error{Sent: false, Err: err}
+	}
+	call := &wire.Call{Body: &wire.Call_Exchange{Exchange: head}}
+	l.stampCall(call, asOf)
 	s, err := l.conn.OpenStreamSync(c)
 	if err != nil {
 		return nil, &Error{Sent: false, Err: err}
@@ -93,7 +109,7 @@
 	if d, ok := c.Deadline(); ok {
 		_ = s.SetDeadline(d) // fails only on a closed stream, which the write below reports
 	}
-	data, err := encodeFrame(&wire.Call{Body: &wire.Call_Exchange{Exchange: head}})
+	data, err := encodeFrame(call)
 	if err != nil {
 		s.CancelWrite(resetCode)
 		return nil, &Error{Sent: false, Err: err}
@@ -102,16 +118,17 @@
 	if _, err := s.Write(append([]byte{byte(exchangeStreamKind)}, *data...)); err != nil {
 		return nil, &Error{Sent: true, Err: err}
 	}
-	return &Exchange{stream: s, reader: bufio.NewReaderSize(s, readBufferSize)}, nil
+	return &Exchange{transport: t, link: l, stream: s, reader: bufio.NewReaderSize(s, readBufferSize)}, nil
 }
 
 func (t *Transport) serveExchange(c context.Context, s *quic.Stream, from ident.Daemon) {
-	x := &Exchange{stream: s, reader: bufio.NewReaderSize(s, readBufferSize)}
+	x := &Exchange{transport: t, stream: s, reader: bufio.NewReaderSize(s, readBufferSize)}
 	m := &wire.Call{}
 	if err := readFrame(x.reader, m); err != nil || m.GetExchange() == nil {
 		x.Abort()
 		return
 	}
-	x.Head = m.GetExchange()
+	x.received, x.call = t.clock.SinceBoot(), m
+	x.Head, x.SentAt = m.GetExchange(), fromMicros(m.GetSentUs())
 	t.handler.Exchange(c, from, x)
 }
--- a/io/peer/lane.go
+++ b/io/peer/lane.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 
 	"heatherrouter/io/ring"
 	"heatherrouter/io/wire"
@@ -104,6 +105,7 @@
 
 // callStream is the calling side of one long-lived stream that carries many calls.
 type callStream struct {
+	link *link
 	out  *ring.Queue[frame]
 	done context.Context
 
@@ -112,15 +114,17 @@
 	waiting map[uint64]*pending
 }
 
-func newCallStream(done context.Context) *callStream {
-	return &callStream{out: ring.New[frame](sendQueueLen), done: done, waiting: map[uint64]*pending{}}
+func newCallStream(l *link) *callStream {
+	return &callStream{link: l, out: ring.New[frame](sendQueueLen), done: l.conn.Context(), waiting: map[uint64]*pending{}}
 }
 
-// call sends m and waits for its reply, at most until the context or the connection ends.
-func (l *callStream) call(c context.Context, m *wire.Call) (*wire.Reply, error) {
+// call sends m, whose contents are as of the given time since the start of the host, and waits for its reply, at most until the context or
+// the connection ends.
+func (l *callStream) call(c context.Context, m *wire.Call, asOf time.Duration) (*wire.Reply, error) {
 	p := &pending{reply: make(chan *wire.Reply, 1)}
 	m.Id = l.add(p)
 	defer l.remove(m.Id)
+	l.link.stampCall(m, asOf)
 	data, err := encodeFrame(m)
 	if err != nil {
 		return nil, &Error{Sent: false, Err: err}
@@ -171,6 +175,7 @@
 		if err := readFrame(b, m); err != nil {
 			return err
 		}
+		l.link.observeReply(m)
 		l.mu.Lock()
 		p := l.waiting[m.GetId()]
 		delete(l.waiting, m.GetId())
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -10,6 +10,7 @@
 	"github.com/quic-go/quic-go"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/io/clock"
 	"heatherrouter/io/wire"
 )
 
@@ -19,10 +20,12 @@
 
 // link is the calling side of one connection with a peer; either side may have dialled it.
 type link struct {
-	conn     *quic.Conn
-	control  *callStream
-	data     [dataStreams]*callStream
-	nextData atomic.Uint32
+	conn      *quic.Conn
+	hostClock *clock.Clock
+	peerClock peerClock
+	control   *callStream
+	data      [dataStreams]*callStream
+	nextData  atomic.Uint32
 }
 
 // streamFor returns the call stream for a call.
@@ -186,18 +189,22 @@
 	return t.newLink(x, q)
 }
 
-// newLink opens the call streams on a connection.
+// newLink opens the call streams on a connection and reads the peer's clock.
 func (t *Transport) newLink(x context.Context, q *quic.Conn) (*link, error) {
-	l := &link{conn: q, control: newCallStream(q.Context())}
+	l := &link{conn: q, hostClock: t.clock}
+	l.control = newCallStream(l)
 	if err := t.startCallStream(x, q, l.control); err != nil {
 		return nil, err
 	}
 	for i := range l.data {
-		l.data[i] = newCallStream(q.Context())
+		l.data[i] = newCallStream(l)
 		if err := t.startCallStream(x, q, l.data[i]); err != nil {
 			return nil, err
 		}
 	}
+	if err := l.readClock(x); err != nil && MaybeSent(err) {
+		return nil, err // a peer of a version without the call refuses it
+	}
 	return l, nil
 }
 
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/io/clock"
 	"heatherrouter/io/keys"
 	"heatherrouter/io/keys/keytest"
 	"heatherrouter/io/peer"
@@ -40,15 +41,20 @@
 	b.addrs[d] = a
 }
 
-// echo responds to exchanges with their own body. It never responds to kind "hang" and truncates the body for kind
-// "truncate".
+// echo responds to exchanges with their own body. It never responds to kind "hang", responds to kind "slow" after answerDelay, and truncates
+// the body for kind "truncate".
 type echo struct{}
 
+const answerDelay = 100 * time.Millisecond
+
 func (echo) Call(c context.Context, _ ident.Daemon, m *wire.Call) *wire.Reply {
 	x := m.GetExchange()
 	if x.GetKind() == "hang" {
 		<-c.Done()
 	}
+	if x.GetKind() == "slow" {
+		time.Sleep(answerDelay)
+	}
 	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: 200, Body: x.GetBody()}
 	return &wire.Reply{Body: &wire.Reply_Exchange{Exchange: a}}
 }
@@ -59,7 +65,11 @@
 		x.Abort()
 		return
 	}
-	_ = x.WriteResponse(&wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: 200, BodyFollows: true})
+	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: 200, BodyFollows: true}
+	if x.Head.GetKind() == "age" {
+		a.Status = uint32(x.SentAt.Milliseconds()) //nolint:gosec // a time
+	}
+	_ = x.WriteResponse(a)
 	if x.Head.GetKind() == "truncate" {
 		_, _ = x.Write(b[:len(b)/2])
 		x.Abort()
@@ -76,7 +86,7 @@
 	k, err := keys.New(f, l)
 	require.NoError(t, err)
 	p, err := peer.New(context.Background(), peer.Options{
-		Self: d, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Resolver: b, TLS: k, Handler: echo{}, Log: l,
+		Self: d, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Resolver: b, TLS: k, Handler: echo{}, Clock: clock.New(), Log: l,
 	})
 	require.NoError(t, err)
 	t.Cleanup(p.Stop)
@@ -91,6 +101,30 @@
 	return newTransport(t, a, b, "h01", io.Discard), newTransport(t, a, b, "h02", io.Discard)
 }
 
+// Guards against times in messages that count from when they are read: both sides tell when a message was sent, by the clock of its
+// receiver.
+func TestMessagesTellWhenTheyWereSent(t *testing.T) {
+	p, q := pair(t)
+	k := clock.New()
+	for range 3 {
+		before := k.SinceBoot()
+		r, err := p.Call(t.Context(), "h02", exchange("slow", nil))
+		require.NoError(t, err)
+		sent := time.Duration(r.GetSentUs()) * time.Microsecond //nolint:gosec // a time
+		require.GreaterOrEqual(t, sent, before+answerDelay-time.Millisecond)
+		require.LessOrEqual(t, sent, k.SinceBoot())
+	}
+	const age = 3 * time.Second
+	asOf := k.SinceBoot() - age
+	x, err := q.OpenExchange(t.Context(), "h01", &wire.Exchange{Kind: "age"}, asOf)
+	require.NoError(t, err)
+	require.NoError(t, x.Close())
+	a, err := x.ReadResponse()
+	require.NoError(t, err)
+	require.LessOrEqual(t, time.Duration(a.GetStatus())*time.Millisecond, asOf, "both ends have the clock of this host")
+	require.InDelta(t, asOf.Milliseconds(), a.GetStatus(), 50)
+}
+
 func exchange(kind string, body []byte) *wire.Call {
 	return &wire.Call{Body: &wire.Call_Exchange{Exchange: &wire.Exchange{Kind: kind, Body: body}}}
 }
@@ -136,7 +170,7 @@
 func TestExchange(t *testing.T) {
 	p, _ := pair(t)
 	body := bytes.Repeat([]byte("0123456789"), 1<<20)
-	x, err := p.OpenExchange(t.Context(), "h02", &wire.Exchange{Kind: "echo", BodyFollows: true})
+	x, err := p.OpenExchange(t.Context(), "h02", &wire.Exchange{Kind: "echo", BodyFollows: true}, clock.New().SinceBoot())
 	require.NoError(t, err)
 	go func() {
 		_, _ = x.Write(body)
@@ -153,7 +187,7 @@
 // the entry daemon must get an error instead of the end of the body.
 func TestExchangeTruncated(t *testing.T) {
 	p, _ := pair(t)
-	x, err := p.OpenExchange(t.Context(), "h02", &wire.Exchange{Kind: "truncate", BodyFollows: true})
+	x, err := p.OpenExchange(t.Context(), "h02", &wire.Exchange{Kind: "truncate", BodyFollows: true}, clock.New().SinceBoot())
 	require.NoError(t, err)
 	_, err = x.Write(make([]byte, 1000))
 	require.NoError(t, err)
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -89,25 +90,31 @@
 		if err := readFrame(r, m); err != nil {
 			return
 		}
+		received := t.clock.SinceBoot()
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots }()
-			t.serveCall(x, from, m, out)
+			t.serveCall(x, from, m, received, out)
 		}()
 	}
 }
 
-func (t *Transport) serveCall(c context.Context, from ident.Daemon, m *wire.Call, out *ring.Queue[frame]) {
-	r := t.handler.Call(c, from, m)
+func (t *Transport) serveCall(c context.Context, from ident.Daemon, m *wire.Call, received time.Duration, out *ring.Queue[frame]) {
+	r := &wire.Reply{}
+	if m.GetClock() == nil {
+		r = t.handler.Call(c, from, m)
+	}
 	if r == nil {
 		r = NewRefusal("not-served")
 	}
 	r.Id = m.GetId()
+	t.stampReply(r, m, received)
 	data, err := encodeFrame(r)
 	if err != nil {
 		t.log.Error().Err(err).Str("peer", string(from)).Msg("reply not encoded")
 		r = NewRefusal("reply-too-large")
 		r.Id = m.GetId()
+		t.stampReply(r, m, received)
 		data, _ = encodeFrame(r)
 	}
 	_ = out.Put(c, frame{data: data}) // fails only if the stream has ended, which the caller detects itself
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -17,6 +17,7 @@
 	"github.com/quic-go/quic-go"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/io/clock"
 	"heatherrouter/io/group"
 	"heatherrouter/io/wire"
 )
@@ -54,6 +55,7 @@
 	Resolver Resolver
 	TLS      TLS
 	Handler  Handler
+	Clock    *clock.Clock
 	Log      *log.Logger
 }
 
@@ -63,6 +65,7 @@
 	resolver Resolver
 	tls      TLS
 	handler  Handler
+	clock    *clock.Clock
 	log      *log.Logger
 	socket   *net.UDPConn
 	quic     *quic.Transport
@@ -83,7 +86,7 @@
 		return nil, trace.Wrap(err, "listen on peer address %v", o.Listen)
 	}
 	t := &Transport{
-		self: o.Self, resolver: o.Resolver, tls: o.TLS, handler: o.Handler, log: o.Log,
+		self: o.Self, resolver: o.Resolver, tls: o.TLS, handler: o.Handler, clock: o.Clock, log: o.Log,
 		socket:   s,
 		quic:     &quic.Transport{Conn: s},
 		group:    group.New(c),
@@ -201,13 +204,15 @@
 	})
 }
 
-// Call sends a call to a peer and waits for its reply, at most until the context ends.
+// Call sends a call to a peer and waits for its reply, at most until the context ends. The durations in m count from now, whenever the peer
+// reads them, and those in the reply from its sending: see SentUs of both.
 func (t *Transport) Call(c context.Context, to ident.Daemon, m *wire.Call) (*wire.Reply, error) {
+	asOf := t.clock.SinceBoot()
 	l, err := t.link(c, to)
 	if err != nil {
 		return nil, &Error{Sent: false, Err: err}
 	}
-	r, err := l.streamFor(m).call(c, m)
+	r, err := l.streamFor(m).call(c, m, asOf)
 	if err != nil {
 		return nil, err
 	}
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -18,7 +18,8 @@
 
 // Exchanger opens exchanges with peers.
 type Exchanger interface {
-	OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange) (*peer.Exchange, error)
+	// OpenExchange starts an exchange whose durations count from asOf, as the time since the start of the host.
+	OpenExchange(c context.Context, to ident.Daemon, head *wire.Exchange, asOf time.Duration) (*peer.Exchange, error)
 }
 
 // Client hands requests to peers. It implements send.Relay.
@@ -40,7 +41,8 @@
 func (k *Client) Send(c context.Context, to ident.Daemon, x *send.Relayed, resp *fasthttp.Response) send.RelayResult {
 	c, cancel := context.WithDeadline(c, k.clock.StdTime(x.Deadline))
 	defer cancel()
-	e, err := k.peers.OpenExchange(c, to, k.encode(x))
+	head, asOf := k.encode(x)
+	e, err := k.peers.OpenExchange(c, to, head, asOf)
 	if err != nil {
 		return failure(err)
 	}
@@ -65,9 +67,11 @@
 	return send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}
 }
 
-func (k *Client) encode(x *send.Relayed) *wire.Exchange {
+// encode returns the message for a request, and when the durations in it count from, as the time since the start of the host.
+func (k *Client) encode(x *send.Relayed) (m *wire.Exchange, asOf time.Duration) {
+	asOf = k.clock.SinceBoot()
 	h := &x.Request.Header
-	m := &wire.Exchange{
+	m = &wire.Exchange{
 		RequestId: string(x.ID), Service: string(x.Service), Configuration: uint64(x.Config), Method: string(h.Method()),
 		Uri: append([]byte(nil), h.RequestURI()...), RemainingUs: uint64(max(0, x.Deadline.Sub(k.clock.Now()).Microseconds())),
 		BodyFollows: true, BodySize: int64(len(x.Request.Body())), Forwarded: true, ServiceUnreachable: x.ServiceUnreachable, Counted: x.Counted,
@@ -78,7 +82,7 @@
 	for n, v := range h.All() {
 		m.Headers = append(m.Headers, encodeHeader(n, v))
 	}
-	return m
+	return m, asOf
 }
 
 // read reads the peer's answer, and into resp the response that it has received from a server, for which it reserves memory.
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -23,7 +23,7 @@
 }
 
 func TestDrainWaitsForRunningRequests(t *testing.T) {
-	s := NewServer(clock.New(), nil, nil)
+	s := NewServer(clock.New(), nil, nil, nil)
 	require.True(t, s.begin())
 	c, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/ident"
@@ -32,6 +33,7 @@
 	clock   *clock.Clock
 	handler Handler
 	memory  *memory.Budget
+	log     *log.Logger
 
 	mu      sync.Mutex
 	running int
@@ -39,8 +41,8 @@
 }
 
 // NewServer returns a Server. The budget accounts for the bodies of requests and responses; nil for no limit.
-func NewServer(c *clock.Clock, h Handler, m *memory.Budget) *Server {
-	return &Server{clock: c, handler: h, memory: m}
+func NewServer(c *clock.Clock, h Handler, m *memory.Budget, l *log.Logger) *Server {
+	return &Server{clock: c, handler: h, memory: m, log: l}
 }
 
 // Drain refuses further requests, and returns when those that run have ended or the context ends.
@@ -83,6 +85,7 @@
 // Serve serves one exchange.
 func (s *Server) Serve(c context.Context, from ident.Daemon, e *peer.Exchange) {
 	arrived := s.clock.Now()
+	s.logUnread(from, e)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -121,6 +124,19 @@
 	}
 }
 
+// unreadLogThreshold is the time for which a request may lie unread before it is logged.
+const unreadLogThreshold = 200 * time.Millisecond
+
+// logUnread logs a request that lay unread for long: this process was paused, or is slow.
+func (s *Server) logUnread(from ident.Daemon, e *peer.Exchange) {
+	unread := s.clock.SinceBoot() - e.SentAt
+	if e.SentAt == 0 || unread < unreadLogThreshold {
+		return
+	}
+	s.log.Info().Str("request-id", e.Head.GetRequestId()).Str("peer", string(from)).Dur("unread", unread).
+		Dur("remaining", time.Duration(e.Head.GetRemainingUs())*time.Microsecond-unread).Msg("request of a peer lay unread") //nolint:gosec // seconds
+}
+
 // refuse reserves the memory for the request's body. If there is none, it answers the peer, which can ask another one, and returns true.
 func (s *Server) refuse(e *peer.Exchange, m *memory.Reservation) bool {
 	if m.ReserveRequest(int(max(0, min(e.Head.GetBodySize(), maxBodyBytes)))) == nil {
--- a/io/send/delegate.go
+++ b/io/send/delegate.go
@@ -48,6 +48,7 @@
 		return s.relayAnswered(r, resp)
 	}
 	fasthttp.ReleaseResponse(resp)
+	s.logNotServed(r, to, x, s.o.Clock.Now().Sub(now))
 	if r.caller.Err() == nil && x.Outcome == retry.Unknown {
 		if len(x.SentTo) == 0 {
 			r.sentTo = append(r.sentTo, b.server.ID) // the delegate may have sent it before it was lost
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -92,11 +92,16 @@
 	}
 	s.o.Counter.RecordRelay(r.service.Name, x.Outcome.String(), x.Reason)
 	fasthttp.ReleaseResponse(resp)
-	s.o.Log.Info().Str("request-id", string(r.id)).Str("peer", string(to)).Str("outcome", x.Outcome.String()).Str("reason", x.Reason).
-		Msg("not served by a peer")
+	s.logNotServed(r, to, x, s.o.Clock.Now().Sub(now))
 	return s.relayRefused(r, x)
 }
 
+// logNotServed logs that a peer has not served a request.
+func (s *Sender) logNotServed(r *request, to ident.Daemon, x RelayResult, took time.Duration) {
+	s.o.Log.Info().Str("request-id", string(r.id)).Str("peer", string(to)).Str("outcome", x.Outcome.String()).Str("reason", x.Reason).
+		Dur("took", took).Msg("not served by a peer")
+}
+
 // handOver sends a request to a peer and waits for its answer.
 func (s *Sender) handOver(r *request, to ident.Daemon, snap *site.Snapshot, resp *fasthttp.Response) RelayResult {
 	x := s.o.Relay.Send(r.ctx, to, &Relayed{
