relay: a peer may send a request for 300 ms after it was handed over, by a clock that a pause doesn't stop

Cause: nothing limited for how long a peer may send a request that was handed to it.

Now the caller's deadline and the end of a period in which the peer may send count from the sending, on the peer's own clock, of which the sender knows a lower bound. The peer checks the period before each attempt and right before the first byte of each. Later it answers handover-expired, not run, and the sender goes on by itself or with another peer. So an attempt of a peer can't begin after the sender has gone on, whichever of the two was paused or slow and whether it knows that.

--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -37,26 +37,42 @@
 	reasonPeerLost   = "peer-lost"   // the peer may have sent the request to a server
 )
 
+// sendPeriod is how long a peer may send a request to servers after it was handed over. It is shorter than the time in which the loss of a
+// peer is noticed, so that this daemon rarely has to wait for its end.
+const sendPeriod = 300 * time.Millisecond
+
 // Send implements send.Relay.
 func (k *Client) Send(c context.Context, to ident.Daemon, x *send.Relayed, resp *fasthttp.Response) send.RelayResult {
 	c, cancel := context.WithDeadline(c, k.clock.StdTime(x.Deadline))
 	defer cancel()
-	head, asOf := k.encode(x)
-	e, err := k.peers.OpenExchange(c, to, head, asOf)
+	asOf := k.clock.SinceBoot()
+	r, answered := k.exchange(c, to, x, asOf, resp)
+	if r.Outcome == retry.Unknown && !answered {
+		// The peer may be paused with the request unread. Until the end of the period, it could begin to send the request after another
+		// attempt has ended.
+		clock.Sleep(c, asOf+sendPeriod-k.clock.SinceBoot())
+	}
+	return r
+}
+
+// exchange hands the request to the peer. Its times count from asOf, as the time since the start of the host. It reports whether the peer has
+// answered, after which it sends nothing more.
+func (k *Client) exchange(c context.Context, to ident.Daemon, x *send.Relayed, asOf time.Duration, resp *fasthttp.Response) (r send.RelayResult, answered bool) {
+	e, err := k.peers.OpenExchange(c, to, k.encode(x), asOf)
 	if err != nil {
-		return failure(err)
+		return failure(err), false
 	}
 	defer context.AfterFunc(c, e.Abort)() // the peer then cancels the request
 	if err := writeBody(e, x.Request.Body()); err != nil {
 		e.Abort()
-		return send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed} // the peer sends nothing before it has the whole body
+		return send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}, false // the peer sends nothing before it has the whole body
 	}
-	r, err := read(e, x.Memory, resp)
+	r, err = read(e, x.Memory, resp)
 	if err != nil {
 		e.Abort()
-		return failure(err)
+		return failure(err), false
 	}
-	return r
+	return r, true
 }
 
 // failure returns the result of an exchange that failed.
@@ -67,14 +83,13 @@
 	return send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}
 }
 
-// encode returns the message for a request, and when the durations in it count from, as the time since the start of the host.
-func (k *Client) encode(x *send.Relayed) (m *wire.Exchange, asOf time.Duration) {
-	asOf = k.clock.SinceBoot()
+func (k *Client) encode(x *send.Relayed) *wire.Exchange {
 	h := &x.Request.Header
-	m = &wire.Exchange{
+	m := &wire.Exchange{
 		RequestId: string(x.ID), Service: string(x.Service), Configuration: uint64(x.Config), Method: string(h.Method()),
 		Uri: append([]byte(nil), h.RequestURI()...), RemainingUs: uint64(max(0, x.Deadline.Sub(k.clock.Now()).Microseconds())),
 		BodyFollows: true, BodySize: int64(len(x.Request.Body())), Forwarded: true, ServiceUnreachable: x.ServiceUnreachable, Counted: x.Counted,
+		ValidUs: uint64(sendPeriod.Microseconds()),
 	}
 	for _, s := range x.SentTo {
 		m.SentTo = append(m.SentTo, string(s))
@@ -82,7 +97,7 @@
 	for n, v := range h.All() {
 		m.Headers = append(m.Headers, encodeHeader(n, v))
 	}
-	return m, asOf
+	return m
 }
 
 // read reads the peer's answer, and into resp the response that it has received from a server, for which it reserves memory.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/ident"
-	"heatherrouter/core/mono"
 	"heatherrouter/core/retry"
 	"heatherrouter/core/site"
 	"heatherrouter/io/clock"
@@ -84,12 +83,11 @@
 
 // Serve serves one exchange.
 func (s *Server) Serve(c context.Context, from ident.Daemon, e *peer.Exchange) {
-	arrived := s.clock.Now()
 	s.logUnread(from, e)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	x := decode(e.Head, req, arrived)
+	x := s.decode(e, req)
 	x.Memory = &memory.Reservation{Budget: s.memory, Priority: s.handler.Priority(&req.Header)}
 	defer x.Memory.ReleaseAll()
 	if s.refuse(e, x.Memory) {
@@ -134,7 +132,7 @@
 		return
 	}
 	s.log.Info().Str("request-id", e.Head.GetRequestId()).Str("peer", string(from)).Dur("unread", unread).
-		Dur("remaining", time.Duration(e.Head.GetRemainingUs())*time.Microsecond-unread).Msg("request of a peer lay unread") //nolint:gosec // seconds
+		Dur("remaining", duration(e.Head.GetRemainingUs())-unread).Msg("request of a peer lay unread")
 }
 
 // refuse reserves the memory for the request's body. If there is none, it answers the peer, which can ask another one, and returns true.
@@ -156,8 +154,10 @@
 	return true
 }
 
-// decode fills req with the header of the request as its caller sent it.
-func decode(m *wire.Exchange, req *fasthttp.Request, arrived mono.Time) *send.Relayed {
+// decode fills req with the header of the request as its caller sent it. The durations in the message count from its sending: this process may
+// have been paused while the message lay unread.
+func (s *Server) decode(e *peer.Exchange, req *fasthttp.Request) *send.Relayed {
+	m := e.Head
 	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(m.GetMethod())
 	for _, h := range m.GetHeaders() {
@@ -166,7 +166,7 @@
 	req.Header.SetRequestURIBytes(m.GetUri())
 	x := &send.Relayed{
 		Request: req, ID: ident.Request(m.GetRequestId()), Service: ident.Service(m.GetService()), Config: site.Version(m.GetConfiguration()),
-		Deadline:           arrived.Add(time.Duration(m.GetRemainingUs()) * time.Microsecond), //nolint:gosec // seconds
+		Deadline: s.clock.FromBoot(e.SentAt + duration(m.GetRemainingUs())), SendEnd: e.SentAt + duration(m.GetValidUs()),
 		ServiceUnreachable: m.GetServiceUnreachable(), Counted: m.GetCounted(),
 	}
 	for _, s := range m.GetSentTo() {
@@ -175,6 +175,8 @@
 	return x
 }
 
+func duration(us uint64) time.Duration { return time.Duration(us) * time.Microsecond } //nolint:gosec // seconds
+
 func encodeAnswer(r send.RelayResult, resp *fasthttp.Response) *wire.ExchangeAnswer {
 	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: r.Reason, Counted: r.Counted, RetryAfterMs: uint32(r.RetryAfter.Milliseconds())} //nolint:gosec // seconds
 	for _, s := range r.SentTo {
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -210,7 +210,7 @@
 	now := s.o.Clock.Now()
 	snap := s.o.View.Snapshot()
 	x := snap.Servers[b.server.ID]
-	if !now.Before(r.deadline) || !snap.Accepts(b.server) || x == nil {
+	if !now.Before(r.deadline) || !snap.Accepts(b.server) || x == nil || !s.inSendPeriod(r) {
 		return false
 	}
 	route := snap.Config.Route(r.host, r.path)
--- a/io/send/delegate_test.go
+++ b/io/send/delegate_test.go
@@ -43,6 +43,7 @@
 type delegateSite struct {
 	sender *Sender
 	relay  *delegateRelay
+	holds  *hold.Holds
 	direct atomic.Int32 // requests that the server received from the daemon itself
 }
 
@@ -71,9 +72,9 @@
 		snap.Servers[id] = &site.Server{ID: id, Service: "keyed", Addr: addr, Slots: 4}
 	}
 	snap.BuildIndex()
-	holds := &hold.Holds{Services: map[ident.Service][]hold.Hold{"keyed": {{Range: hold.Range{Last: hold.Keys - 1}, Server: "server-7"}}}}
+	d.holds = &hold.Holds{Services: map[ident.Service][]hold.Hold{"keyed": {{Range: hold.Range{Last: hold.Keys - 1}, Server: "server-7"}}}}
 	d.sender = New(Options{
-		Self: "self", Clock: clock.New(), View: shareView{staticView: staticView{s: snap}, holds: holds}, Counter: noCounter{}, Reports: openReports{},
+		Self: "self", Clock: clock.New(), View: shareView{staticView: staticView{s: snap}, holds: d.holds}, Counter: noCounter{}, Reports: openReports{},
 		Guard: noGuard{}, Paths: noPaths{}, Relay: d.relay, Relays: reach.NewRelays("self", nil, rand.IntN),
 		RetryLimit: pace.RetryLimit{Ratio: 0.2, Slack: 2000, Window: retryWindow}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		Dialect: Dialect{
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -18,7 +18,8 @@
 // Relay hands requests to peers.
 type Relay interface {
 	// Send hands the request to the peer and writes the response that the peer received from a server to resp. It returns
-	// at the deadline, or when the context ends.
+	// at the deadline, or when the context ends. Otherwise the peer sends the request to no server after Send has returned, even if it was
+	// paused meanwhile.
 	Send(c context.Context, to ident.Daemon, x *Relayed, resp *fasthttp.Response) RelayResult
 }
 
@@ -31,6 +32,10 @@
 	SentTo   []ident.Server // servers that the request was sent to already
 	Deadline mono.Time
 
+	// SendEnd is until when the receiver may send the request to servers, as the time since the start of its host. It also binds a receiver
+	// that was paused, or that isn't told that the sender has given the request up. Set on the receiving side.
+	SendEnd time.Duration
+
 	ServiceUnreachable bool // the sender can't reach any server of the service
 	Counted            bool // the request counts for a retry budget already
 
@@ -52,6 +57,7 @@
 	reasonServerUnreachable  = "server-unreachable"  // from the peer
 	reasonServiceUnreachable = "service-unreachable" // all servers of the service, from the peer
 	reasonOlderConfig        = "older-configuration" // at the peer
+	reasonHandoverExpired    = "handover-expired"    // the peer did not send the request within the time that it had for that
 )
 
 // ReasonStopping is the reason of a peer that is about to stop.
@@ -159,7 +165,7 @@
 // mayTryOther reports whether another peer may serve a request that this one has not run.
 func (x RelayResult) mayTryOther() bool {
 	return x.Failed || slices.Contains([]string{
-		reasonServerUnreachable, reasonServiceUnreachable, reasonOlderConfig, ReasonStopping, ReasonNoMemory, "no-configuration", "no-route",
+		reasonServerUnreachable, reasonServiceUnreachable, reasonOlderConfig, reasonHandoverExpired, ReasonStopping, ReasonNoMemory, "no-configuration", "no-route",
 		string(reasonUnsupportedService), string(reasonUnsupportedRoute), // peers may run another build
 	}, x.Reason)
 }
@@ -189,7 +195,7 @@
 	}
 	r := s.newRequest(c, x.Request)
 	r.relayed, r.relayDeadline, r.sentTo = true, x.Deadline, slices.Clone(x.SentTo)
-	r.counted, r.memory = x.Counted, x.Memory
+	r.sendEnd, r.counted, r.memory = x.SendEnd, x.Counted, x.Memory
 	snap := s.o.View.Snapshot()
 	if snap.Config != nil && snap.Config.Version < x.Config && s.o.View.Refresh(c) {
 		snap = s.o.View.Snapshot()
--- a/io/send/relay_test.go
+++ b/io/send/relay_test.go
@@ -169,3 +169,38 @@
 	require.Empty(t, observe(leaves), "no server was reached")
 	require.Empty(t, observe(leaves, "gone"))
 }
+
+// Guards against a request that is sent for a peer which may have sent it elsewhere or answered its caller: this process was paused before it
+// read the request, or the request waited here.
+func TestHandedOverRequestIsSentInItsPeriodOnly(t *testing.T) {
+	d := newDelegateSite(t, RelayResult{})
+	boot := d.sender.o.Clock.SinceBoot()
+	do := func(path string, end time.Duration) RelayResult {
+		req, resp := testRequest(path), &fasthttp.Response{}
+		req.Header.Set("Key", "100")
+		return d.sender.HandleRelayed(t.Context(), "peer", &Relayed{
+			Request: req, ID: "a", Service: "keyed", Deadline: d.sender.o.Clock.Now().Add(5 * time.Second), SendEnd: end,
+		}, resp)
+	}
+	for _, path := range []string{"/safe/x", "/x"} {
+		r := do(path, boot-time.Millisecond)
+		require.Equal(t, retry.NotRun, r.Outcome, path)
+		require.Equal(t, reasonHandoverExpired, r.Reason, path)
+		require.True(t, r.mayTryOther(), path)
+		require.Zero(t, d.direct.Load(), path)
+	}
+	d.sender.mu.Lock()
+	b := d.sender.backends[backendKeyOf(d.sender.o.View.Snapshot().Servers["server-7"])]
+	d.sender.mu.Unlock()
+	require.Nil(t, b, "nothing was sent")
+	require.Equal(t, retry.Answered, do("/safe/x", boot+time.Minute).Outcome)
+	require.EqualValues(t, 1, d.direct.Load())
+
+	d.holds.Services["keyed"][0].Server = "" // the key is moving: the request waits for its owner
+	end := d.sender.o.Clock.SinceBoot() + 200*time.Millisecond
+	r := do("/safe/x", end)
+	require.Equal(t, reasonHandoverExpired, r.Reason)
+	require.GreaterOrEqual(t, d.sender.o.Clock.SinceBoot(), end)
+	require.Less(t, d.sender.o.Clock.SinceBoot(), end+time.Second)
+	require.EqualValues(t, 1, d.direct.Load())
+}
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -233,6 +233,7 @@
 	counted       bool           // the request counts for the retry budget of this daemon or of another one
 	undelegated   bool           // the request is sent by this daemon itself, as its delegate has not served it
 	relayDeadline mono.Time      // the peer's deadline
+	sendEnd       time.Duration  // until when a relayed request may be sent, as the time since the start of the host
 	relayedTo     []ident.Daemon // peers that the request was handed to
 	target        ident.Server   // server that alone can run the request and that can't be reached
 
@@ -425,6 +426,9 @@
 		if !now.Before(r.deadline) {
 			return s.refuseExpired(r)
 		}
+		if !s.inSendPeriod(r) {
+			return s.refuse(r, reasonHandoverExpired)
+		}
 		snap := s.o.View.Snapshot()
 		if f := s.match(r, snap); f != nil {
 			return *f
@@ -472,6 +476,12 @@
 	}
 }
 
+// inSendPeriod reports whether the request may be sent as far as the peer that handed it over is concerned. After the period, the peer may
+// send it itself or answer its caller.
+func (s *Sender) inSendPeriod(r *request) bool {
+	return !r.relayed || s.o.Clock.SinceBoot() < r.sendEnd
+}
+
 // maxTokenWait is the longest time that a request waits for tokens of servers. One exchange with the coordinator takes milliseconds.
 const maxTokenWait = 150 * time.Millisecond
 
