relay: the period for sending begins with the end of the body; a request without its end is certainly not run

The end of the period now follows the body in a message of its own. So a peer that has not received the end certainly sends nothing, and a request that couldn't be handed over completely is passed to another peer instead of being answered 502. A peer of an earlier version, which names no times, is answered that the request wasn't taken.

--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -63,6 +64,36 @@
 	return x.stream.Write(p)
 }
 
+// CloseWithPeriod marks this side's body as whole and ends it, and allows the peer to send the request to servers for the given time from now. It
+// returns the end of the period as the time since the start of this host. By the peer's clock it ends no later, whenever the peer reads it.
+func (x *Exchange) CloseWithPeriod(d time.Duration) (end time.Duration, err error) {
+	end = x.link.hostClock.SinceBoot() + d
+	data, err := encodeFrame(&wire.ExchangeEnd{SendUntilUs: micros(x.link.peerClock.earliest(end))})
+	if err != nil {
+		return end, err
+	}
+	defer freeFrame(data)
+	if _, err := x.stream.Write(*data); err != nil {
+		return end, err
+	}
+	return end, x.Close()
+}
+
+// ReadPeriod reads what CloseWithPeriod wrote, behind the body: until when the request may be sent to servers, as the time since the start of
+// this host. It fails unless the whole body and nothing more was read.
+func (x *Exchange) ReadPeriod() (end time.Duration, err error) {
+	m := &wire.ExchangeEnd{}
+	if err := readFrame(x.reader, m); err != nil {
+		return 0, err
+	}
+	if _, err := x.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		return 0, errBodySize
+	}
+	return fromMicros(m.GetSendUntilUs()), nil
+}
+
+var errBodySize = errors.New("body is longer than announced")
+
 // Close marks this side's body as whole and ends it.
 func (x *Exchange) Close() error {
 	return x.stream.Close()
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -45,42 +45,46 @@
 func (k *Client) Send(c context.Context, to ident.Daemon, x *send.Relayed, resp *fasthttp.Response) send.RelayResult {
 	c, cancel := context.WithDeadline(c, k.clock.StdTime(x.Deadline))
 	defer cancel()
-	asOf := k.clock.SinceBoot()
-	r, answered := k.exchange(c, to, x, asOf, resp)
-	if r.Outcome == retry.Unknown && !answered {
+	r, sendEnd := k.exchange(c, to, x, resp)
+	if r.Outcome == retry.Unknown && sendEnd > 0 {
 		// The peer may be paused with the request unread. Until the end of the period, it could begin to send the request after another
 		// attempt has ended.
-		clock.Sleep(c, asOf+sendPeriod-k.clock.SinceBoot())
+		clock.Sleep(c, sendEnd-k.clock.SinceBoot())
 	}
 	return r
 }
 
-// exchange hands the request to the peer. Its times count from asOf, as the time since the start of the host. It reports whether the peer has
-// answered, after which it sends nothing more.
-func (k *Client) exchange(c context.Context, to ident.Daemon, x *send.Relayed, asOf time.Duration, resp *fasthttp.Response) (r send.RelayResult, answered bool) {
+// exchange hands the request to the peer and waits for the answer. If there is none, it returns until when the peer may still send the request,
+// as the time since the start of the host; else 0.
+func (k *Client) exchange(c context.Context, to ident.Daemon, x *send.Relayed, resp *fasthttp.Response) (r send.RelayResult, sendEnd time.Duration) {
+	asOf := k.clock.SinceBoot()
 	e, err := k.peers.OpenExchange(c, to, k.encode(x), asOf)
 	if err != nil {
-		return failure(err), false
+		return peerFailed, 0
 	}
 	defer context.AfterFunc(c, e.Abort)() // the peer then cancels the request
-	if err := writeBody(e, x.Request.Body()); err != nil {
+	sendEnd, err = writeRequestBody(e, x.Request.Body())
+	if err != nil {
 		e.Abort()
-		return send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}, false // the peer sends nothing before it has the whole body
+		return peerFailed, 0
 	}
 	r, err = read(e, x.Memory, resp)
 	if err != nil {
 		e.Abort()
-		return failure(err), false
+		return failure(err), sendEnd
 	}
-	return r, true
+	return r, 0
 }
 
-// failure returns the result of an exchange that failed.
+// peerFailed is the result if the peer has not received the whole request: it sends nothing before that.
+var peerFailed = send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}
+
+// failure returns the result of an exchange whose request was handed over.
 func failure(err error) send.RelayResult {
 	if peer.MaybeSent(err) {
 		return send.RelayResult{Outcome: retry.Unknown, Reason: reasonPeerLost, Counted: true}
 	}
-	return send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}
+	return peerFailed
 }
 
 func (k *Client) encode(x *send.Relayed) *wire.Exchange {
@@ -89,7 +93,6 @@
 		RequestId: string(x.ID), Service: string(x.Service), Configuration: uint64(x.Config), Method: string(h.Method()),
 		Uri: append([]byte(nil), h.RequestURI()...), RemainingUs: uint64(max(0, x.Deadline.Sub(k.clock.Now()).Microseconds())),
 		BodyFollows: true, BodySize: int64(len(x.Request.Body())), Forwarded: true, ServiceUnreachable: x.ServiceUnreachable, Counted: x.Counted,
-		ValidUs: uint64(sendPeriod.Microseconds()),
 	}
 	for _, s := range x.SentTo {
 		m.SentTo = append(m.SentTo, string(s))
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -90,10 +90,12 @@
 	x := s.decode(e, req)
 	x.Memory = &memory.Reservation{Budget: s.memory, Priority: s.handler.Priority(&req.Header)}
 	defer x.Memory.ReleaseAll()
-	if s.refuse(e, x.Memory) {
+	if why := s.refusal(e, x.Memory); why != "" {
+		s.refuse(e, why, x.Memory.Priority)
 		return
 	}
-	body, err := readBody(e, e.Head.GetBodySize())
+	body, sendEnd, err := readRequestBody(e)
+	x.SendEnd = sendEnd
 	if err != nil {
 		e.Abort() // the peer has given the request up
 		return
@@ -135,14 +137,22 @@
 		Dur("remaining", duration(e.Head.GetRemainingUs())-unread).Msg("request of a peer lay unread")
 }
 
-// refuse reserves the memory for the request's body. If there is none, it answers the peer, which can ask another one, and returns true.
-func (s *Server) refuse(e *peer.Exchange, m *memory.Reservation) bool {
-	if m.ReserveRequest(int(max(0, min(e.Head.GetBodySize(), maxBodyBytes)))) == nil {
-		return false
+// refusal reserves the memory for the request's body, and returns the reason why the request can't be taken, or an empty string.
+func (s *Server) refusal(e *peer.Exchange, m *memory.Reservation) string {
+	if e.SentAt == 0 {
+		return send.ReasonStopping // a peer of another version, which doesn't say until when the request may be sent
+	}
+	if m.ReserveRequest(int(max(0, min(e.Head.GetBodySize(), maxBodyBytes)))) != nil {
+		return send.ReasonNoMemory
 	}
+	return ""
+}
+
+// refuse answers the peer, which can ask another one.
+func (s *Server) refuse(e *peer.Exchange, why string, priority int) {
 	_, err := io.Copy(io.Discard, e) // the peer reads the answer after it has sent the body
 	if err == nil {
-		r := send.RelayResult{Outcome: retry.NotRun, Reason: send.ReasonNoMemory, RetryAfter: send.NoMemoryRetryAfter(m.Priority), Counted: e.Head.GetCounted()}
+		r := send.RelayResult{Outcome: retry.NotRun, Reason: why, RetryAfter: send.NoMemoryRetryAfter(priority), Counted: e.Head.GetCounted()}
 		err = e.WriteResponse(encodeAnswer(r, nil))
 	}
 	if err == nil {
@@ -151,7 +161,6 @@
 	if err != nil {
 		e.Abort()
 	}
-	return true
 }
 
 // decode fills req with the header of the request as its caller sent it. The durations in the message count from its sending: this process may
@@ -166,7 +175,7 @@
 	req.Header.SetRequestURIBytes(m.GetUri())
 	x := &send.Relayed{
 		Request: req, ID: ident.Request(m.GetRequestId()), Service: ident.Service(m.GetService()), Config: site.Version(m.GetConfiguration()),
-		Deadline: s.clock.FromBoot(e.SentAt + duration(m.GetRemainingUs())), SendEnd: e.SentAt + duration(m.GetValidUs()),
+		Deadline:           s.clock.FromBoot(e.SentAt + duration(m.GetRemainingUs())),
 		ServiceUnreachable: m.GetServiceUnreachable(), Counted: m.GetCounted(),
 	}
 	for _, s := range m.GetSentTo() {
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -423,11 +423,8 @@
 		if s.base.Err() != nil {
 			return s.refuse(r, reasonStopping)
 		}
-		if !now.Before(r.deadline) {
-			return s.refuseExpired(r)
-		}
-		if !s.inSendPeriod(r) {
-			return s.refuse(r, reasonHandoverExpired)
+		if f := s.checkTime(r, now); f != nil {
+			return *f
 		}
 		snap := s.o.View.Snapshot()
 		if f := s.match(r, snap); f != nil {
@@ -476,12 +473,6 @@
 	}
 }
 
-// inSendPeriod reports whether the request may be sent as far as the peer that handed it over is concerned. After the period, the peer may
-// send it itself or answer its caller.
-func (s *Sender) inSendPeriod(r *request) bool {
-	return !r.relayed || s.o.Clock.SinceBoot() < r.sendEnd
-}
-
 // maxTokenWait is the longest time that a request waits for tokens of servers. One exchange with the coordinator takes milliseconds.
 const maxTokenWait = 150 * time.Millisecond
 
