relay, peer: what the review of the period for sending found

Found by a review with tests that failed on; no caller has seen them. - A peer of an earlier version couldn't be reached at all, and each attempt left a connection open: "5 connections are open", "clock of the peer isn't known" (TestPeerOfEarlierVersionIsReached). A peer that takes longer than 0.8 s to answer, likewise (TestSlowPeerIsReached). The clock is read in the background now, and a connection that can't be set up is closed. - The bound of a peer's clock allowed for a drift of 1 in 1000, where leases and terms allow for 1 in 50, and kept the best reading of a connection's life: 1.13 s ahead after a minute (TestPeerClockIsNeverAheadOfASlowClock). Now 1 in 50, with a reading at most 2 s old. - Requests at peers were answered 502, 500 or 503 after 300 ms that were served before: an idempotent one whose first server failed, and one that waited for a cold server (TestIdempotentRequestIsRepeatedAfterThePeriod, TestRequestWaitsForColdServerAtPeers). The daemon that handed a request over now goes on when the period is over: it repeats idempotent requests, and asks the same peers again while the request may wait. - A peer that reads requests too late counted as well; now it is avoided like one that fails. - Between the peer's last check and its first byte some time passes: the sender waits 100 ms beyond the period.

--- a/io/peer/clock.go
+++ b/io/peer/clock.go
@@ -10,20 +10,21 @@
 )
 
 const (
-	// clockDriftDivisor bounds how much faster one host's clock runs than another's: each may be slewed by 1 part in 2000.
-	clockDriftDivisor = 1000
+	// clockDriftDivisor bounds how much slower one host's clock runs than another's, as for leases and terms: by 1 part in 50.
+	clockDriftDivisor = 50
 
-	// maxReadingAge is the age of the last reading of a peer's clock after which an exchange takes a new one.
-	maxReadingAge = 30 * time.Second
+	// maxReadingAge is the age of the last reading of a peer's clock after which an exchange takes a new one. Meanwhile the bound falls
+	// behind by the drift.
+	maxReadingAge = 2 * time.Second
 )
 
 // peerClock is a lower bound of a peer's clock. Every message from the peer carries a reading of its clock, which was taken before the
 // message arrived. Times are those since the start of the respective host, which also count while a host or a process is paused.
 type peerClock struct {
 	mu     sync.Mutex
-	ahead  time.Duration // of the peer's clock relative to this host's, at the least, when updated
+	ahead  time.Duration // of the peer's clock relative to this host's, at the least, at setAt
+	setAt  time.Duration
 	readAt time.Duration // when a reading last arrived; 0 for none
-	setAt  time.Duration // when ahead was determined
 }
 
 // observe takes a reading that arrived at the given time. Of all readings, the one with the least delay counts.
@@ -76,12 +77,13 @@
 	now := t.clock.SinceBoot()
 	r.ClockUs = micros(now)
 	if m.GetClockUs() > 0 {
-		r.SentUs = m.GetClockUs() + micros(now-received)
+		held := now - received
+		r.SentUs = m.GetClockUs() + micros(held-held/clockDriftDivisor)
 	}
 }
 
-// errUnknownClock is the error of an exchange with a peer that doesn't tell its clock.
-var errUnknownClock = errors.New("clock of the peer isn't known")
+// errUnknownClock is the error of an exchange with a peer of an earlier version, which doesn't tell its clock.
+var errUnknownClock = &Error{Sent: false, Err: errors.New("clock of the peer isn't known")}
 
 // readClock takes a reading of the peer's clock, unless there is a recent one.
 func (l *link) readClock(c context.Context) error {
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -87,12 +87,12 @@
 		return 0, err
 	}
 	if _, err := x.reader.ReadByte(); !errors.Is(err, io.EOF) {
-		return 0, errBodySize
+		return 0, errLongBody
 	}
 	return fromMicros(m.GetSendUntilUs()), nil
 }
 
-var errBodySize = errors.New("body is longer than announced")
+var errLongBody = errors.New("body is longer than announced")
 
 // Close marks this side's body as whole and ends it.
 func (x *Exchange) Close() error {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -186,10 +186,14 @@
 	}
 	t.trackConn(q)
 	t.serve(t.group.Context(), q, to)
-	return t.newLink(x, q)
+	l, err := t.newLink(x, q)
+	if err != nil {
+		_ = q.CloseWithError(0, "not set up: "+err.Error()) // fails only if already closed
+	}
+	return l, err
 }
 
-// newLink opens the call streams on a connection and reads the peer's clock.
+// newLink opens the call streams on a connection and has the peer's clock read.
 func (t *Transport) newLink(x context.Context, q *quic.Conn) (*link, error) {
 	l := &link{conn: q, hostClock: t.clock}
 	l.control = newCallStream(l)
@@ -202,9 +206,10 @@
 			return nil, err
 		}
 	}
-	if err := l.readClock(x); err != nil && MaybeSent(err) {
-		return nil, err // a peer of a version without the call refuses it
-	}
+	t.group.Go(func(c context.Context) error {
+		_ = l.readClock(c) // an exchange that finds no reading takes one itself
+		return nil
+	})
 	return l, nil
 }
 
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -37,9 +37,14 @@
 	reasonPeerLost   = "peer-lost"   // the peer may have sent the request to a server
 )
 
-// sendPeriod is how long a peer may send a request to servers after it was handed over. It is shorter than the time in which the loss of a
-// peer is noticed, so that this daemon rarely has to wait for its end.
-const sendPeriod = 300 * time.Millisecond
+const (
+	// sendPeriod is how long a peer may send a request to servers after it was handed over. It must be shorter than the time in which a
+	// lost peer is noticed.
+	sendPeriod = 300 * time.Millisecond
+
+	// sendMargin is the time from the peer's last look at the period until the first byte of the request has left it.
+	sendMargin = 100 * time.Millisecond
+)
 
 // Send implements send.Relay.
 func (k *Client) Send(c context.Context, to ident.Daemon, x *send.Relayed, resp *fasthttp.Response) send.RelayResult {
@@ -49,7 +54,7 @@
 	if r.Outcome == retry.Unknown && sendEnd > 0 {
 		// The peer may be paused with the request unread. Until the end of the period, it could begin to send the request after another
 		// attempt has ended.
-		clock.Sleep(c, sendEnd-k.clock.SinceBoot())
+		clock.Sleep(c, sendEnd+sendMargin-k.clock.SinceBoot())
 	}
 	return r
 }
--- a/io/send/attempt.go
+++ b/io/send/attempt.go
@@ -210,7 +210,7 @@
 	now := s.o.Clock.Now()
 	snap := s.o.View.Snapshot()
 	x := snap.Servers[b.server.ID]
-	if !now.Before(r.deadline) || !snap.Accepts(b.server) || x == nil || !s.inSendPeriod(r) {
+	if !now.Before(r.deadline) || !snap.Accepts(b.server) || x == nil {
 		return false
 	}
 	route := snap.Config.Route(r.host, r.path)
@@ -234,7 +234,7 @@
 	if !s.takeWindow(r, b, x, snap, now) {
 		return false
 	}
-	return s.o.Reports.TakeAccess(b.server)
+	return s.inSendPeriod(r) && s.o.Reports.TakeAccess(b.server)
 }
 
 // observe updates the statistics of the server, route and service after an exchange.
--- a/io/send/choose.go
+++ b/io/send/choose.go
@@ -303,14 +303,19 @@
 // waitPollInterval is how often a waiting request is checked again when no change of the view wakes it.
 const waitPollInterval = 40 * time.Millisecond
 
+// waitEnd returns until when the request may wait before it is sent. Half of its time is left for running it. A planned move of keys takes as
+// long as the longest running request.
+func (r *request) waitEnd() mono.Time {
+	return r.arrived.Add(r.deadline.Sub(r.arrived) / 2)
+}
+
 // waitForChange waits for a change of the view, at most waitPollInterval, if the reason is likely to pass in time. It reports
 // whether to choose again.
 func (s *Sender) waitForChange(r *request, why reason, now mono.Time) bool {
 	if why != reasonMoving && why != reasonCold {
 		return false
 	}
-	// Half of the request's time is left for running it. A planned move of keys takes as long as the longest running request.
-	until := r.arrived.Add(r.deadline.Sub(r.arrived) / 2)
+	until := r.waitEnd()
 	if !now.Before(until) {
 		return false
 	}
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -57,7 +57,8 @@
 	reasonServerUnreachable  = "server-unreachable"  // from the peer
 	reasonServiceUnreachable = "service-unreachable" // all servers of the service, from the peer
 	reasonOlderConfig        = "older-configuration" // at the peer
-	reasonHandoverExpired    = "handover-expired"    // the peer did not send the request within the time that it had for that
+	reasonReadLate           = "read-late"           // by the peer: the period in which it might have sent the request was over
+	reasonHandoverExpired    = "handover-expired"    // the period has ended before the peer was done with the request
 )
 
 // ReasonStopping is the reason of a peer that is about to stop.
@@ -94,7 +95,8 @@
 	if x.Outcome == retry.Answered {
 		s.o.Counter.RecordRelay(r.service.Name, x.Outcome.String(), "")
 		s.observeRelayed(snap, x, now, resp)
-		return s.relayAnswered(r, resp), false
+		f := s.handleResponse(r, resp, 0)
+		return f, f == nil
 	}
 	s.o.Counter.RecordRelay(r.service.Name, x.Outcome.String(), x.Reason)
 	fasthttp.ReleaseResponse(resp)
@@ -148,6 +150,8 @@
 	switch {
 	case r.caller.Err() != nil:
 		return &result{outcome: outcomeCallerLeft, reason: "caller-left"}, false
+	case x.Reason == reasonHandoverExpired:
+		return s.handoverExpired(r, x)
 	case x.Outcome == retry.Unknown:
 		status := fasthttp.StatusBadGateway
 		if !s.o.Clock.Now().Before(r.deadline) {
@@ -162,12 +166,34 @@
 	return &y, false
 }
 
+// handoverExpired returns the result of a request whose time at a peer has ended before the peer was done with it, or reports whether to
+// choose again. The request waited there, for its key's next owner or a cold server, or its attempts failed. While it may wait, the same peer
+// can be asked again.
+func (s *Sender) handoverExpired(r *request, x RelayResult) (f *result, again bool) {
+	if x.Outcome == retry.Unknown {
+		r.mayHaveRun = true
+		if !r.route.Idempotent {
+			y := s.refuse(r, reasonHandoverExpired)
+			return &y, false
+		}
+	}
+	if now := s.o.Clock.Now(); now.Before(r.waitEnd()) {
+		r.relayedTo = nil
+		return nil, true
+	}
+	y := s.refuse(r, reasonHandoverExpired)
+	return &y, false
+}
+
+// otherPeerReasons are the reasons for which one peer doesn't serve a request that another one may serve.
+var otherPeerReasons = []string{
+	reasonServerUnreachable, reasonServiceUnreachable, reasonOlderConfig, reasonReadLate, ReasonStopping, ReasonNoMemory, "no-configuration", "no-route",
+	string(reasonUnsupportedService), string(reasonUnsupportedRoute), // peers may run another build
+}
+
 // mayTryOther reports whether another peer may serve a request that this one has not run.
 func (x RelayResult) mayTryOther() bool {
-	return x.Failed || slices.Contains([]string{
-		reasonServerUnreachable, reasonServiceUnreachable, reasonOlderConfig, reasonHandoverExpired, ReasonStopping, ReasonNoMemory, "no-configuration", "no-route",
-		string(reasonUnsupportedService), string(reasonUnsupportedRoute), // peers may run another build
-	}, x.Reason)
+	return x.Failed || slices.Contains(otherPeerReasons, x.Reason)
 }
 
 // report returns what the result says about the peer's paths to servers.
@@ -175,7 +201,7 @@
 	switch {
 	case x.Outcome == retry.Answered:
 		return reach.Reached
-	case x.Failed:
+	case x.Failed, x.Reason == reasonReadLate:
 		return reach.PeerFailed
 	case x.Reason == reasonServerUnreachable:
 		return reach.ServerUnreachable
@@ -196,6 +222,9 @@
 	r := s.newRequest(c, x.Request)
 	r.relayed, r.relayDeadline, r.sentTo = true, x.Deadline, slices.Clone(x.SentTo)
 	r.sendEnd, r.counted, r.memory = x.SendEnd, x.Counted, x.Memory
+	if !s.inSendPeriod(r) {
+		return RelayResult{Outcome: retry.NotRun, Reason: reasonReadLate, Counted: r.counted}
+	}
 	snap := s.o.View.Snapshot()
 	if snap.Config != nil && snap.Config.Version < x.Config && s.o.View.Refresh(c) {
 		snap = s.o.View.Snapshot()
