home, daemon, entry: the deadline of a peer's exchange counts from its sending

What callers saw (homes mode): a request could reach a backend server seconds after its caller had been answered, if the daemon of the server's home was paused while the request lay unread. The same for a request that such a daemon passed on to another home.

Cause: Exchange.remaining_us counted from when it was read, by Call and by the stream; the forwarded one from when the first try ended. The home kept the duration in the message and took the deadline anew for each try.

Fix: the message is converted once, where it arrives, to a deadline of this host's clock that counts from its sending (clock.SentAt); Homes.Do and Stream take the deadline, and admission refuses what is past it ("expired"). A forwarded exchange carries what is left of that deadline, and its call ends at it. Likewise ExchangeAnswer.retry_after_ms and the server report in an answer count from the answer's sending: a late answer made the entry wait longer than its server asked for, and its report passed for fresh.

The reading of retry_after_ms and of the report has no test of its own.

--- a/io/clock/clock.go
+++ b/io/clock/clock.go
@@ -50,6 +50,16 @@
 	return c.Now().Add(t - c.SinceBoot())
 }
 
+// SentAt returns when a message of a peer was sent, at the earliest. The message tells it as the time since the start of this host; 0 if the
+// peer doesn't know, in which case the result is fallback. Durations in messages count from their sending, as this process or its host may have
+// been paused while the message lay unread.
+func (c *Clock) SentAt(sent time.Duration, fallback mono.Time) mono.Time {
+	if sent == 0 {
+		return fallback
+	}
+	return min(c.Now(), c.FromBoot(sent))
+}
+
 // Sleep waits for d, at most until the context ends.
 func Sleep(c context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/io/daemon/calls.go
+++ b/io/daemon/calls.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/io/clock"
 	"heatherrouter/io/entry"
 	"heatherrouter/io/home"
 	"heatherrouter/io/peer"
@@ -20,8 +22,8 @@
 type entryHomes struct{ *home.Homes }
 
 // Stream implements entry.Homes.
-func (h entryHomes) Stream(c context.Context, x *wire.Exchange, s entry.Stream) {
-	h.Homes.Stream(c, x, s)
+func (h entryHomes) Stream(c context.Context, x *wire.Exchange, deadline mono.Time, s entry.Stream) {
+	h.Homes.Stream(c, x, deadline, s)
 }
 
 // handler answers the calls of peers.
@@ -37,7 +39,7 @@
 	}
 	switch b := m.GetBody().(type) {
 	case *wire.Call_Exchange:
-		a := forward(c, d, d.settings.Name, b.Exchange, d.homes.Do)
+		a := forwarder{self: d.settings.Name, clock: d.clock, peers: d, do: d.homes.Do}.run(c, sent(m), b.Exchange)
 		return &wire.Reply{Body: &wire.Reply_Exchange{Exchange: a}}
 	case *wire.Call_Lease:
 		return &wire.Reply{Body: &wire.Reply_Lease{Lease: d.lessor.Ask(from, b.Lease)}}
@@ -69,24 +71,44 @@
 	Call(c context.Context, to ident.Daemon, m *wire.Call) (*wire.Reply, error)
 }
 
-// forward runs an exchange here, or passes it on once to the home that this daemon knows of.
+// sent returns when a call was sent, as the time since the start of this host; 0 if its sender doesn't tell.
+func sent(m *wire.Call) time.Duration {
+	return time.Duration(m.GetSentUs()) * time.Microsecond //nolint:gosec // time since the start of the host
+}
+
+// deadline returns until when the caller of an exchange waits that a peer sent.
+func deadline(k *clock.Clock, sentAt time.Duration, x *wire.Exchange) mono.Time {
+	return k.SentAt(sentAt, k.Now()).Add(time.Duration(x.GetRemainingUs()) * time.Microsecond) //nolint:gosec // seconds
+}
+
+// forwarder runs exchanges of peers.
+type forwarder struct {
+	self  ident.Daemon
+	clock *clock.Clock
+	peers caller
+	do    func(c context.Context, x *wire.Exchange, deadline mono.Time) *wire.ExchangeAnswer
+}
+
+// run runs an exchange that a peer sent at the given time here, or passes it on once to the home that this daemon knows of.
 //
 // An entry that is cut off from a home alone would otherwise have its callers' keys unserved, though the home is well:
 // the entry turns to the standby, which still reaches it. A request that comes here just after a move follows it.
-func forward(c context.Context, p caller, self ident.Daemon, x *wire.Exchange, do func(context.Context, *wire.Exchange) *wire.ExchangeAnswer) *wire.ExchangeAnswer {
-	start := time.Now()
-	a := do(c, x)
+func (f forwarder) run(c context.Context, sentAt time.Duration, x *wire.Exchange) *wire.ExchangeAnswer {
+	until := deadline(f.clock, sentAt, x)
+	a := f.do(c, x, until)
 	to := ident.Daemon(a.GetHome())
-	if a.GetOutcome() != wire.Outcome_OUTCOME_MOVED || to == "" || to == self || x.GetForwarded() {
+	if a.GetOutcome() != wire.Outcome_OUTCOME_MOVED || to == "" || to == f.self || x.GetForwarded() {
 		return a
 	}
-	spent := uint64(time.Since(start).Microseconds())
-	if x.GetRemainingUs() <= spent {
+	remaining := until.Sub(f.clock.Now())
+	if remaining <= 0 {
 		return a
 	}
 	x.Forwarded = true
-	x.RemainingUs -= spent
-	r, err := p.Call(c, to, &wire.Call{Body: &wire.Call_Exchange{Exchange: x}})
+	x.RemainingUs = uint64(remaining.Microseconds()) //nolint:gosec // positive
+	c, cancel := context.WithDeadline(c, f.clock.StdTime(until))
+	defer cancel()
+	r, err := f.peers.Call(c, to, &wire.Call{Body: &wire.Call_Exchange{Exchange: x}})
 	if err != nil && peer.MaybeSent(err) {
 		return &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: "forwarded-without-answer"}
 	}
@@ -106,5 +128,5 @@
 		x.Abort()
 		return
 	}
-	h.d.homes.Stream(c, x.Head, x)
+	h.d.homes.Stream(c, x.Head, deadline(h.d.clock, x.SentAt, x.Head), x)
 }
--- a/io/daemon/calls_test.go
+++ b/io/daemon/calls_test.go
@@ -4,21 +4,26 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
+	"heatherrouter/io/clock"
 	"heatherrouter/io/peer"
 	"heatherrouter/io/wire"
 )
 
 type fakeCaller struct {
-	to  []ident.Daemon
-	err error
+	to        []ident.Daemon
+	remaining time.Duration // of the last exchange
+	err       error
 }
 
 func (f *fakeCaller) Call(_ context.Context, to ident.Daemon, m *wire.Call) (*wire.Reply, error) {
 	f.to = append(f.to, to)
+	f.remaining = time.Duration(m.GetExchange().GetRemainingUs()) * time.Microsecond //nolint:gosec // a time
 	if f.err != nil {
 		return nil, f.err
 	}
@@ -52,11 +57,36 @@
 		t.Run(tt.name, func(t *testing.T) {
 			f := &fakeCaller{err: tt.err}
 			x := &wire.Exchange{RemainingUs: 1_000_000, Forwarded: tt.forwarded}
-			a := forward(t.Context(), f, "h01", x, func(context.Context, *wire.Exchange) *wire.ExchangeAnswer {
+			a := forwarder{self: "h01", clock: clock.New(), peers: f, do: func(context.Context, *wire.Exchange, mono.Time) *wire.ExchangeAnswer {
 				return &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_MOVED, Home: tt.home}
-			})
+			}}.run(t.Context(), 0, x)
 			require.Len(t, f.to, tt.calls)
 			require.Equal(t, tt.want, a.GetOutcome())
 		})
 	}
 }
+
+// Guards against requests that are sent to a server, here or by another home, after their callers' deadlines, as this process was paused while
+// they lay unread.
+func TestDeadlineOfExchangeThatLayUnreadCountsFromItsSending(t *testing.T) {
+	const unread = 3 * time.Second
+	k := clock.New()
+	for _, remaining := range []time.Duration{2 * time.Second, 5 * time.Second} {
+		sentAt, want := k.SinceBoot()-unread, k.Now().Add(remaining-unread)
+		f, got := &fakeCaller{}, mono.Time(0)
+		x := &wire.Exchange{RemainingUs: uint64(remaining.Microseconds())}
+		require.LessOrEqual(t, deadline(k, sentAt, x), want.Add(time.Second/100), "of a stream")
+		a := forwarder{self: "h01", clock: k, peers: f, do: func(_ context.Context, _ *wire.Exchange, deadline mono.Time) *wire.ExchangeAnswer {
+			got = deadline
+			return &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_MOVED, Home: "h02"}
+		}}.run(t.Context(), sentAt, x)
+		require.LessOrEqual(t, got, want.Add(time.Second/100))
+		if remaining < unread {
+			require.Empty(t, f.to)
+			require.Equal(t, wire.Outcome_OUTCOME_MOVED, a.GetOutcome())
+			continue
+		}
+		require.Equal(t, []ident.Daemon{"h02"}, f.to)
+		require.LessOrEqual(t, f.remaining, remaining-unread+time.Second/100)
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"heatherrouter/core/config"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/retry"
 	"heatherrouter/core/route"
 	"heatherrouter/io/clock"
@@ -34,11 +35,11 @@
 
 // Homes runs exchanges on the backend servers that this daemon is home of.
 type Homes interface {
-	// Do runs one exchange and returns its answer, whose outcome is certain.
-	Do(c context.Context, x *wire.Exchange) *wire.ExchangeAnswer
+	// Do runs one exchange, whose caller waits until the deadline, and returns its answer, whose outcome is certain.
+	Do(c context.Context, x *wire.Exchange, deadline mono.Time) *wire.ExchangeAnswer
 
 	// Stream runs one exchange with streamed bodies.
-	Stream(c context.Context, x *wire.Exchange, s Stream)
+	Stream(c context.Context, x *wire.Exchange, deadline mono.Time, s Stream)
 }
 
 // Stream is the caller's side of an exchange with streamed bodies.
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"heatherrouter/core/config"
 	"heatherrouter/core/docs"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/part"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/entry"
@@ -89,7 +90,7 @@
 	ran chan *wire.Exchange
 }
 
-func (h *homes) Do(_ context.Context, x *wire.Exchange) *wire.ExchangeAnswer {
+func (h *homes) Do(_ context.Context, x *wire.Exchange, _ mono.Time) *wire.ExchangeAnswer {
 	h.ran <- x
 	a := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: 200, Body: []byte(x.GetRequestId())}
 	switch {
@@ -101,7 +102,7 @@
 	return a
 }
 
-func (h *homes) Stream(_ context.Context, x *wire.Exchange, s entry.Stream) {
+func (h *homes) Stream(_ context.Context, x *wire.Exchange, _ mono.Time, s entry.Stream) {
 	h.ran <- x
 	_, err := io.Copy(io.Discard, s)
 	if err != nil {
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"heatherrouter/core/mono"
 	"heatherrouter/core/retry"
 	"heatherrouter/io/peer"
 	"heatherrouter/io/wire"
@@ -18,6 +19,7 @@
 // answer is the home's answer with a streamed body.
 type answer struct {
 	head *wire.ExchangeAnswer
+	at   mono.Time // when the head was sent
 	body io.Reader // io.EOF only at the whole body's end
 	end  func()    // must be called; it gives up what has not been read
 }
@@ -94,15 +96,15 @@
 	var a *answer
 	var err error
 	if t.daemon == e.o.Self {
-		a, err = e.openLocal(h, body)
+		a, err = e.openLocal(h, r.entry.Deadline(), body)
 	} else {
 		a, err = e.openPeer(t, h, asOf, body)
 	}
 	if err != nil {
-		return nil, e.outcome(nil, err)
+		return nil, e.outcome(nil, 0, err)
 	}
-	v := e.outcome(a.head, nil)
-	e.loads.of(t.server).take(e.o.Clock.Now(), a.head.GetReport())
+	v := e.outcome(a.head, a.at, nil)
+	e.loads.of(t.server).take(a.at, a.head.GetReport())
 	if v.Outcome != retry.Answered {
 		a.end()
 		return nil, v
@@ -112,6 +114,7 @@
 
 func (e *Entry) openPeer(t target, h *wire.Exchange, asOf time.Duration, body io.Reader) (*answer, error) {
 	c, cancel := context.WithCancel(context.Background())
+	opened := e.o.Clock.Now()
 	x, err := e.o.Peers.OpenExchange(c, t.daemon, h, asOf)
 	if err != nil {
 		cancel()
@@ -124,7 +127,7 @@
 		cancel()
 		return nil, err
 	}
-	return &answer{head: head, body: x, end: func() { x.Abort(); cancel() }}, nil
+	return &answer{head: head, at: e.o.Clock.SentAt(x.SentAt, opened), body: x, end: func() { x.Abort(); cancel() }}, nil
 }
 
 // sendBody passes the caller's body on. One that the caller cuts off is cut for the home too.
@@ -157,12 +160,12 @@
 	return nil
 }
 
-func (e *Entry) openLocal(h *wire.Exchange, body io.Reader) (*answer, error) {
+func (e *Entry) openLocal(h *wire.Exchange, deadline mono.Time, body io.Reader) (*answer, error) {
 	c, cancel := context.WithCancel(context.Background())
 	r, w := io.Pipe()
 	l := &localStream{body: body, head: make(chan *wire.ExchangeAnswer, 1), out: w}
 	go func() {
-		e.o.Homes.Stream(c, h, l)
+		e.o.Homes.Stream(c, h, deadline, l)
 		_ = w.CloseWithError(errCut) // no effect after a whole body
 		close(l.head)
 	}()
@@ -171,7 +174,7 @@
 		cancel()
 		return nil, &peer.Error{Sent: true, Err: errCut}
 	}
-	return &answer{head: a, body: r, end: func() { _ = r.CloseWithError(errCut); cancel() }}, nil
+	return &answer{head: a, at: e.o.Clock.Now(), body: r, end: func() { _ = r.CloseWithError(errCut); cancel() }}, nil
 }
 
 // passBody hands the answer's body to the caller. If it ends early the library closes the connection without
--- a/io/entry/unary.go
+++ b/io/entry/unary.go
@@ -278,6 +278,7 @@
 type send struct {
 	target target
 	x      *wire.Exchange
+	until  mono.Time // the caller's deadline
 	c      context.Context
 	cancel context.CancelFunc
 	over   bool // guarded by the request's lock
@@ -301,7 +302,7 @@
 	if !ok {
 		return nil, false
 	}
-	s := &send{target: t, x: e.address(r, head, t)}
+	s := &send{target: t, x: e.address(r, head, t), until: r.entry.Deadline()}
 	s.c, s.cancel = context.WithDeadline(context.Background(), e.o.Clock.StdTime(r.entry.Deadline()))
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -315,10 +316,10 @@
 	start := time.Now()
 	l := e.loads.of(s.target.server)
 	l.mine.Add(1)
-	a, err := e.exchange(s.c, s.target, s.x)
+	a, answeredAt, err := e.exchange(s)
 	l.mine.Add(-1)
-	l.take(e.o.Clock.Now(), a.GetReport())
-	return ended{answer: a, event: e.outcome(a, err), took: time.Since(start)}
+	l.take(answeredAt, a.GetReport())
+	return ended{answer: a, event: e.outcome(a, answeredAt, err), took: time.Since(start)}
 }
 
 // address completes the exchange for one target.
@@ -332,18 +333,21 @@
 	}
 }
 
-func (e *Entry) exchange(c context.Context, t target, x *wire.Exchange) (*wire.ExchangeAnswer, error) {
-	if t.daemon == e.o.Self {
-		return e.o.Homes.Do(c, x), nil
+// exchange makes the exchange and returns the answer and when it was sent.
+func (e *Entry) exchange(s *send) (a *wire.ExchangeAnswer, answeredAt mono.Time, err error) {
+	if s.target.daemon == e.o.Self {
+		a = e.o.Homes.Do(s.c, s.x, s.until)
+		return a, e.o.Clock.Now(), nil
 	}
-	m, err := e.o.Peers.Call(c, t.daemon, &wire.Call{Body: &wire.Call_Exchange{Exchange: x}})
-	return m.GetExchange(), err
+	asked := e.o.Clock.Now()
+	m, err := e.o.Peers.Call(s.c, s.target.daemon, &wire.Call{Body: &wire.Call_Exchange{Exchange: s.x}})
+	return m.GetExchange(), e.o.Clock.SentAt(time.Duration(m.GetSentUs())*time.Microsecond, asked), err //nolint:gosec // time since the start of the host
 }
 
-// outcome turns the end of a send into an event.
+// outcome turns the end of a send, and the answer that was sent at answeredAt, into an event.
 //
 // A home that can't be reached counts as moved: nothing was sent, and its standby may be home by now.
-func (e *Entry) outcome(a *wire.ExchangeAnswer, err error) retry.SendEnded {
+func (e *Entry) outcome(a *wire.ExchangeAnswer, answeredAt mono.Time, err error) retry.SendEnded {
 	if err != nil || a == nil {
 		if err != nil && !peer.MaybeSent(err) {
 			return retry.SendEnded{Outcome: retry.Moved}
@@ -361,7 +365,7 @@
 	case wire.Outcome_OUTCOME_UNKNOWN:
 	}
 	if ms := a.GetRetryAfterMs(); ms > 0 {
-		v.RetryAfter = e.o.Clock.Now().Add(time.Duration(ms) * time.Millisecond)
+		v.RetryAfter = answeredAt.Add(time.Duration(ms) * time.Millisecond)
 	}
 	return v
 }
--- a/io/home/exchange.go
+++ b/io/home/exchange.go
@@ -53,24 +53,22 @@
 	suspect  time.Duration // without an answer, until the connection is doubted; 0 for never
 }
 
-// Do runs one exchange and returns its answer, whose outcome is certain.
-func (s *Homes) Do(c context.Context, x *wire.Exchange) *wire.ExchangeAnswer {
+// Do runs one exchange, whose caller waits until the deadline, and returns its answer, whose outcome is certain.
+func (s *Homes) Do(c context.Context, x *wire.Exchange, deadline mono.Time) *wire.ExchangeAnswer {
 	h := s.get(ident.Server(x.GetServer()))
 	if h == nil {
 		return s.notHome(x)
 	}
 	for tries := 1; ; tries++ {
-		j, a := h.begin(c, x)
+		j, a := h.begin(c, x, deadline)
 		if a != nil {
 			return a
 		}
+		// If it is held back before its first byte, it queues again here: its entry would only learn that it has to wait.
 		a, heldBack := h.run(c, j)
 		if !heldBack || tries == maxTries {
 			return a
 		}
-		// It was admitted and then held back before its first byte. It queues again here: its entry would only learn
-		// that it has to wait.
-		x.RemainingUs = uint64(max(0, j.deadline.Sub(h.o.Clock.Now()).Microseconds()))
 	}
 }
 
@@ -89,10 +87,10 @@
 
 // begin takes the exchange through the lease, the shard's owner and the server's slots. It returns the answer
 // instead when the exchange is not to be sent.
-func (h *Home) begin(c context.Context, x *wire.Exchange) (*job, *wire.ExchangeAnswer) {
+func (h *Home) begin(c context.Context, x *wire.Exchange, deadline mono.Time) (*job, *wire.ExchangeAnswer) {
 	now := h.o.Clock.Now()
-	j := &job{x: x, deadline: now.Add(time.Duration(x.GetRemainingUs()) * time.Microsecond)}
-	until := min(now.Add(settleWait), j.deadline)
+	j := &job{x: x, deadline: deadline}
+	until := min(now.Add(settleWait), deadline)
 	for {
 		a, again := h.tryBegin(c, j)
 		if !again {
--- a/io/home/stream.go
+++ b/io/home/stream.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/retry"
 	"heatherrouter/io/conns"
 	"heatherrouter/io/wire"
@@ -27,14 +28,15 @@
 
 const copyBuffer = 64 << 10
 
-// Stream runs one exchange with streamed bodies. The slot stays taken until the body has ended.
-func (s *Homes) Stream(c context.Context, x *wire.Exchange, t Stream) {
+// Stream runs one exchange with streamed bodies, whose caller waits until the deadline for the head of the answer. The slot stays taken until
+// the body has ended.
+func (s *Homes) Stream(c context.Context, x *wire.Exchange, deadline mono.Time, t Stream) {
 	h := s.get(ident.Server(x.GetServer()))
 	if h == nil {
 		finish(t, s.notHome(x))
 		return
 	}
-	j, a := h.begin(c, x)
+	j, a := h.begin(c, x, deadline)
 	if a != nil {
 		finish(t, a)
 		return
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -21,8 +21,8 @@
 // A body ends with its direction of the stream; a reset marks a truncated body. So a body that ends early cannot be
 // taken for a whole one.
 type Exchange struct {
-	// Head and SentAt are set on the serving side only. SentAt is when the durations in the head count from, at the earliest, as the
-	// time since the start of this host; 0 if the peer doesn't know this host's clock.
+	// Head is set on the serving side only. SentAt is when the durations in the head or, on the calling side, in the response count from,
+	// at the earliest, as the time since the start of this host; 0 if the peer doesn't know this host's clock.
 	Head   *wire.Exchange
 	SentAt time.Duration
 
@@ -48,6 +48,7 @@
 		return nil, &Error{Sent: true, Err: err}
 	}
 	x.link.observeReply(m)
+	x.SentAt = fromMicros(m.GetSentUs())
 	if a := m.GetExchange(); a != nil {
 		return a, nil
 	}
