feed: what an answer says counts from its sending

What callers saw: a daemon that was paused between the sending and the reading of a Sync's answer took its copies for fresh, and itself for in contact with the site, for as long as such copies are trusted after it ran again. It used them and the load view instead of reading the store.

Cause: store_age_us, coordinator_age_us, reached_age_us, the contact itself, the confirmation of the load view and the time of a voter's last answer counted from when the answer was read.

Fix: they count from the answer's sending, by this host's clock (Reply.sent_us); without it, from when the call was made. Whether the peer's copy was usable is judged by its age when the peer answered, so that a pause of this daemon doesn't make it reject the coordinator. The promise of support still counts from reading: sent_us is the earliest time of sending and may precede the stamp, from which the coordinator counts.

The stand-in for the transport in feed_test.go now tells the time of sending, as the transport does.

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -196,16 +196,16 @@
 // NoPeers records that there is no peer to call. It resets the count of failures.
 func (t *Tracker) NoPeers() { t.failures = 0 }
 
-// Answered records that a peer answered with a copy of the given age. It reports whether the copy is useful, that is, not
+// Answered records that a peer answered, at the given time, with a copy of the given age. It reports whether the copy is useful, that is, not
 // outdated.
-func (t *Tracker) Answered(now mono.Time, s *site.Snapshot, d ident.Daemon, age time.Duration) bool {
+func (t *Tracker) Answered(at mono.Time, s *site.Snapshot, d ident.Daemon, age time.Duration) bool {
 	useful := age < OutdatedAge
 	leads, votes := d == s.Coordinator.Daemon, isVoter(s, d)
 	if leads || votes {
-		t.lastAnswer = now
+		t.lastAnswer = max(t.lastAnswer, at)
 		delete(t.outdatedAt, d)
 		if !useful {
-			t.outdatedAt[d] = now
+			t.outdatedAt[d] = at
 		}
 	}
 	if leads {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -89,7 +89,8 @@
 // TokenClient adds requests for tokens to the calls to the coordinator and receives the answers.
 type TokenClient interface {
 	Ask(x *wire.Sync)
-	Answered(asked mono.Time, from ident.Daemon, x *wire.Sync, r *wire.SyncReply) // r is nil if there was no answer
+	// Answered gets the answer r, which was sent at sentAt, to the request x of the time asked. r is nil if there was no answer.
+	Answered(asked, sentAt mono.Time, from ident.Daemon, x *wire.Sync, r *wire.SyncReply)
 }
 
 // Feed is one daemon's copy of the store's tables.
@@ -245,15 +246,15 @@
 	return min(copied, f.o.Clock.Now().Sub(f.siteSeen))
 }
 
-// noteContact records contact with a peer. The caller must hold f.mu. Peers of the same domain count only in a site of one
+// noteContact records that a peer sent a message at the given time. The caller must hold f.mu. Peers of the same domain count only in a site of one
 // domain, because the daemons of an isolated domain still reach each other.
-func (f *Feed) noteContact(from ident.Daemon) {
+func (f *Feed) noteContact(sentAt mono.Time, from ident.Daemon) {
 	self, peer := f.snapshot.Daemons[f.o.Self], f.snapshot.Daemons[from]
 	if self == nil || peer == nil {
 		return
 	}
 	if peer.Domain != self.Domain || !f.multipleDomains() {
-		f.siteSeen = f.o.Clock.Now()
+		f.siteSeen = max(f.siteSeen, sentAt)
 	}
 }
 
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -205,7 +205,7 @@
 		<-c.Done()
 		return nil, c.Err()
 	}
-	return &wire.Reply{Body: &wire.Reply_Sync{Sync: r}}, nil
+	return &wire.Reply{Body: &wire.Reply_Sync{Sync: r}, SentUs: micros(clock.New().SinceBoot())}, nil
 }
 
 func start(t *testing.T, s store.Store, peers peerSet, name ident.Daemon) *Feed {
--- /dev/null
+++ b/io/feed/late_test.go
@@ -0,0 +1,102 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherrouter/core/elect"
+	"heatherrouter/core/ident"
+	"heatherrouter/core/loads"
+	"heatherrouter/core/site"
+	"heatherrouter/core/source"
+	"heatherrouter/io/store"
+	"heatherrouter/io/wire"
+)
+
+// newFollower returns the feed of a daemon that has read the control table long ago and has had no contact since then.
+func newFollower(t *testing.T) *Feed {
+	t.Helper()
+	m := newMemory()
+	putControlRows(t, m, "lead", "lead", "self")
+	f := newFeed(m, "self")
+	for k := range store.Table(store.Tables) {
+		p, err := m.List(t.Context(), k)
+		require.NoError(t, err)
+		f.applyPage(k, p, true, 0, fromStore)
+	}
+	f.SetAnnounced(1)
+	f.coordinatorSeen, f.siteSeen = 0, 0
+	return f
+}
+
+const unread = 3 * time.Second
+
+// Guards against a daemon that takes its copies for newer than they are after it was paused: it trusts them, and its contact with the site, as
+// of when it read an answer, not of when that was sent.
+func TestAnswerThatLayUnreadIsOld(t *testing.T) {
+	f := newFollower(t)
+	u := newEditions(1).next(t, 9).Since(loads.Stamp{})
+	r := &wire.Reply{SentUs: micros(f.o.Clock.SinceBoot() - unread)}
+	x := &wire.SyncReply{Term: 1, Stamp: 1, StoreAgeUs: micros(200 * time.Millisecond), CoordinatorAgeUs: micros(100 * time.Millisecond), Loads: EncodeLoads(u)}
+	require.True(t, f.applyReply(f.sentAt(r, f.o.Clock.Now()), "lead", &wire.Sync{}, x), "the peer reached the store when it answered")
+	copied, coordinator := f.Ages()
+	require.GreaterOrEqual(t, copied, unread+200*time.Millisecond)
+	require.GreaterOrEqual(t, coordinator, unread+100*time.Millisecond)
+	require.GreaterOrEqual(t, f.IsolatedFor(), unread)
+	_, age := f.Loads()
+	require.GreaterOrEqual(t, age, unread)
+	require.False(t, f.sources.CoordinatorOutdated())
+}
+
+// Guards against a view of the load that counts as confirmed when an old answer is read.
+func TestLateConfirmationOfLoadsIsOld(t *testing.T) {
+	f := newFollower(t)
+	u := newEditions(1).next(t, 9).Since(loads.Stamp{})
+	long := f.o.Clock.Now().Add(-time.Minute)
+	f.applyReply(long, "lead", &wire.Sync{}, &wire.SyncReply{Term: 1, Stamp: 1, Loads: EncodeLoads(u)})
+	x := &wire.Sync{Loads: f.loads.stamp()}
+	f.applyReply(f.o.Clock.Now().Add(-unread), "lead", x, &wire.SyncReply{Term: 1, Stamp: 1})
+	_, age := f.Loads()
+	require.GreaterOrEqual(t, age, unread)
+	require.Less(t, age, 2*unread)
+}
+
+// Guards against an answer without a time of sending that counts as new: it was sent after the request, but that may be long ago.
+func TestAnswerOfUnknownAgeCountsFromRequest(t *testing.T) {
+	f := newFollower(t)
+	f.applyReply(f.sentAt(&wire.Reply{}, f.o.Clock.Now().Add(-unread)), "lead", &wire.Sync{}, &wire.SyncReply{Term: 1})
+	copied, _ := f.Ages()
+	require.GreaterOrEqual(t, copied, unread)
+}
+
+// Guards against a promise that ends before the coordinator stops counting on it: the time of sending that a message tells may be too early.
+func TestPromiseCountsFromReading(t *testing.T) {
+	f := newFollower(t)
+	f.promise = elect.Promise{StartedAt: f.o.Clock.SinceBoot() - time.Minute}
+	x := &wire.SyncReply{Term: 1, Stamp: 1, PromiseUs: micros(2 * time.Second)}
+	f.applyReply(f.o.Clock.Now().Add(-unread), "lead", &wire.Sync{}, x)
+	require.False(t, f.Withdraw(1))
+}
+
+// Guards against a daemon that assumes an outage of the store, and leaves it alone, because of old answers that it read late.
+func TestLateAnswersShowNoOutage(t *testing.T) {
+	f := newFollower(t)
+	s := *f.Snapshot()
+	s.Voters = []ident.Daemon{"v1", "v2", "v3"}
+	s.Daemons = map[ident.Daemon]*site.Daemon{"lead": {}, "self": {}, "v1": {}, "v2": {}, "v3": {}}
+	f.snapshot = &s
+	now := f.o.Clock.Now()
+	c := source.Copy{AsOf: now.Add(-source.OutdatedAge)}
+	own := f.sources.StorePollAt(now, &s, c)
+	outdated := &wire.SyncReply{Term: 1, StoreAgeUs: micros(source.OutdatedAge)}
+	for _, v := range s.Voters {
+		require.False(t, f.applyReply(now.Add(-unread), v, &wire.Sync{}, outdated))
+	}
+	require.Equal(t, own, f.sources.StorePollAt(now, &s, c))
+	for _, v := range s.Voters {
+		require.False(t, f.applyReply(now, v, &wire.Sync{}, outdated))
+	}
+	require.Greater(t, f.sources.StorePollAt(now, &s, c), own)
+}
--- a/io/feed/loads.go
+++ b/io/feed/loads.go
@@ -73,9 +73,9 @@
 	r.Loads = w
 }
 
-// applyLoads applies the load view of an answer to the request. The coordinator leaves it out if the version in the request is the newest.
+// applyLoads applies the load view of an answer to the request, which was sent at sentAt. The coordinator leaves it out if the version in the request is the newest.
 // The caller must hold f.mu.
-func (f *Feed) applyLoads(now mono.Time, x *wire.Sync, r *wire.SyncReply) {
+func (f *Feed) applyLoads(sentAt mono.Time, x *wire.Sync, r *wire.SyncReply) {
 	l := &f.loads
 	if w := r.GetLoads(); w != nil {
 		u := decodeLoads(w)
@@ -83,14 +83,14 @@
 			return // changes to a copy that another answer has replaced
 		}
 		if v, ok := l.view.Apply(u); ok {
-			l.view, l.confirmed = v, now
+			l.view, l.confirmed = v, max(l.confirmed, sentAt)
 		}
 		return
 	}
 	if l.view == nil || r.GetStamp() == 0 || r.GetTerm() != uint64(l.view.Stamp.Term) || decodeLoadsStamp(x.GetLoads()) != l.view.Stamp {
 		return
 	}
-	l.confirmed = now
+	l.confirmed = max(l.confirmed, sentAt)
 }
 
 // EncodeLoads encodes an update of the load view for peers; nil for none.
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -107,6 +107,7 @@
 	}
 	y, cancel := context.WithTimeout(c, source.ResponseTimeout)
 	defer cancel()
+	called := f.o.Clock.Now()
 	r, err := f.peers.Call(y, to, &wire.Call{Body: &wire.Call_Sync{Sync: x}})
 	f.mu.Lock()
 	f.refreshedAt = f.o.Clock.Now()
@@ -115,7 +116,7 @@
 		f.o.Log.Debug().Err(err).Str("peer", string(to)).Msg("refresh from coordinator failed")
 		return false
 	}
-	return f.applyReply(to, x, r.GetSync())
+	return f.applyReply(f.sentAt(r, called), to, x, r.GetSync())
 }
 
 // syncWith makes one call. It reports whether the peer answered with a usable copy.
@@ -138,8 +139,9 @@
 	y, cancel := context.WithTimeout(c, k.Deadline.Sub(asked))
 	defer cancel()
 	r, err := f.peers.Call(y, k.Peer, &wire.Call{Body: &wire.Call_Sync{Sync: x}})
+	sentAt := f.sentAt(r, asked)
 	if leads && f.o.Tokens != nil {
-		f.o.Tokens.Answered(asked, k.Peer, x, r.GetSync())
+		f.o.Tokens.Answered(asked, sentAt, k.Peer, x, r.GetSync())
 	}
 	if c.Err() != nil {
 		return false
@@ -148,7 +150,12 @@
 		f.callFailed(k, err)
 		return false
 	}
-	return f.applyReply(k.Peer, x, r.GetSync())
+	return f.applyReply(sentAt, k.Peer, x, r.GetSync())
+}
+
+// sentAt returns when the reply to a call that was made at the time asked was sent, at the earliest.
+func (f *Feed) sentAt(r *wire.Reply, asked mono.Time) mono.Time {
+	return f.o.Clock.SentAt(duration(r.GetSentUs()), asked)
 }
 
 // callFailed records that a peer didn't answer.
@@ -171,10 +178,10 @@
 	return f.o.Clock.Now().Sub(f.asOf[t])
 }
 
-// applyReply applies the answer of a peer to a request. It reports whether the peer's copy is usable.
-func (f *Feed) applyReply(from ident.Daemon, x *wire.Sync, r *wire.SyncReply) bool {
-	now := f.o.Clock.Now()
-	asOf := now.Add(-duration(r.GetStoreAgeUs()))
+// applyReply applies the answer of a peer, which was sent at sentAt, to a request. It reports whether the peer's copy was usable by then.
+func (f *Feed) applyReply(sentAt mono.Time, from ident.Daemon, x *wire.Sync, r *wire.SyncReply) bool {
+	peerAge := duration(r.GetStoreAgeUs())
+	asOf := sentAt.Add(-peerAge)
 	for _, t := range r.GetTables() {
 		if t.GetTable() < store.Tables && !f.applyTable(store.Table(t.GetTable()), t, from) {
 			f.mu.Lock()
@@ -189,29 +196,30 @@
 		f.asOf[t] = max(f.asOf[t], asOf)
 	}
 	if uint64(f.snapshot.Coordinator.Term) == r.GetTerm() {
-		f.coordinatorSeen = max(f.coordinatorSeen, now.Add(-duration(r.GetCoordinatorAgeUs())))
-		f.siteSeen = max(f.siteSeen, now.Add(-duration(r.GetReachedAgeUs())))
+		f.coordinatorSeen = max(f.coordinatorSeen, sentAt.Add(-duration(r.GetCoordinatorAgeUs())))
+		f.siteSeen = max(f.siteSeen, sentAt.Add(-duration(r.GetReachedAgeUs())))
 	}
-	f.noteContact(from)
-	useful := f.recordAnswer(now, from, now.Sub(asOf))
+	f.noteContact(sentAt, from)
+	useful := f.recordAnswer(sentAt, from, peerAge)
 	// A daemon with access to the store doesn't support a coordinator without it: another daemon has to take over.
-	able := now.Sub(asOf) < f.staleAfter() || now.Sub(f.asOf[store.Orders]) > f.staleAfter()
+	able := peerAge < f.staleAfter() || f.age(store.Orders) > f.staleAfter()
 	able = able && f.announcedRev > 0 && f.tables[store.Control].rev >= f.announcedRev
+	// The promise counts from now: sentAt may be earlier than the stamp, from which the coordinator counts.
 	if t := site.Term(r.GetTerm()); able && r.GetStamp() > 0 && f.promise.Renew(f.o.Clock.SinceBoot(), t, duration(r.GetPromiseUs())) {
 		f.promiseStamp, f.promiseTerm, f.promiseDuration = r.GetStamp(), t, duration(r.GetPromiseUs())
 	}
 	if h := r.GetHolds(); h != nil {
 		f.applyHolds(h)
 	}
-	f.applyLoads(now, x, r)
+	f.applyLoads(sentAt, x, r)
 	return useful
 }
 
-// recordAnswer records that a peer answered with a copy of the age, and reports whether that copy is usable. The caller must
-// hold f.mu.
-func (f *Feed) recordAnswer(now mono.Time, from ident.Daemon, age time.Duration) bool {
+// recordAnswer records that a peer answered at the given time with a copy of the age, and reports whether that copy was usable. The caller
+// must hold f.mu.
+func (f *Feed) recordAnswer(at mono.Time, from ident.Daemon, age time.Duration) bool {
 	silent, behind, relay := f.sources.CoordinatorUnresponsive(), f.sources.CoordinatorOutdated(), f.sources.Relay()
-	useful := f.sources.Answered(now, f.snapshot, from, age)
+	useful := f.sources.Answered(at, f.snapshot, from, age)
 	if behind != f.sources.CoordinatorOutdated() {
 		f.notifyChanged()
 	}
@@ -293,7 +301,7 @@
 func (f *Feed) recordRequest(from ident.Daemon, x *wire.Sync) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noteContact(from)
+	f.noteContact(f.o.Clock.Now(), from)
 	if f.leads() && site.Term(x.GetTerm()) == f.snapshot.Coordinator.Term {
 		f.syncedAt[from] = f.o.Clock.Now()
 	}
--- a/io/node/handler.go
+++ b/io/node/handler.go
@@ -23,7 +23,7 @@
 }
 
 // Answered implements feed.TokenClient.
-func (t tokenClient) Answered(asked mono.Time, from ident.Daemon, x *wire.Sync, r *wire.SyncReply) {
+func (t tokenClient) Answered(asked, sentAt mono.Time, from ident.Daemon, x *wire.Sync, r *wire.SyncReply) {
 	if x.GetQuota() != nil {
 		t.n.limiter.ApplyAnswer(asked, x.GetQuota(), r.GetQuota())
 	}
