feed, grant, loads: what a daemon's Sync says counts from its sending

What callers saw: a coordinator that was paused, and then read the requests that had piled up, took the counts of several seconds for the load of one moment, so that it may have bounded services that weren't overloaded; it took daemons for in contact as of when it read their requests; and it held requests open for their whole wait from then on, so that its answers came after their senders had given up and taken it for unresponsive.

Cause: Sync.wait_us, the contact (QuorumInContact, IsolatedFor) and the measurements counted from when the message was read.

Fix: they count from the message's sending, by this host's clock. Measurements may thus come out of order; core/loads weighs them by their time (the key counts did already).

That services were bounded without need was not measured.

--- a/core/loads/survey.go
+++ b/core/loads/survey.go
@@ -88,39 +88,40 @@
 	return v
 }
 
-// AddWork records what a daemon has observed of a server.
-func (s *Survey) AddWork(now mono.Time, x *site.Server, w Work) {
-	s.began(now)
+// AddWork records what a daemon has observed of a server until the given time. Observations may come in any order.
+func (s *Survey) AddWork(at mono.Time, x *site.Server, w Work) {
+	s.began(at)
 	v := s.server(x)
-	d, l := decay(now, v.at, halfLife), decay(now, v.at, loadHalfLife)
-	v.w.Sent = v.w.Sent*d + w.Sent
-	v.w.Full = v.w.Full*d + w.Full
-	v.w.Reports = v.w.Reports*l + w.Reports
-	v.w.LoadSum = v.w.LoadSum*l + w.LoadSum
-	v.at = now
+	old, added := weights(v.at, at, halfLife)
+	v.w.Sent = v.w.Sent*old + w.Sent*added
+	v.w.Full = v.w.Full*old + w.Full*added
+	old, added = weights(v.at, at, loadHalfLife)
+	v.w.Reports = v.w.Reports*old + w.Reports*added
+	v.w.LoadSum = v.w.LoadSum*old + w.LoadSum*added
+	v.at = max(v.at, at)
 	if w.Slowdown > 0 {
-		v.slowdown.Add(now, w.Slowdown)
+		v.slowdown.Add(at, w.Slowdown)
 	}
 }
 
-// AddDemand records callers' requests that a daemon has received.
-func (s *Survey) AddDemand(now mono.Time, n ident.Service, priority int, requests float64) {
-	s.began(now)
+// AddDemand records callers' requests that a daemon has received until the given time.
+func (s *Survey) AddDemand(at mono.Time, n ident.Service, priority int, requests float64) {
+	s.began(at)
 	x := s.services[n]
 	if x == nil {
 		x = &demand{}
 		s.services[n] = x
 	}
-	d := decay(now, x.at, halfLife)
+	old, added := weights(x.at, at, halfLife)
 	for i := range x.counts {
-		x.counts[i] *= d
+		x.counts[i] *= old
 	}
-	x.at = now
+	x.at = max(x.at, at)
 	p := max(0, min(priority, maxPriorities-1))
 	for len(x.counts) <= p {
 		x.counts = append(x.counts, 0)
 	}
-	x.counts[p] += requests
+	x.counts[p] += requests * added
 }
 
 func (s *Survey) began(now mono.Time) {
@@ -137,6 +138,14 @@
 	return math.Exp2(-max(0, now.Sub(at).Seconds()) / halfLife.Seconds())
 }
 
+// weights returns the weights, as of the later of the two times, of counts as of counted and of those that are added as of at.
+func weights(counted, at mono.Time, halfLife time.Duration) (old, added float64) {
+	if at < counted {
+		return 1, decay(counted, at, halfLife)
+	}
+	return decay(at, counted, halfLife), 1
+}
+
 // rate returns the factor by which a decayed count as of the time at becomes a rate per second.
 func rate(now, at mono.Time, halfLife time.Duration) float64 {
 	return decay(now, at, halfLife) * math.Ln2 / halfLife.Seconds()
--- a/core/loads/survey_test.go
+++ b/core/loads/survey_test.go
@@ -93,3 +93,25 @@
 	s.AddWork(start.Add(time.Minute), x, Work{Sent: 5, Reports: 5, LoadSum: 5, Slowdown: 2.1})
 	require.InDelta(t, 2.1, s.Slowdown(start.Add(time.Minute), report.TargetOf(x)), 0, "requests show that it has become slower")
 }
+
+// Guards against loads and demand that jump when messages are read that lay unread for seconds.
+func TestObservationsCountAsOfTheirTime(t *testing.T) {
+	x := announced("api", 1, 4)["api-0"]
+	now := start.Add(3 * time.Second)
+	add := func(s *Survey, at mono.Time, n float64) {
+		s.AddWork(at, x, Work{Sent: n, Full: n / 2, Reports: n, LoadSum: 9 * n})
+		s.AddDemand(at, "api", 1, n)
+	}
+	inOrder, late := NewSurvey(), NewSurvey()
+	add(inOrder, start, 100)
+	add(inOrder, now, 10)
+	add(late, now, 10)
+	add(late, start, 100)
+	want, got := inOrder.Service(now, "api"), late.Service(now, "api")
+	require.Equal(t, want.At, got.At)
+	require.InEpsilon(t, want.Sent, got.Sent, 0.001)
+	require.InEpsilon(t, want.Full, got.Full, 0.001)
+	require.InEpsilon(t, want.Reports, got.Reports, 0.001)
+	require.InEpsilon(t, want.Arrivals, got.Arrivals, 0.001)
+	require.InEpsilon(t, want.InFlight, got.InFlight, 0.001)
+}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -79,8 +79,8 @@
 	// TakeMeasurements adds, for the coordinator, the measurements since its previous call.
 	TakeMeasurements func(x *wire.Sync)
 
-	// OnMeasurements receives a peer's message with its measurements.
-	OnMeasurements func(x *wire.Sync)
+	// OnMeasurements receives a peer's message with its measurements, and when it was sent.
+	OnMeasurements func(sentAt mono.Time, x *wire.Sync)
 
 	// Tokens exchanges tokens with the coordinator as part of Sync; nil disables this.
 	Tokens TokenClient
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -200,7 +200,7 @@
 		<-c.Done()
 		return nil, c.Err()
 	}
-	r := p.peerSet[to].Sync(c, p.self, m.GetSync())
+	r := p.peerSet[to].Sync(c, p.peerSet[to].o.Clock.Now(), p.self, m.GetSync())
 	if p.failed.has(to) {
 		<-c.Done()
 		return nil, c.Err()
@@ -226,7 +226,7 @@
 		Self: name, Incarnation: 1, Store: s, Decoder: jsonDecoder{}, Clock: clock.New(),
 		Log:              &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		TakeMeasurements: func(*wire.Sync) {},
-		OnMeasurements:   func(*wire.Sync) {},
+		OnMeasurements:   func(mono.Time, *wire.Sync) {},
 	})
 }
 
--- a/io/feed/late_test.go
+++ b/io/feed/late_test.go
@@ -9,6 +9,7 @@
 	"heatherrouter/core/elect"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/loads"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/site"
 	"heatherrouter/core/source"
 	"heatherrouter/io/store"
@@ -100,3 +101,46 @@
 	}
 	require.Greater(t, f.sources.StorePollAt(now, &s, c), own)
 }
+
+// newPolled returns the feed of the coordinator, and a request of the daemon "other" that lacks nothing and so is held open.
+func newPolled(t *testing.T) (*Feed, *wire.Sync) {
+	t.Helper()
+	m := newMemory()
+	m.put(store.Orders, "config", []byte("1"), false)
+	putControlRows(t, m, "lead", "lead", "other")
+	f := newFeed(m, "lead")
+	for k := range store.Table(store.Tables) {
+		require.NoError(t, f.readStore(t.Context(), k))
+	}
+	x := &wire.Sync{Term: 1, Stamp: 1, WaitUs: micros(unread)}
+	for k := range f.tables {
+		x.Revs = append(x.Revs, uint64(f.tables[k].rev))
+	}
+	return f, x
+}
+
+// Guards against a coordinator that is taken to be unresponsive because it holds a request open for longer than its sender waits.
+func TestWaitCountsFromSendingOfRequest(t *testing.T) {
+	f, x := newPolled(t)
+	began := f.o.Clock.Now()
+	f.Sync(t.Context(), began.Add(-unread), "other", x)
+	require.Less(t, f.o.Clock.Now().Sub(began), source.OutdatedAge/2)
+}
+
+// Guards against a coordinator that takes itself for in contact with daemons, or measures a load of seconds at once, because of requests that lay
+// unread while it was paused.
+func TestRequestThatLayUnreadIsOld(t *testing.T) {
+	f, x := newPolled(t)
+	sentAt := f.o.Clock.Now().Add(-unread)
+	var measuredAt mono.Time
+	f.o.OnMeasurements = func(at mono.Time, _ *wire.Sync) { measuredAt = at }
+	f.siteSeen = 0
+	x.WaitUs, x.Counts = 0, []*wire.KeyCount{{Requests: 1}}
+	f.Sync(t.Context(), sentAt, "other", x)
+	require.Equal(t, sentAt, measuredAt)
+	require.Equal(t, sentAt, f.siteSeen)
+	require.False(t, f.QuorumInContact(unread))
+	f.Sync(t.Context(), f.o.Clock.Now(), "other", x)
+	f.Sync(t.Context(), sentAt, "other", x)
+	require.True(t, f.QuorumInContact(unread), "an older request was read later")
+}
--- a/io/feed/loads_test.go
+++ b/io/feed/loads_test.go
@@ -57,7 +57,7 @@
 	for _, k := range []store.Table{store.Orders, store.Servers, store.Control} {
 		require.NoError(t, f.readStore(t.Context(), k))
 	}
-	all, err := proto.Marshal(f.Sync(t.Context(), "other", &wire.Sync{Term: 1}))
+	all, err := proto.Marshal(f.Sync(t.Context(), f.o.Clock.Now(), "other", &wire.Sync{Term: 1}))
 	require.NoError(t, err)
 	have := &wire.SyncReply{}
 	require.NoError(t, proto.Unmarshal(all, have))
@@ -66,7 +66,7 @@
 		x.Revs = append(x.Revs, y.GetRev())
 	}
 	ended := make(chan *wire.SyncReply, 1)
-	go func() { ended <- f.Sync(t.Context(), "other", x) }()
+	go func() { ended <- f.Sync(t.Context(), f.o.Clock.Now(), "other", x) }()
 	asked := time.Now()
 	time.Sleep(50 * time.Millisecond)
 	f.PublishLoads(newEditions(1).next(t, 9))
@@ -76,9 +76,9 @@
 	require.True(t, r.GetLoads().GetWhole(), "the peer has none")
 
 	x.Loads, x.WaitUs = r.GetLoads().GetStamp(), 0
-	require.Nil(t, f.Sync(t.Context(), "other", x).GetLoads(), "the peer has the newest")
+	require.Nil(t, f.Sync(t.Context(), f.o.Clock.Now(), "other", x).GetLoads(), "the peer has the newest")
 	x.Loads = &wire.LoadsStamp{Term: 9, Sequence: 1}
-	require.True(t, f.Sync(t.Context(), "other", x).GetLoads().GetWhole(), "the peer has one of another term")
+	require.True(t, f.Sync(t.Context(), f.o.Clock.Now(), "other", x).GetLoads().GetWhole(), "the peer has one of another term")
 }
 
 // Guards against values that get lost on their way between daemons.
--- a/io/feed/role_test.go
+++ b/io/feed/role_test.go
@@ -75,7 +75,7 @@
 	require.NoError(t, err)
 	x := &wire.Sync{Term: 2, WaitUs: micros(10 * time.Second), Revs: slices.Repeat([]uint64{uint64(r.Rev)}, store.Tables)}
 	answer := make(chan *wire.SyncReply, 1)
-	go func() { answer <- f.Sync(t.Context(), "c", x) }()
+	go func() { answer <- f.Sync(t.Context(), f.o.Clock.Now(), "c", x) }()
 	select {
 	case <-answer:
 		require.Fail(t, "answered without news")
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -260,13 +260,13 @@
 	f.publish(h, encoded)
 }
 
-// Sync answers a request of a peer. It waits up to the time that the peer allows for a change that the peer lacks.
-func (f *Feed) Sync(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
-	f.recordRequest(from, x)
+// Sync answers a request that a peer sent at the given time. It waits up to the time that the peer allows for a change that the peer lacks.
+func (f *Feed) Sync(c context.Context, sentAt mono.Time, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
+	f.recordRequest(sentAt, from, x)
 	if len(x.GetCounts())+len(x.GetWorks())+len(x.GetDemands()) > 0 {
-		f.o.OnMeasurements(x)
+		f.o.OnMeasurements(sentAt, x)
 	}
-	until := f.o.Clock.Now().Add(duration(x.GetWaitUs()))
+	until := sentAt.Add(duration(x.GetWaitUs()))
 	for {
 		r, first, changed := f.reply(from, x)
 		// Answer before this copy becomes too old, so that the peer can call another daemon in time.
@@ -297,13 +297,13 @@
 	return true
 }
 
-// recordRequest records contact with a peer, and the promise that its request confirms.
-func (f *Feed) recordRequest(from ident.Daemon, x *wire.Sync) {
+// recordRequest records that a peer sent a request at the given time, and the promise that the request confirms.
+func (f *Feed) recordRequest(sentAt mono.Time, from ident.Daemon, x *wire.Sync) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noteContact(f.o.Clock.Now(), from)
+	f.noteContact(sentAt, from)
 	if f.leads() && site.Term(x.GetTerm()) == f.snapshot.Coordinator.Term {
-		f.syncedAt[from] = f.o.Clock.Now()
+		f.syncedAt[from] = max(f.syncedAt[from], sentAt)
 	}
 	if x.GetStamp() > 0 && site.Term(x.GetTerm()) == f.snapshot.Coordinator.Term && f.leads() {
 		// The peer promised the duration in the earlier answer. It differs from the current one only after the site has just grown
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -162,11 +162,10 @@
 	r.Go(g.run)
 }
 
-// AddMeasurements records what a daemon has measured, as it tells the coordinator.
-func (g *Granter) AddMeasurements(m *wire.Sync) {
-	now := g.o.Clock.Now()
-	g.measurements.add(now, m.GetCounts(), m.GetWorks())
-	g.survey.add(now, g.o.Feed.Snapshot(), m)
+// AddMeasurements records what a daemon has measured until the given time, as it tells the coordinator.
+func (g *Granter) AddMeasurements(at mono.Time, m *wire.Sync) {
+	g.measurements.add(at, m.GetCounts(), m.GetWorks())
+	g.survey.add(at, g.o.Feed.Snapshot(), m)
 }
 
 // serviceTime returns the time of a request at a server without interference, or 0 if the server's speed is unknown.
--- a/io/grant/rates.go
+++ b/io/grant/rates.go
@@ -48,17 +48,17 @@
 	clear(r.serviceTimes)
 }
 
-func (r *measurements) add(now mono.Time, l []*wire.KeyCount, work []*wire.ServerWork) {
+func (r *measurements) add(at mono.Time, l []*wire.KeyCount, work []*wire.ServerWork) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, x := range l {
 		s := r.services[ident.Service(x.GetService())]
 		if s == nil {
-			s = &keyCounts{since: now, counts: make(hold.Rates, buckets)}
+			s = &keyCounts{since: at, counts: make(hold.Rates, buckets)}
 			r.services[ident.Service(x.GetService())] = s
 		}
 		if b := int(x.GetBucket()); b < buckets {
-			s.counts[b] += float64(x.GetRequests()) * s.weight(now)
+			s.counts[b] += float64(x.GetRequests()) * s.weight(at)
 		}
 	}
 	for _, x := range work {
--- a/io/grant/survey.go
+++ b/io/grant/survey.go
@@ -30,7 +30,7 @@
 
 // add records what a daemon has measured. Daemons don't name the incarnation of a server: what they measured of the one before
 // counts for its successor, once.
-func (y *survey) add(now mono.Time, s *site.Snapshot, m *wire.Sync) {
+func (y *survey) add(at mono.Time, s *site.Snapshot, m *wire.Sync) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	for _, w := range m.GetWorks() {
@@ -38,14 +38,14 @@
 		if x == nil || x.Service != ident.Service(w.GetService()) {
 			continue
 		}
-		y.s.AddWork(now, x, loads.Work{
+		y.s.AddWork(at, x, loads.Work{
 			Sent: float64(w.GetSent()), Full: float64(w.GetFull()), Reports: float64(w.GetReports()), LoadSum: float64(w.GetLoadSum()),
 			Slowdown: float64(w.GetPacePercent()) / 100,
 		})
 	}
 	for _, d := range m.GetDemands() {
 		if n := ident.Service(d.GetService()); s.Config != nil && s.Config.Services[n] != nil {
-			y.s.AddDemand(now, n, int(d.GetPriority()), float64(d.GetRequests()))
+			y.s.AddDemand(at, n, int(d.GetPriority()), float64(d.GetRequests()))
 		}
 	}
 }
--- a/io/node/handler.go
+++ b/io/node/handler.go
@@ -41,9 +41,10 @@
 
 // Call implements peer.Handler.
 func (h peerHandler) Call(c context.Context, from ident.Daemon, m *wire.Call) *wire.Reply {
+	sentAt := h.node.clock.SentAt(time.Duration(m.GetSentUs())*time.Microsecond, h.node.clock.Now()) //nolint:gosec // time since the start of the host
 	switch x := m.GetBody().(type) {
 	case *wire.Call_Sync:
-		r := h.sync(c, from, x.Sync)
+		r := h.sync(c, sentAt, from, x.Sync)
 		return &wire.Reply{Body: &wire.Reply_Sync{Sync: r}}
 	case *wire.Call_Quota:
 		a := h.limiter.ApplyAsk(from, x.Quota)
@@ -75,21 +76,21 @@
 	return a
 }
 
-// sync answers a Sync, with the asks for tokens that it may carry.
-func (h peerHandler) sync(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
+// sync answers a Sync that was sent at the given time, with the asks for tokens that it may carry.
+func (h peerHandler) sync(c context.Context, sentAt mono.Time, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
 	if x.GetQuota() != nil {
 		a := h.limiter.ApplyAsk(from, x.GetQuota())
-		r := h.syncServers(c, from, x)
+		r := h.syncServers(c, sentAt, from, x)
 		r.Quota = h.limiter.Grant(from, a)
 		return r
 	}
-	return h.syncServers(c, from, x)
+	return h.syncServers(c, sentAt, from, x)
 }
 
 // syncServers answers a Sync with its part about limits of servers. It answers at once when daemons must be told of a change.
-func (h peerHandler) syncServers(c context.Context, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
+func (h peerHandler) syncServers(c context.Context, sentAt mono.Time, from ident.Daemon, x *wire.Sync) *wire.SyncReply {
 	if x.GetSelfReports() == nil {
-		return h.feed.Sync(c, from, x)
+		return h.feed.Sync(c, sentAt, from, x)
 	}
 	changed := h.servers.Changed()
 	a := h.servers.ApplyAsk(from, x.GetSelfReports())
@@ -102,7 +103,7 @@
 		case <-c.Done():
 		}
 	}()
-	r := h.feed.Sync(c, from, x)
+	r := h.feed.Sync(c, sentAt, from, x)
 	r.SelfReports = h.servers.Grant(from, a)
 	return r
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -24,6 +24,7 @@
 	"heatherrouter/core/crash"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/pace"
 	"heatherrouter/core/quota"
 	"heatherrouter/core/reach"
@@ -119,7 +120,7 @@
 	n.feed = feed.New(feed.Options{
 		Self: s.Name, Incarnation: n.incarnation, Store: n.o.Platform.Store, Decoder: n.o.Platform.Decoder, Clock: n.clock, Log: n.o.Log,
 		TakeMeasurements: func(x *wire.Sync) { n.sender.TakeMeasurements(x) },
-		OnMeasurements:   func(x *wire.Sync) { n.granter.AddMeasurements(x) },
+		OnMeasurements:   func(sentAt mono.Time, x *wire.Sync) { n.granter.AddMeasurements(sentAt, x) },
 		Tokens:           tokenClient{n},
 	})
 	n.limiter = limit.New(limit.Options{
@@ -359,7 +360,7 @@
 			if n.feed.IsCoordinator() {
 				x := &wire.Sync{}
 				n.sender.TakeMeasurements(x)
-				n.granter.AddMeasurements(x)
+				n.granter.AddMeasurements(n.clock.Now(), x)
 			}
 		}
 	}
