feed: an answer whose wait is cut short is as of its sending

What callers saw: nothing was measured. A daemon took its copy for up to a wait (1 s) newer than it was, and its load view for confirmed although the coordinator had a newer one, whenever the coordinator answered early because of what a server said.

Cause: the answer was made before the wait, and was sent as it was when the wait ended by its context.

Fix: the answer is made anew, as after a wait that ends by itself.

Evidence, before: late_test.go:161: "56µs" is not greater than or equal to "200ms" (TestAnswerOfWaitThatIsCutShortIsCurrent) It passes now, as does io/feed.

--- a/io/feed/late_test.go
+++ b/io/feed/late_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -144,3 +145,19 @@
 	f.Sync(t.Context(), sentAt, "other", x)
 	require.True(t, f.QuorumInContact(unread), "an older request was read later")
 }
+
+// Guards against an answer that tells the age of the copy at the beginning of the wait, and that the peer's load view is the newest although it
+// isn't.
+func TestAnswerOfWaitThatIsCutShortIsCurrent(t *testing.T) {
+	f, x := newPolled(t)
+	e := newEditions(1)
+	f.PublishLoads(e.next(t, 1))
+	x.Loads = f.loads.stamp()
+	const wait = 200 * time.Millisecond
+	c, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	time.AfterFunc(wait/2, func() { f.PublishLoads(e.next(t, 9)) })
+	r := f.Sync(c, f.o.Clock.Now(), "other", x)
+	require.GreaterOrEqual(t, duration(r.GetStoreAgeUs()), wait)
+	require.NotNil(t, r.GetLoads())
+}
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -280,8 +280,7 @@
 		case <-changed:
 		case <-t.C:
 		case <-c.Done():
-			t.Stop()
-			return r
+			until = 0 // the ages in r are as of the beginning of the wait
 		}
 		t.Stop()
 	}
