limit, quota: what servers said, and the wait for tokens, count from the message's sending

What callers saw: after a daemon was paused it refused callers for longer than the coordinator had said, sent nothing to a server for longer than the server had asked for, sent requests to a server in backoff, or used a limit that the server had replaced since.

Cause: SelfReport.cold_us, ServerLimit.age_us, ServerBackoff.remaining_us, began_age_us and served_age_us, and QuotaGrant.wait_us counted from when they were read. An old report so passed for newer than what the daemon itself had been told meanwhile. Tokens counted from the ask, but by a clock that stands still while the host is suspended.

Fix: all become times of this daemon's clock that count from the message's sending; an answer that tells to have been sent later than its ask by less than the suspended time can't make its tokens last longer. A cold time is stored and passed as its end. retry_after_us is a delay that each refused caller is told, not an age.

--- a/core/quota/cache.go
+++ b/core/quota/cache.go
@@ -237,9 +237,9 @@
 	return int(b.tokens), int(b.sent.sum) //nolint:gosec // request counts
 }
 
-// ApplyAnswer applies the coordinator's answer to the Ask sent at sentAt.
-func (c *TokenCache) ApplyAnswer(now, sentAt mono.Time, a Answer) {
-	c.answeredAskAt = max(c.answeredAskAt, sentAt)
+// ApplyAnswer applies the coordinator's answer, which was sent at answeredAt, to the Ask sent at sentAt.
+func (c *TokenCache) ApplyAnswer(answeredAt, sentAt mono.Time, a Answer) {
+	c.answeredAskAt = max(c.answeredAskAt, min(sentAt, answeredAt)) // answeredAt is the earlier one if the host was suspended in between
 	if c.unresponsiveSince > 0 {
 		c.unresponsiveSince = 0
 		for _, b := range c.balances {
@@ -256,7 +256,7 @@
 		b.fallback = fallback{rate: g.FallbackRate, burst: g.FallbackBurst, term: a.Term}
 		b.unacknowledged, b.exhaustedUntil = false, 0
 		if g.Wait > 0 {
-			b.exhaustedUntil, b.retryAfter = now.Add(g.Wait), g.RetryAfter
+			b.exhaustedUntil, b.retryAfter = answeredAt.Add(g.Wait), g.RetryAfter
 		}
 	}
 }
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -85,6 +85,6 @@
 	Tokens        uint64
 	FallbackRate  float64       // requests per second allowed while no coordinator answers
 	FallbackBurst float64       // requests allowed at once while no coordinator answers
-	Wait          time.Duration // minimum time before asking again; zero if all waiting requests got a token
+	Wait          time.Duration // from the sending of the answer, the minimum time before asking again; zero if all waiting requests got a token
 	RetryAfter    time.Duration // retry delay for refused callers; zero if demand is within the subject's limit
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -195,3 +195,15 @@
 	}
 	require.GreaterOrEqual(t, float64(sent), 0.9*2*l.Rate)
 }
+
+// Guards against tokens that outlive the time for which the coordinator counts them, because the host was suspended between the ask and the
+// reading of the answer.
+func TestTokensExpireWhileHostIsSuspended(t *testing.T) {
+	now, l := mono.Time(time.Hour), site.Limit{Rate: 5, Burst: 2.5}
+	c := NewTokenCache(policy, 1, now.Add(-time.Minute), func() float64 { return 0 })
+	c.Take(now, "s", l, 1, false)
+	a := c.Ask(now, time.Second, 1)
+	require.Len(t, a.Entries, 1)
+	c.ApplyAnswer(now.Add(-TokenTTL), now, Answer{Term: 1, Grants: []Grant{{Subject: "s", Seq: a.Entries[0].Seq, Tokens: 3}}})
+	require.NotEqual(t, Granted{}, c.Take(now, "s", l, 1, false))
+}
--- a/io/limit/backoffs.go
+++ b/io/limit/backoffs.go
@@ -147,12 +147,12 @@
 	return y
 }
 
-func decodeBackoff(now mono.Time, x *wire.ServerBackoff) report.Backoff {
+func decodeBackoff(sentAt mono.Time, x *wire.ServerBackoff) report.Backoff {
 	y := report.Backoff{
-		Until: now.Add(time.Duration(x.GetRemainingUs()) * time.Microsecond), BeganAt: now.Add(-duration(x.GetBeganAgeUs())), Confirmed: x.GetConfirmed(),
+		Until: sentAt.Add(time.Duration(x.GetRemainingUs()) * time.Microsecond), BeganAt: sentAt.Add(-duration(x.GetBeganAgeUs())), Confirmed: x.GetConfirmed(),
 	}
 	if n := x.GetServedAgeUs(); n > 0 {
-		y.ServedAt = now.Add(-duration(n))
+		y.ServedAt = sentAt.Add(-duration(n))
 	}
 	return y
 }
--- a/io/limit/cold.go
+++ b/io/limit/cold.go
@@ -14,20 +14,20 @@
 	k := report.TargetOf(x)
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
-	if s.setCold(s.o.Clock.Now(), k, d, "") {
+	if now := s.o.Clock.Now(); s.setCold(now, now.Add(d), k, "") {
 		s.unreported[k] = true
 		s.tellDaemons()
 		s.pool.askSoon()
 	}
 }
 
-// setCold records for how long a server stays cold, as it said to this daemon or to the peer it came from, and reports whether that is news.
+// setCold records until when a server stays cold, as it said to this daemon or to the peer it came from, and reports whether that is news.
 // The caller must hold pool.mu.
-func (s *Servers) setCold(now mono.Time, k report.Target, d time.Duration, from ident.Daemon) bool {
-	news := s.record.SetCold(now, now.Add(d), k)
+func (s *Servers) setCold(now, until mono.Time, k report.Target, from ident.Daemon) bool {
+	news := s.record.SetCold(now, until, k)
 	s.recordChanged()
 	if news {
-		e := s.o.Log.Info().Str("server", string(k.Server)).Dur("cold-for", d)
+		e := s.o.Log.Info().Str("server", string(k.Server)).Dur("cold-for", until.Sub(now))
 		if from != "" {
 			e.Str("from", string(from))
 		}
--- a/io/limit/limit.go
+++ b/io/limit/limit.go
@@ -69,9 +69,10 @@
 	g.Go(l.pool.run)
 }
 
-func (l *Limiter) call(c context.Context, to ident.Daemon, a *wire.QuotaAsk) (*wire.QuotaAnswer, error) {
+func (l *Limiter) call(c context.Context, to ident.Daemon, a *wire.QuotaAsk) (_ *wire.QuotaAnswer, sentAt mono.Time, _ error) {
+	asked := l.pool.o.Clock.Now()
 	r, err := l.peers.Call(c, to, &wire.Call{Body: &wire.Call_Quota{Quota: a}})
-	return r.GetQuota(), err
+	return r.GetQuota(), l.pool.o.Clock.SentAt(duration(r.GetSentUs()), asked), err
 }
 
 // organisations is the source of the limits of organisations.
@@ -117,9 +118,10 @@
 // Ask returns the regular ask for the coordinator, or nil if the configuration has no organisations.
 func (l *Limiter) Ask() *wire.QuotaAsk { return l.pool.ask(false) }
 
-// ApplyAnswer applies the coordinator's answer r to the ask a that was sent at asked. A nil r means that there was no answer.
-func (l *Limiter) ApplyAnswer(asked mono.Time, a *wire.QuotaAsk, r *wire.QuotaAnswer) {
-	l.pool.applyAnswer(asked, a, r)
+// ApplyAnswer applies the coordinator's answer r, which was sent at sentAt, to the ask a of the time asked. A nil r means that there was no
+// answer.
+func (l *Limiter) ApplyAnswer(asked, sentAt mono.Time, a *wire.QuotaAsk, r *wire.QuotaAnswer) {
+	l.pool.applyAnswer(asked, sentAt, a, r)
 }
 
 // ApplyAsk applies a daemon's ask to the ledger if this daemon is the coordinator, and returns the ask for Grant.
--- a/io/limit/pool.go
+++ b/io/limit/pool.go
@@ -30,8 +30,8 @@
 	// Source provides the limits in force. It is called with the pool's lock held.
 	Source source
 
-	// Call asks the coordinator for tokens. It is not used while this daemon is the coordinator.
-	Call func(c context.Context, to ident.Daemon, a *wire.QuotaAsk) (*wire.QuotaAnswer, error)
+	// Call asks the coordinator for tokens, and returns its answer and when that was sent. It is not used while this daemon is the coordinator.
+	Call func(c context.Context, to ident.Daemon, a *wire.QuotaAsk) (_ *wire.QuotaAnswer, sentAt mono.Time, _ error)
 }
 
 // source provides the limits of one kind of subjects.
@@ -178,20 +178,20 @@
 		return
 	}
 	asked := p.o.Clock.Now()
-	r, err := p.call(c, a)
+	r, sentAt, err := p.call(c, a)
 	if err != nil && c.Err() == nil {
 		p.o.Log.Debug().Err(err).Msg("failed to get tokens from the coordinator")
 	}
-	p.applyAnswer(asked, a, r)
+	p.applyAnswer(asked, sentAt, a, r)
 }
 
-func (p *pool) call(c context.Context, a *wire.QuotaAsk) (*wire.QuotaAnswer, error) {
+func (p *pool) call(c context.Context, a *wire.QuotaAsk) (_ *wire.QuotaAnswer, sentAt mono.Time, _ error) {
 	to := p.o.View.Snapshot().Coordinator.Daemon
 	switch to {
 	case "":
-		return nil, trace.NotFound("no coordinator")
+		return nil, 0, trace.NotFound("no coordinator")
 	case p.o.Self:
-		return p.grant(to, p.applyAsk(to, a)), nil
+		return p.grant(to, p.applyAsk(to, a)), p.o.Clock.Now(), nil
 	}
 	x, cancel := context.WithTimeout(c, askTimeout)
 	defer cancel()
@@ -214,15 +214,16 @@
 	return encodeAsk(p.tokens.Ask(now, horizon, s.Coordinator.Term))
 }
 
-// applyAnswer applies the coordinator's answer r to the ask a that was sent at asked. A nil r means that there was no answer.
-func (p *pool) applyAnswer(asked mono.Time, a *wire.QuotaAsk, r *wire.QuotaAnswer) {
+// applyAnswer applies the coordinator's answer r, which was sent at sentAt, to the ask a of the time asked. A nil r means that there was no
+// answer.
+func (p *pool) applyAnswer(asked, sentAt mono.Time, a *wire.QuotaAsk, r *wire.QuotaAnswer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.o.Clock.Now()
 	if r == nil {
 		p.tokens.SetCoordinatorUnresponsive(now, p.o.View.IsolatedFor() > isolatedAfter)
 	} else {
-		p.tokens.ApplyAnswer(now, asked, decodeAnswer(r))
+		p.tokens.ApplyAnswer(sentAt, asked, decodeAnswer(r))
 		p.tokens.DelayUnanswered(now, decodeAsk(a))
 	}
 	close(p.answered)
--- a/io/limit/reports.go
+++ b/io/limit/reports.go
@@ -139,31 +139,34 @@
 // Ask returns the regular ask for the coordinator.
 func (s *Servers) Ask() *wire.SelfReportsAsk { return s.encodeAsk(s.pool.ask(false)) }
 
-// ApplyAnswer applies the coordinator's answer r to the ask a that was sent at asked. A nil r means that there was no answer.
-func (s *Servers) ApplyAnswer(asked mono.Time, from ident.Daemon, a *wire.SelfReportsAsk, r *wire.SelfReportsAnswer) {
-	s.applyReports(from, a, r)
+// ApplyAnswer applies the coordinator's answer r, which was sent at sentAt, to the ask a of the time asked. A nil r means that there was no
+// answer.
+func (s *Servers) ApplyAnswer(asked, sentAt mono.Time, from ident.Daemon, a *wire.SelfReportsAsk, r *wire.SelfReportsAnswer) {
+	s.applyReports(sentAt, from, a, r)
 	if a.GetTokens() != nil {
-		s.pool.applyAnswer(asked, a.GetTokens(), r.GetTokens())
+		s.pool.applyAnswer(asked, sentAt, a.GetTokens(), r.GetTokens())
 	}
 }
 
 // call asks the coordinator at once.
-func (s *Servers) call(c context.Context, to ident.Daemon, q *wire.QuotaAsk) (*wire.QuotaAnswer, error) {
+func (s *Servers) call(c context.Context, to ident.Daemon, q *wire.QuotaAsk) (_ *wire.QuotaAnswer, sentAt mono.Time, _ error) {
 	a := s.encodeAsk(q)
+	asked := s.o.Clock.Now()
 	r, err := s.peers.Call(c, to, &wire.Call{Body: &wire.Call_SelfReports{SelfReports: a}})
-	s.applyReports(to, a, r.GetSelfReports())
-	return r.GetSelfReports().GetTokens(), err
+	sentAt = s.o.Clock.SentAt(duration(r.GetSentUs()), asked)
+	s.applyReports(sentAt, to, a, r.GetSelfReports())
+	return r.GetSelfReports().GetTokens(), sentAt, err
 }
 
-// Serve answers an ask at once.
-func (s *Servers) Serve(from ident.Daemon, a *wire.SelfReportsAsk) *wire.SelfReportsAnswer {
-	return s.Grant(from, s.ApplyAsk(from, a))
+// Serve answers an ask, which was sent at the given time, at once.
+func (s *Servers) Serve(sentAt mono.Time, from ident.Daemon, a *wire.SelfReportsAsk) *wire.SelfReportsAnswer {
+	return s.Grant(from, s.ApplyAsk(sentAt, from, a))
 }
 
-// ApplyAsk applies a daemon's ask if this daemon is the coordinator, and returns the ask for Grant.
-func (s *Servers) ApplyAsk(from ident.Daemon, a *wire.SelfReportsAsk) quota.Ask {
+// ApplyAsk applies a daemon's ask, which was sent at the given time, if this daemon is the coordinator, and returns the ask for Grant.
+func (s *Servers) ApplyAsk(sentAt mono.Time, from ident.Daemon, a *wire.SelfReportsAsk) quota.Ask {
 	s.pool.mu.Lock()
-	s.mergeAll(from, a.GetReports(), false)
+	s.mergeAll(sentAt, from, a.GetReports(), false)
 	s.pool.mu.Unlock()
 	return s.pool.applyAsk(from, a.GetTokens())
 }
@@ -189,7 +192,7 @@
 }
 
 // applyReports applies what the coordinator knows, and marks as reported what it was told.
-func (s *Servers) applyReports(from ident.Daemon, a *wire.SelfReportsAsk, r *wire.SelfReportsAnswer) {
+func (s *Servers) applyReports(sentAt mono.Time, from ident.Daemon, a *wire.SelfReportsAsk, r *wire.SelfReportsAnswer) {
 	if r == nil {
 		return
 	}
@@ -204,7 +207,7 @@
 			delete(s.unreported, k)
 		}
 	}
-	s.mergeAll(from, r.GetReports(), true)
+	s.mergeAll(sentAt, from, r.GetReports(), true)
 }
 
 // saysSame reports whether two reports of a server differ at most by their ages.
@@ -214,8 +217,8 @@
 		x.GetBackoff().GetRemainingUs() <= y.GetBackoff().GetRemainingUs() && x.GetColdUs() <= y.GetColdUs()
 }
 
-// mergeAll records what another daemon has told. The caller must hold pool.mu.
-func (s *Servers) mergeAll(from ident.Daemon, l []*wire.SelfReport, coordinator bool) {
+// mergeAll records what another daemon has told in a message that was sent at the given time. The caller must hold pool.mu.
+func (s *Servers) mergeAll(sentAt mono.Time, from ident.Daemon, l []*wire.SelfReport, coordinator bool) {
 	now, snap := s.o.Clock.Now(), s.o.View.Snapshot()
 	for _, x := range l {
 		k := decodeTarget(x)
@@ -223,12 +226,12 @@
 			continue
 		}
 		if l := x.GetLimit(); l != nil {
-			s.recordLimit(k, report.Limit{Rate: l.GetRate(), At: now.Add(-duration(l.GetAgeUs()))}, from)
+			s.recordLimit(k, report.Limit{Rate: l.GetRate(), At: sentAt.Add(-duration(l.GetAgeUs()))}, from)
 		}
 		if l := x.GetBackoff(); l != nil {
-			s.mergeBackoff(now, from, k, decodeBackoff(now, l), coordinator)
+			s.mergeBackoff(now, from, k, decodeBackoff(sentAt, l), coordinator)
 		}
-		if d := duration(x.GetColdUs()); d > 0 && s.setCold(now, k, d, from) {
+		if d := duration(x.GetColdUs()); d > 0 && s.setCold(now, sentAt.Add(d), k, from) {
 			s.tellDaemons()
 		}
 		if x.GetLeaving() && s.setLeaving(now, k, from) {
--- a/io/limit/reports_test.go
+++ b/io/limit/reports_test.go
@@ -41,7 +41,7 @@
 
 // Call implements Caller.
 func (s *testSite) Call(_ context.Context, to ident.Daemon, m *wire.Call) (*wire.Reply, error) {
-	return &wire.Reply{Body: &wire.Reply_SelfReports{SelfReports: s.daemons[to].Serve("d", m.GetSelfReports())}}, nil
+	return &wire.Reply{Body: &wire.Reply_SelfReports{SelfReports: s.daemons[to].Serve(s.daemons[to].o.Clock.Now(), "d", m.GetSelfReports())}}, nil
 }
 
 func newTestSite(servers ...*site.Server) *testSite {
@@ -61,7 +61,9 @@
 // sync makes a daemon exchange what it knows with the coordinator.
 func (s *testSite) sync(d ident.Daemon) {
 	a := s.daemons[d].Ask()
-	s.daemons[d].ApplyAnswer(s.daemons[d].o.Clock.Now(), "c", a, s.daemons["c"].Serve(d, a))
+	asked := s.daemons[d].o.Clock.Now()
+	r := s.daemons["c"].Serve(s.daemons["c"].o.Clock.Now(), d, a)
+	s.daemons[d].ApplyAnswer(asked, s.daemons[d].o.Clock.Now(), "c", a, r)
 }
 
 // Guards against a server's words that only the daemon knows which got the response.
@@ -101,12 +103,13 @@
 	d.Observe(k, d.o.Clock.Now(), report.Report{Backoff: time.Second})
 	a := d.Ask()
 	require.Len(t, a.GetReports(), 1)
-	r := s.daemons["c"].Serve("d", a)
+	c := s.daemons["c"]
+	r := c.Serve(c.o.Clock.Now(), "d", a)
 	d.Observe(k, d.o.Clock.Now(), report.Report{Backoff: 2 * time.Second})
-	d.ApplyAnswer(0, "c", a, r)
+	d.ApplyAnswer(0, d.o.Clock.Now(), "c", a, r)
 	a = d.Ask()
 	require.Len(t, a.GetReports(), 1, "the second backoff is longer")
-	d.ApplyAnswer(0, "c", a, s.daemons["c"].Serve("d", a))
+	d.ApplyAnswer(0, d.o.Clock.Now(), "c", a, c.Serve(c.o.Clock.Now(), "d", a))
 	require.Empty(t, d.Ask().GetReports())
 }
 
--- a/io/node/handler.go
+++ b/io/node/handler.go
@@ -25,9 +25,9 @@
 // Answered implements feed.TokenClient.
 func (t tokenClient) Answered(asked, sentAt mono.Time, from ident.Daemon, x *wire.Sync, r *wire.SyncReply) {
 	if x.GetQuota() != nil {
-		t.n.limiter.ApplyAnswer(asked, x.GetQuota(), r.GetQuota())
+		t.n.limiter.ApplyAnswer(asked, sentAt, x.GetQuota(), r.GetQuota())
 	}
-	t.n.reports.ApplyAnswer(asked, from, x.GetSelfReports(), r.GetSelfReports())
+	t.n.reports.ApplyAnswer(asked, sentAt, from, x.GetSelfReports(), r.GetSelfReports())
 }
 
 // peerHandler answers the calls of peers.
@@ -50,7 +50,7 @@
 		a := h.limiter.ApplyAsk(from, x.Quota)
 		return &wire.Reply{Body: &wire.Reply_Quota{Quota: h.limiter.Grant(from, a)}}
 	case *wire.Call_SelfReports:
-		return &wire.Reply{Body: &wire.Reply_SelfReports{SelfReports: h.servers.Serve(from, x.SelfReports)}}
+		return &wire.Reply{Body: &wire.Reply_SelfReports{SelfReports: h.servers.Serve(sentAt, from, x.SelfReports)}}
 	case *wire.Call_Reach:
 		return &wire.Reply{Body: &wire.Reply_Reach{Reach: h.reach(c, x.Reach)}}
 	case *wire.Call_Withdraw:
@@ -93,7 +93,7 @@
 		return h.feed.Sync(c, sentAt, from, x)
 	}
 	changed := h.servers.Changed()
-	a := h.servers.ApplyAsk(from, x.GetSelfReports())
+	a := h.servers.ApplyAsk(sentAt, from, x.GetSelfReports())
 	c, cancel := context.WithCancel(c)
 	defer cancel()
 	go func() {
