--- a/io/peer/clock.go
+++ b/io/peer/clock.go
@@ -13,8 +13,8 @@
 	// clockDriftDivisor bounds how much slower one host's clock runs than another's, as for leases and terms: by 1 part in 50.
 	clockDriftDivisor = 50
 
-	// maxReadingAge is the age of the last reading of a peer's clock after which an exchange takes a new one. Meanwhile the bound falls
-	// behind by the drift.
+	// maxReadingAge is the age of the last reading of a peer's clock after which a call or an exchange takes a new one. Meanwhile
+	// the bound falls behind by the drift.
 	maxReadingAge = 2 * time.Second
 )
 
@@ -62,6 +62,13 @@
 	return p.readAt > 0 && now-p.readAt < maxReadingAge
 }
 
+// known reports whether the peer's clock was ever read.
+func (p *peerClock) known() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.readAt > 0
+}
+
 // stampCall sets the times of a call whose contents are as of the given time.
 func (l *link) stampCall(m *wire.Call, asOf time.Duration) {
 	m.SentUs, m.ClockUs = micros(l.peerClock.earliest(asOf)), micros(l.hostClock.SinceBoot())
@@ -100,6 +107,15 @@
 	return nil
 }
 
+// refreshClock takes a reading of the peer's clock if the last one is old: the allowance for drift would make messages on a link without calls
+// look seconds old.
+func (l *link) refreshClock(c context.Context) error {
+	if !l.peerClock.known() {
+		return nil
+	}
+	return l.readClock(c)
+}
+
 func micros(d time.Duration) uint64 {
 	return uint64(max(0, d.Microseconds())) //nolint:gosec // not negative
 }
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -212,6 +212,9 @@
 	if err != nil {
 		return nil, &Error{Sent: false, Err: err}
 	}
+	if err := l.refreshClock(c); err != nil {
+		return nil, &Error{Sent: false, Err: err}
+	}
 	r, err := l.streamFor(m).call(c, m, asOf)
 	if err != nil {
 		return nil, err
