lessor: what homes report of their servers counts from its sending

What callers saw (homes mode): nothing was measured. A coordinator that was paused planned by reports of servers that were seconds old, and took daemons for holders of leases that had asked for them seconds ago, for 1.5 s after it ran again.

Cause: the time of a report and of its sender's lease counted from when the ask was read.

Fix: they count from the ask's sending. The lease itself still counts from reading at the witness: sent_us is the earliest time of sending and may precede the ask, from which the holder counts.

--- a/io/daemon/calls.go
+++ b/io/daemon/calls.go
@@ -42,7 +42,7 @@
 		a := forwarder{self: d.settings.Name, clock: d.clock, peers: d, do: d.homes.Do}.run(c, sent(m), b.Exchange)
 		return &wire.Reply{Body: &wire.Reply_Exchange{Exchange: a}}
 	case *wire.Call_Lease:
-		return &wire.Reply{Body: &wire.Reply_Lease{Lease: d.lessor.Ask(from, b.Lease)}}
+		return &wire.Reply{Body: &wire.Reply_Lease{Lease: d.lessor.Ask(d.clock.SentAt(sent(m), d.clock.Now()), from, b.Lease)}}
 	case *wire.Call_Probe:
 		return &wire.Reply{Body: &wire.Reply_Probe{Probe: d.members.Probed(b.Probe)}}
 	case *wire.Call_Pull:
--- a/io/home/homes.go
+++ b/io/home/homes.go
@@ -14,6 +14,7 @@
 	"heatherrouter/core/config"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/lease"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/part"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/group"
@@ -34,7 +35,7 @@
 
 // Witness answers the asks to this daemon's own witness, without a connection.
 type Witness interface {
-	Ask(from ident.Daemon, a *wire.LeaseAsk) *wire.LeaseAnswer
+	Ask(sentAt mono.Time, from ident.Daemon, a *wire.LeaseAsk) *wire.LeaseAnswer
 }
 
 // Options are what Homes need.
--- a/io/home/renew.go
+++ b/io/home/renew.go
@@ -175,7 +175,7 @@
 
 func (s *Homes) askWitness(c context.Context, w ident.Daemon, m *wire.LeaseAsk) (*wire.LeaseAnswer, bool) {
 	if w == s.o.Self {
-		return s.o.Witness.Ask(w, m), true
+		return s.o.Witness.Ask(s.o.Clock.Now(), w, m), true
 	}
 	x, cancel := context.WithTimeout(c, askLimit)
 	defer cancel()
--- a/io/lessor/lessor.go
+++ b/io/lessor/lessor.go
@@ -111,8 +111,8 @@
 	return m
 }
 
-// Ask answers a daemon's ask for the leases of its servers.
-func (l *Lessor) Ask(from ident.Daemon, a *wire.LeaseAsk) *wire.LeaseAnswer {
+// Ask answers a daemon's ask for the leases of its servers, which was sent at the given time.
+func (l *Lessor) Ask(sentAt mono.Time, from ident.Daemon, a *wire.LeaseAsk) *wire.LeaseAnswer {
 	l.o.Heard(from)
 	r := &wire.LeaseAnswer{}
 	leads := map[ident.Service]bool{}
@@ -121,23 +121,24 @@
 		if _, ok := leads[s]; !ok {
 			leads[s] = l.Coordinates(s)
 		}
-		g := l.ask(from, ident.Incarnation(a.GetIncarnation()), h)
+		g := l.ask(sentAt, from, ident.Incarnation(a.GetIncarnation()), h)
 		g.WantReport = leads[s]
 		r.Gives = append(r.Gives, g)
 	}
 	return r
 }
 
-func (l *Lessor) ask(from ident.Daemon, life ident.Incarnation, h *wire.Hold) *wire.LeaseGive {
+func (l *Lessor) ask(sentAt mono.Time, from ident.Daemon, life ident.Incarnation, h *wire.Hold) *wire.LeaseGive {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// The lease counts from now: sentAt may be earlier than the ask, from which the holder counts.
 	now := l.o.Clock.Now()
 	id := ident.Server(h.GetServer())
 	g := l.witness.Ask(now, from, lease.Ask{
 		Server: id, Epoch: ident.Epoch(h.GetEpoch()), Mode: modeFrom(h.GetMode()),
 		Incarnation: life, Rev: ident.Rev(h.GetRev()),
 	})
-	l.note(now, from, id, h, g.Given)
+	l.note(sentAt, from, id, h, g.Given)
 	return &wire.LeaseGive{
 		Server: h.GetServer(), Epoch: h.GetEpoch(), Given: g.Given, Clear: g.Clear, Retired: g.Retired,
 		HighestEpoch: uint64(g.Highest), WaitMs: uint32(g.Wait.Milliseconds()), Rev: uint64(g.Rev),
@@ -145,13 +146,13 @@
 	}
 }
 
-// note remembers what homes say, for the coordinator. A daemon that was refused is not the home.
-func (l *Lessor) note(now mono.Time, from ident.Daemon, id ident.Server, h *wire.Hold, given bool) {
+// note remembers what homes said at sentAt, for the coordinator. A daemon that was refused is not the home.
+func (l *Lessor) note(sentAt mono.Time, from ident.Daemon, id ident.Server, h *wire.Hold, given bool) {
 	old := l.seen[id]
 	if !given && (old.Home != from || old.Epoch > ident.Epoch(h.GetEpoch())) {
 		return
 	}
-	x := Seen{Home: from, Epoch: ident.Epoch(h.GetEpoch()), Given: given, At: now, Report: h.GetReport()}
+	x := Seen{Home: from, Epoch: ident.Epoch(h.GetEpoch()), Given: given, At: sentAt, Report: h.GetReport()}
 	if x.Report == nil && old.Home == from {
 		x.Report = old.Report
 	}
--- a/io/lessor/slope_test.go
+++ b/io/lessor/slope_test.go
@@ -9,6 +9,7 @@
 
 	"heatherrouter/core/ident"
 	"heatherrouter/core/lease"
+	"heatherrouter/core/mono"
 	"heatherrouter/core/part"
 	"heatherrouter/io/clock"
 	"heatherrouter/io/lessor"
@@ -31,7 +32,7 @@
 			}
 			var r *wire.LeaseAnswer
 			for b.Loop() {
-				r = l.Ask("h", a)
+				r = l.Ask(mono.Time(time.Hour), "h", a)
 			}
 			if !r.GetGives()[0].GetGiven() {
 				b.Fatal("no lease given")
