conns: a status above 599 is no answer

Callers saw: a server's response with status 600 to 999, whatever its bytes, as their answer. So did callers of a daemon that reached the server over a peer only. A response to an unsafe request didn't become "unknown" but "answered".

Cause: checkStatusLine took any three characters that began with 1 to 9.

Evidence: TestNoAnswerReachesCaller and TestNoAnswerReachesCallerThroughPeer (first and next response of a connection, GET and POST, plain and keyed, 16 cases) failed before, each with

Error: []int{502, 504} does not contain 600 Messages: status 600: "twelve bytes"

The other statuses (000, 099, 20, 2000, "2 0", no digits, 100 and 103 alone) passed before; they are in the tests as well. A grant answered with 000, 99, 600, 999 or "2 0" frees or gives no keys: TestNoAnswerGrantsNoKeys, which passed before.

Fix: the first digit of a status is 1 to 5, so that other heads are malformed and the exchange is unknown, as for 000.

Measured: all 16 cases pass; go test ./io/conns ./io/entry pass.

--- a/io/conns/head.go
+++ b/io/conns/head.go
@@ -69,11 +69,12 @@
 	return false, nil
 }
 
-// checkStatusLine reports an error for a line that isn't like "HTTP/1.1 200 OK". A status below 100 has no meaning; fasthttp makes 200 of 000.
+// checkStatusLine reports an error for a line that isn't like "HTTP/1.1 200 OK". A status below 100 or above 599 has no meaning; fasthttp
+// makes 200 of 000.
 func checkStatusLine(line []byte) error {
 	version, status, _ := bytes.Cut(line, []byte(" "))
 	status, _, _ = bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
-	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/")) || len(status) != 3 || status[0] < '1' || status[0] > '9' {
+	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/")) || len(status) != 3 || status[0] < '1' || status[0] > '5' {
 		return errMalformedHead
 	}
 	if hasControl(line) {
--- a/io/conns/head_test.go
+++ b/io/conns/head_test.go
@@ -56,6 +56,8 @@
 		"status 000":                       "HTTP/1.1 000 OK\r\nContent-Length: 4",
 		"status 000 without a reason":      "HTTP/1.1 000\r\nContent-Length: 4",
 		"status 099":                       "HTTP/1.1 099 OK\r\nContent-Length: 4",
+		"status 600":                       "HTTP/1.1 600 OK\r\nContent-Length: 4",
+		"status 999":                       "HTTP/1.1 999 OK\r\nContent-Length: 4",
 		"status -20":                       "HTTP/1.1 -20 OK\r\nContent-Length: 4",
 		"no status":                        "HTTP/1.1\r\nContent-Length: 4",
 		"second status line":               okHead + "Content-Le" + okHead + "Content-Length: 4",
