conns: what follows status 101 is no answer

Callers saw: a server that said "101 Switching Protocols", though no request asks for that, and then sent bytes that look like an answer had these bytes passed on as one.

Cause: 101 was skipped like the interim statuses 100 and 103. It is the last status of its protocol: what follows isn't HTTP.

Evidence: with the fix taken out, all 16 cases of TestNoAnswerReachesCaller and TestNoAnswerReachesCallerThroughPeer failed:

Error: []int{502, 504} does not contain 200 Messages: answer behind status 101: "whole"

and TestUncertainHeadIsNoResponse "status 101, then an answer" and "status 101 behind status 100" (passed on: "4\r\nm").

Fix: a status line with 101 is malformed, so that the exchange is unknown and its connection closed.

Measured: these tests pass; an answer behind 100 or 103 is served as before.

--- a/io/conns/head.go
+++ b/io/conns/head.go
@@ -77,7 +77,7 @@
 	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/")) || len(status) != 3 || status[0] < '1' || status[0] > '5' {
 		return errMalformedHead
 	}
-	if hasControl(line) {
+	if hasControl(line) || string(status) == "101" { // no request asks for another protocol, whose bytes would follow
 		return errMalformedHead
 	}
 	return nil
--- a/io/conns/head_test.go
+++ b/io/conns/head_test.go
@@ -58,6 +58,8 @@
 		"status 099":                       "HTTP/1.1 099 OK\r\nContent-Length: 4",
 		"status 600":                       "HTTP/1.1 600 OK\r\nContent-Length: 4",
 		"status 999":                       "HTTP/1.1 999 OK\r\nContent-Length: 4",
+		"status 101, then an answer":       "HTTP/1.1 101 Switching Protocols\r\n\r\n" + okHead + "Content-Length: 4",
+		"status 101 behind status 100":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101 X\r\n\r\n" + okHead + "Content-Length: 4",
 		"status -20":                       "HTTP/1.1 -20 OK\r\nContent-Length: 4",
 		"no status":                        "HTTP/1.1\r\nContent-Length: 4",
 		"second status line":               okHead + "Content-Le" + okHead + "Content-Length: 4",
