relay: a peer's answer with a status that no response has is no answer

Callers saw: with a status of 0 from a peer, 200 and the body behind it as a server's answer, and any other status (20, 999) as it came.

Cause: the client of the relay took the status from the wire unchecked; fasthttp makes 200 of 0, which is also the status of an answer that leaves the field out.

Evidence: TestStatusOfPeerThatIsNoAnswer failed before with

expected: 0x0 actual : 0x1 Messages: status 0, body "twelve bytes"

Fix: a status outside 200 to 599 fails the exchange as one that may have run, so that the caller gets 502.

Measured: the test passes for 12 statuses that no response has and 5 that are passed on as before.

--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -57,6 +58,8 @@
 	return r
 }
 
+var errStatus = errors.New("peer's answer with a status that no response has")
+
 // failure returns the result of an exchange that failed.
 func failure(err error) send.RelayResult {
 	if peer.MaybeSent(err) {
@@ -93,6 +96,9 @@
 	}
 	switch a.GetOutcome() {
 	case wire.Outcome_OUTCOME_ANSWERED:
+		if a.GetStatus() < 200 || a.GetStatus() > 599 {
+			return send.RelayResult{}, &peer.Error{Sent: true, Err: errStatus}
+		}
 		r.Outcome = retry.Answered
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		r.Outcome = retry.NotRun
