peer: a reply that is no answer doesn't prove that a request has not run

Callers saw: 503, which promises "not run", or a second run at another peer, for a request that the peer had taken whole, when the peer's reply was an empty message or one of another kind.

Cause: ReadResponse reported such a reply as a request that was not sent, as if it were a refusal.

Evidence: TestRequestWithoutAnswerOfPeerMayHaveRun, cases "empty frame" and "reply of another kind", failed before with

expected: 0x0 actual : 0x2 (NotRun for Unknown)

Fix: only an explicit refusal says that the peer didn't take the request.

Measured: all cases pass, with bodies of another size than announced, which passed before; go test -race ./io/relay ./io/peer ./io/entry pass.

--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -39,7 +39,7 @@
 	if a := m.GetExchange(); a != nil {
 		return a, nil
 	}
-	return nil, &Error{Sent: false, Err: io.ErrUnexpectedEOF}
+	return nil, &Error{Sent: m.GetRefusal() == nil, Err: io.ErrUnexpectedEOF}
 }
 
 // Read reads the other side's body. It returns io.EOF only at the end of a whole body.
--- a/io/relay/answer_test.go
+++ b/io/relay/answer_test.go
@@ -22,13 +22,20 @@
 	"heatherrouter/io/wire"
 )
 
-// answering is a peer that answers each exchange with the head given, once it has its whole body.
-type answering struct{ head *wire.ExchangeAnswer }
+// answering is a peer that answers each exchange with the head given, or else with the bytes, once it has its whole body.
+type answering struct {
+	head  *wire.ExchangeAnswer
+	bytes string
+}
 
 func (answering) Call(context.Context, ident.Daemon, *wire.Call) *wire.Reply { return nil }
 
 func (a answering) Exchange(_ context.Context, _ ident.Daemon, x *peer.Exchange) {
 	_, _ = io.ReadAll(x)
+	if a.head == nil {
+		_ = writeBody(x, []byte(a.bytes))
+		return
+	}
 	_ = x.WriteResponse(a.head)
 	_ = writeBody(x, []byte("twelve bytes"))
 }
@@ -86,3 +93,23 @@
 		require.Equal(t, "twelve bytes", string(resp.Body()))
 	}
 }
+
+// Guards against a request that is promised not to have run, or is run again, although the peer had all of it: what the peer sent is no
+// answer.
+func TestRequestWithoutAnswerOfPeerMayHaveRun(t *testing.T) {
+	for name, v := range map[string]string{
+		"nothing": "", "empty frame": "\x00\x00\x00\x00", "reply of another kind": "\x00\x00\x00\x02\x2a\x00", "no message": "\x00\x00\x00\x01\xff",
+		"a part of a frame": "\x00\x00\x00\x09\x1a", "frame beyond the limit": "\xff\xff\xff\xff\x1a",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := newClient(t, answering{bytes: v}).sendTest(t)
+			require.Equal(t, retry.Unknown, r.Outcome)
+			require.False(t, r.Failed)
+		})
+	}
+	for _, size := range []int64{-1, 0, 11, 13, maxBodyBytes + 1} {
+		head := &wire.ExchangeAnswer{Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: 200, BodyFollows: true, BodySize: size}
+		r, _ := newClient(t, answering{head: head}).sendTest(t)
+		require.Equal(t, retry.Unknown, r.Outcome, "body of %d bytes announced", size)
+	}
+}
