grant: responses to orders and health checks take little memory

Callers saw: nothing until the coordinator had run out of memory; then all callers of that daemon lost their requests and keys moved.

Cause: the connections for orders and health checks of each server took the default limit of 16 MiB for a body and no part of the daemon's memory budget, so that hundreds of servers that send without end took 16 MiB each at once.

Evidence: TestEndlessResponsesToOrdersTakeLittleMemory (200 servers; a grant, a release and a health check each) failed before with

answer_test.go:168: peak 1099 MiB (stated length) answer_test.go:168: peak 384 MiB (chunks) Error: "" is not less than ""

Fix: a body of 16 KiB at the most, as much as a header; what orders and health checks ask for is in the header.

TestNoAnswerIsNoResultOfOrder shows as well that bytes that are no response (000, 20, 600, 101, 100 alone ...) leave grants and releases without a result; it passed before.

--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -32,6 +32,10 @@
 
 	releaseTimeout = 10 * time.Second // longest wait for the work on released keys to end
 
+	// maxResponse bounds the body of a response in bytes. What orders and health checks ask for is in its header, and the responses of
+	// all servers may be read at once.
+	maxResponse = 16 << 10
+
 	// maxReleases is how many releases of one server may be open at the same time. A server that leaves has a dozen ranges,
 	// and a release that finds no connection would look like one that the server didn't answer.
 	maxReleases = 16
@@ -71,7 +75,9 @@
 	if x != nil {
 		x.close()
 	}
-	o := conns.Options{Addr: s.Addr, MaxConns: 1, DialTimeout: orderDialTimeout, ProbeInterval: conns.NoProbes, Names: conns.NoNames}
+	o := conns.Options{
+		Addr: s.Addr, MaxConns: 1, DialTimeout: orderDialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxResponse, Names: conns.NoNames,
+	}
 	x = &link{server: s, health: conns.New(o)}
 	o.Names.RequestID = g.o.OrderIDHeader
 	x.grants, x.spare = conns.New(o), conns.New(o)
