send: responses to health checks take little memory

Callers saw: nothing until a daemon that asked many servers for their health, while the store wasn't read, had run out of memory.

Cause: a response to a health check could have a body of 32 MiB and took no part of the daemon's memory budget.

Evidence: TestEndlessResponsesToHealthChecksTakeLittleMemory (200 servers) failed before with

health_test.go:85: peak 288 MiB (stated length) health_test.go:85: peak 313 MiB (chunks) Error: "" is not less than ""

Fix: a body of 16 KiB at the most; the header says what is asked for.

TestNoAnswerSaysNothingOfHealth shows as well that 000, 600, 101 and the like say nothing of a server's health; it passed before.

--- a/io/send/back.go
+++ b/io/send/back.go
@@ -62,6 +62,9 @@
 	// maxResponseBytes bounds the body of a response, which is held in memory.
 	maxResponseBytes = 32 << 20
 
+	// maxHealthBytes bounds the body of a response to a health check, of which only the header is read. Many servers may be asked at once.
+	maxHealthBytes = 16 << 10
+
 	// maxConns bounds the connections to one server, which accepts a limited total from all daemons.
 	maxConns = 64
 )
@@ -78,7 +81,7 @@
 			Addr: x.Addr, MaxConns: maxConns, DialTimeout: dialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxResponseBytes,
 			Names: s.names, CloseDelimited: true, ReuseIdentified: true,
 		})
-		b.health = conns.New(conns.Options{Addr: x.Addr, MaxConns: 1, DialTimeout: dialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxResponseBytes})
+		b.health = conns.New(conns.Options{Addr: x.Addr, MaxConns: 1, DialTimeout: dialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxHealthBytes})
 		s.backends[k] = b
 	}
 	return b
