conns: the bytes of a body that fails aren't kept in the response

Callers saw: nothing; the daemon held up to 32 MiB more than its budget said, until the garbage of the response was collected.

Cause: a body without a stated length was put into the response also when it had no end or failed, while its reservation was given back.

Evidence: TestEndlessBodyIsNotKept failed before with "Should be empty, but was [97 97 97 ..." for the body that ends with the connection; the chunked one passed.

Fix: only a whole body gets into the response.

Measured: the test passes.

--- a/io/conns/endless_test.go
+++ b/io/conns/endless_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// Guards against a response that keeps the memory of a body that was no answer.
+func TestEndlessBodyIsNotKept(t *testing.T) {
+	filler := strings.Repeat("a", 1000)
+	for _, x := range []struct{ start, more string }{{okHead + "\r\n", filler}, {chunkedHead, "3e8\r\n" + filler + "\r\n"}} {
+		s := &endlessServer{start: x.start, more: x.more, closed: make(chan struct{}, 1)}
+		p := newPool(t, Options{Addr: listen(t, s.serve), MaxBody: testMaxBody, CloseDelimited: true, DialTimeout: 5 * time.Second})
+		resp := &fasthttp.Response{}
+		r := p.Do(t.Context(), Call{Deadline: time.Now().Add(time.Minute)}, get("/"), resp)
+		require.ErrorIs(t, r.Err, ErrEndless)
+		require.Empty(t, resp.Body())
+	}
+}
+
 // bytesRead repeats the exchange and returns how many bytes of the response were taken from the connection.
 func bytesRead(t *testing.T, p *Pool, call Call) int64 {
 	c, r := p.get(t.Context(), call, 0)
--- a/io/conns/read.go
+++ b/io/conns/read.go
@@ -157,9 +157,12 @@
 		return c.readChunked(p, resp, head)
 	}
 	b, err := c.readAll(p, c.br)
+	if err != nil {
+		return err
+	}
 	resp.SwapBody(b)
 	resp.Header.SetContentLength(len(b))
-	return err
+	return nil
 }
 
 // readChunked reads a chunked body and its trailers after a header of the given size.
