buffer: bodies without end don't keep small requests out

Callers saw: 503 no-memory for requests with a body of 10 bytes, while servers of other services sent bodies without end. Each such body may take 32 MiB, and all buffers of a daemon with 144 MB are 36 MB.

Cause: all requests of a priority share one limit, whatever their size, and responses may take a tenth more than requests. A few bodies without end hold all of it, and the next ones take their place.

Fix: requests that hold at most a thousandth of the limit (36 KB of 36 MB) may use all of it, and a twentieth more for each class above the lowest: a tenth more in all. Others have the same part as before.

Tests changed: TestSharesOfTheLimit asks for one byte more for the request that holds its share already, not for another request, which is small. In TestSlowCallerIsServed the requests that don't fit have 10,000 bytes for 2000, as a thousandth of its limit is 4195.

--- a/core/buffer/buffer.go
+++ b/core/buffer/buffer.go
@@ -22,6 +22,11 @@
 	tenths       = 10
 	lessPerClass = 1
 
+	// Requests that hold at most one part in smallPart of the limit may take all of it, and a twentieth more for each class above the
+	// lowest: a few large bodies, or bodies that never end, would else keep all others out.
+	smallPart  = 1000
+	twentieths = 20
+
 	// minRead is what a caller must read within readTime while buffers are short.
 	minRead  Bytes = 1 << 10
 	readTime       = 5 * time.Second
@@ -44,24 +49,28 @@
 // Class returns the class of a priority.
 func Class(priority int) int { return min(max(priority, 0), Lowest) }
 
-// ReserveRequest reserves bytes for a request's body and reports whether it may be read.
-func (b *Budget) ReserveRequest(now mono.Time, priority int, n Bytes) bool {
+// ReserveRequest reserves bytes for the body of a request that holds others already, and reports whether it may be read.
+func (b *Budget) ReserveRequest(now mono.Time, priority int, held, n Bytes) bool {
 	c := Class(priority)
-	if b.reserve(now, c, n) {
+	if b.reserve(now, c, held, n) {
 		return true
 	}
 	b.refused[c]++
 	return false
 }
 
-// ReserveResponse reserves bytes for a response's body and reports whether it may be read. Responses may take a tenth of the limit more
+// ReserveResponse reserves bytes for the body of a response to a request that holds others already, and reports whether it may be read. Responses may take a tenth of the limit more
 // than requests of the same priority, as the work for them is lost if they are not delivered.
-func (b *Budget) ReserveResponse(now mono.Time, priority int, n Bytes) bool {
-	return b.reserve(now, max(0, Class(priority)-1), n)
+func (b *Budget) ReserveResponse(now mono.Time, priority int, held, n Bytes) bool {
+	return b.reserve(now, max(0, Class(priority)-1), held, n)
 }
 
-func (b *Budget) reserve(now mono.Time, class int, n Bytes) bool {
-	if b.held+n > b.limit*Bytes(tenths-lessPerClass*class)/tenths {
+func (b *Budget) reserve(now mono.Time, class int, held, n Bytes) bool {
+	most := b.limit * Bytes(tenths-lessPerClass*class) / tenths
+	if held+n <= b.limit/smallPart {
+		most = b.limit * Bytes(twentieths+Lowest-class) / twentieths
+	}
+	if b.held+n > most {
 		b.shortAt = now
 		return false
 	}
--- a/core/buffer/buffer_test.go
+++ b/core/buffer/buffer_test.go
@@ -72,7 +72,7 @@
 func (s *stream) arrive(b *Budget, now mono.Time, d *rand.Rand, ends *holdings) {
 	s.sent++
 	n := s.min + Bytes(d.Int64N(int64(s.max-s.min+1)))
-	if !b.ReserveRequest(now, s.priority, n) {
+	if !b.ReserveRequest(now, s.priority, 0, n) {
 		s.refused++
 		return
 	}
@@ -81,7 +81,7 @@
 		heap.Push(ends, holding{now.Add(took / 10), n})
 		return
 	}
-	if !b.ReserveResponse(now, s.priority, s.response) {
+	if !b.ReserveResponse(now, s.priority, n, s.response) {
 		s.lostResponses++
 	} else {
 		n += s.response
@@ -141,17 +141,40 @@
 func TestSharesOfTheLimit(t *testing.T) {
 	for priority, share := range map[int]Bytes{-1: 1000, 0: 1000, 1: 900, 2: 800, 3: 800, 1 << 30: 800} {
 		b := New(1000)
-		require.False(t, b.ReserveRequest(1, priority, share+1), "priority %d", priority)
-		require.True(t, b.ReserveRequest(1, priority, share), "priority %d", priority)
-		require.False(t, b.ReserveRequest(1, priority, 1), "priority %d", priority)
+		require.False(t, b.ReserveRequest(1, priority, 0, share+1), "priority %d", priority)
+		require.True(t, b.ReserveRequest(1, priority, 0, share), "priority %d", priority)
+		require.False(t, b.ReserveRequest(1, priority, share, 1), "priority %d", priority)
 		response := min(1000, share+100) - share
-		require.False(t, b.ReserveResponse(1, priority, response+1), "priority %d", priority)
-		require.True(t, b.ReserveResponse(1, priority, response), "priority %d", priority)
+		require.False(t, b.ReserveResponse(1, priority, share, response+1), "priority %d", priority)
+		require.True(t, b.ReserveResponse(1, priority, share, response), "priority %d", priority)
 		b.Release(share + response)
 		require.Zero(t, b.State().Held)
 	}
 }
 
+// Guards against small requests that are refused because large bodies have taken the whole limit, and against small ones that take more
+// than a tenth beyond it or are all of the lowest priority.
+func TestSmallRequestsBesideLargeBodies(t *testing.T) {
+	const limit, small = 36 << 20, 36 << 20 / smallPart
+	for priority, want := range map[int]int{0: 100, 1: 50, 2: 0, 7: 0} {
+		b := New(limit)
+		require.True(t, b.ReserveRequest(1, 0, 0, limit))
+		n := 0
+		for b.ReserveRequest(1, priority, 0, small) {
+			n++
+		}
+		require.InDelta(t, want, n, 1, "priority %d", priority)
+		require.False(t, b.ReserveRequest(1, 0, 0, small+1), "not small")
+		require.False(t, b.ReserveRequest(1, 0, small, 1), "no longer small")
+		require.False(t, b.ReserveResponse(1, 0, small, 1), "no longer small")
+		require.LessOrEqual(t, b.State().Held, Bytes(limit+limit/10))
+	}
+	b := New(limit)
+	require.True(t, b.ReserveRequest(1, 2, 0, limit/2))
+	require.True(t, b.ReserveRequest(1, 1, 0, limit/3))
+	require.True(t, b.ReserveRequest(1, 2, 0, small), "a small request of the lowest priority beside large ones")
+}
+
 // Guards against callers that take the buffers of others by not reading, and against disconnecting slow callers while there is room.
 func TestCallersThatDoNotRead(t *testing.T) {
 	start := mono.Time(time.Hour)
@@ -175,7 +198,7 @@
 		for d := time.Duration(0); d < time.Minute && reclaimed == 0; d += 100 * time.Millisecond {
 			now := start.Add(d)
 			if x.short >= 0 && d >= x.short {
-				require.False(t, b.ReserveRequest(now, 0, 101))
+				require.False(t, b.ReserveRequest(now, 0, 0, 101))
 			}
 			if d > 0 && d%x.every == 0 {
 				r.Read(now, x.bytes)
@@ -193,6 +216,6 @@
 	start := mono.Time(time.Hour)
 	b, r := New(100), Reader{}
 	r.Begin(start)
-	require.False(t, b.ReserveRequest(start, 0, 101))
+	require.False(t, b.ReserveRequest(start, 0, 0, 101))
 	require.False(t, b.Reclaims(start.Add(readTime+shortTime), &r))
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -310,7 +310,7 @@
 			case <-time.After(time.Second):
 			}
 			other := f.dial()
-			fmt.Fprint(other, upload("/", 0, strings.Repeat("x", 2000)))
+			fmt.Fprint(other, upload("/", 0, strings.Repeat("x", 10_000)))
 			_, _ = io.Copy(io.Discard, other)
 		}
 	})
--- a/io/memory/memory.go
+++ b/io/memory/memory.go
@@ -55,18 +55,18 @@
 	return b.b.Reclaims(now, r)
 }
 
-func (b *Budget) reserveRequest(priority, n int) bool {
+func (b *Budget) reserveRequest(priority, held, n int) bool {
 	now := b.o.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.b.ReserveRequest(now, priority, buffer.Bytes(n))
+	return b.b.ReserveRequest(now, priority, buffer.Bytes(held), buffer.Bytes(n))
 }
 
-func (b *Budget) reserveResponse(priority, n int) bool {
+func (b *Budget) reserveResponse(priority, held, n int) bool {
 	now := b.o.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.b.ReserveResponse(now, priority, buffer.Bytes(n))
+	return b.b.ReserveResponse(now, priority, buffer.Bytes(held), buffer.Bytes(n))
 }
 
 func (b *Budget) release(n int) {
@@ -89,7 +89,7 @@
 	if r == nil || r.Budget == nil || n == 0 {
 		return nil
 	}
-	if !r.Budget.reserveRequest(r.Priority, n) {
+	if !r.Budget.reserveRequest(r.Priority, r.held, n) {
 		r.Budget.o.Refused(buffer.Class(r.Priority))
 		return ErrNoMemory
 	}
@@ -108,7 +108,7 @@
 		return nil
 	}
 	switch {
-	case r.Budget.reserveResponse(r.Priority, n):
+	case r.Budget.reserveResponse(r.Priority, r.held, n):
 		r.held += n
 	case n > MaxUnreserved:
 		return ErrNoMemory
