conns: the test of endless responses waits for its dials

Cause, in four copies of the test with -race at load 42: the case "header line" failed with

in chain: "dial 127.0.0.1:34141 dial tcp 127.0.0.1:34141: i/o timeout"

as the pool gives a dial 250 ms. What the case is about, the response's limits, hadn't begun. All 19 cases dial like that.

Fix: 5 s for the dial, as the other tests of the package have. All checks stay as they are.

--- a/io/conns/endless_test.go
+++ b/io/conns/endless_test.go
@@ -78,7 +78,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
 			s := &endlessServer{start: x.start, more: x.more, pause: x.pause, closed: make(chan struct{}, 2)}
-			p := newPool(t, Options{Addr: listen(t, s.serve), MaxBody: testMaxBody, CloseDelimited: true})
+			p := newPool(t, Options{Addr: listen(t, s.serve), MaxBody: testMaxBody, CloseDelimited: true, DialTimeout: 5 * time.Second})
 			call := Call{Deadline: time.Now().Add(time.Minute)}
 			began := time.Now()
 			r, _ := do(p, call, "/")
