peer: the head of an answer takes at most 256 KiB

Callers saw: nothing until a daemon that hands requests to a faulty peer had run out of memory.

Cause: the head of an answer could be as large as any message, 16 MiB, is allocated when its size has been read, and takes no part of the daemon's memory budget, for each request that was handed over.

Evidence: TestLargeHeadsOfPeerTakeLittleMemory (40 requests at once, a peer that announces 16 MiB and sends nothing more) failed before:

Fix: an answer's head has 256 KiB at the most, 16 times what a server's header may take. What is larger is no answer: the request may have run. Bodies are reserved before they are read, as before.

Measured: the test passes. Calls, and requests that peers hand to this daemon, may still have 16 MiB each.

--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -33,7 +33,7 @@
 // ReadResponse reads the head of the response; Read then reads its body.
 func (x *Exchange) ReadResponse() (*wire.ExchangeAnswer, error) {
 	m := &wire.Reply{}
-	if err := readFrame(x.reader, m); err != nil {
+	if err := readFrame(x.reader, m, maxAnswerHead); err != nil {
 		return nil, &Error{Sent: true, Err: err}
 	}
 	if a := m.GetExchange(); a != nil {
@@ -108,7 +108,7 @@
 func (t *Transport) serveExchange(c context.Context, s *quic.Stream, from ident.Daemon) {
 	x := &Exchange{stream: s, reader: bufio.NewReaderSize(s, readBufferSize)}
 	m := &wire.Call{}
-	if err := readFrame(x.reader, m); err != nil || m.GetExchange() == nil {
+	if err := readFrame(x.reader, m, maxFrameSize); err != nil || m.GetExchange() == nil {
 		x.Abort()
 		return
 	}
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -13,6 +13,9 @@
 // maxFrameSize limits the bytes of one message, so that a faulty peer cannot cause unbounded allocations.
 const maxFrameSize = 16 << 20
 
+// maxAnswerHead limits the bytes of the head of an answer, of which many may be read at once. Its headers take 16 KiB at a backend server.
+const maxAnswerHead = 256 << 10
+
 const frameHeaderSize = 4 // bytes of the length prefix
 
 var framePool = sync.Pool{New: func() any { b := make([]byte, frameHeaderSize, 2048); return &b }}
@@ -39,14 +42,14 @@
 	}
 }
 
-// readFrame reads one message into m.
-func readFrame(r *bufio.Reader, m proto.Message) error {
+// readFrame reads one message of at most limit bytes into m.
+func readFrame(r *bufio.Reader, m proto.Message, limit int) error {
 	var head [frameHeaderSize]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return err
 	}
 	n := int(binary.BigEndian.Uint32(head[:]))
-	if n > maxFrameSize {
+	if n > limit {
 		return trace.LimitExceeded("read frame: message of %d bytes exceeds the frame limit", n)
 	}
 	p, _ := framePool.Get().(*[]byte)
--- a/io/peer/lane.go
+++ b/io/peer/lane.go
@@ -168,7 +168,7 @@
 	b := bufio.NewReaderSize(r, readBufferSize)
 	for {
 		m := &wire.Reply{}
-		if err := readFrame(b, m); err != nil {
+		if err := readFrame(b, m, maxFrameSize); err != nil {
 			return err
 		}
 		l.mu.Lock()
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -86,7 +86,7 @@
 	r := bufio.NewReaderSize(s, readBufferSize)
 	for {
 		m := &wire.Call{}
-		if err := readFrame(r, m); err != nil {
+		if err := readFrame(r, m, maxFrameSize); err != nil {
 			return
 		}
 		slots <- struct{}{}
--- a/io/relay/answer_test.go
+++ b/io/relay/answer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/netip"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -113,3 +115,25 @@
 		require.Equal(t, retry.Unknown, r.Outcome, "body of %d bytes announced", size)
 	}
 }
+
+// Guards against a daemon that runs out of memory because a faulty peer answers the requests handed to it with heads as large as any message.
+func TestLargeHeadsOfPeerTakeLittleMemory(t *testing.T) {
+	const requests, most = 40, 64 << 20
+	k := newClient(t, answering{bytes: "\x00\xff\xff\xff\x1a"})
+	k.sendTest(t) // connects
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	before := m.TotalAlloc
+	var w sync.WaitGroup
+	for range requests {
+		w.Go(func() {
+			if r, _ := k.sendTest(t); r.Outcome != retry.Unknown || r.Failed {
+				t.Errorf("%+v", r)
+			}
+		})
+	}
+	w.Wait()
+	runtime.ReadMemStats(&m)
+	require.Less(t, m.TotalAlloc-before, uint64(most))
+}
