--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -44,7 +44,7 @@
 // ReadResponse reads the head of the response; Read then reads its body.
 func (x *Exchange) ReadResponse() (*wire.ExchangeAnswer, error) {
 	m := &wire.Reply{}
-	if err := readFrame(x.reader, m); err != nil {
+	if err := readFrame(x.reader, m, maxAnswerHead); err != nil {
 		return nil, &Error{Sent: true, Err: err}
 	}
 	x.link.observeReply(m)
@@ -52,7 +52,7 @@
 	if a := m.GetExchange(); a != nil {
 		return a, nil
 	}
-	return nil, &Error{Sent: false, Err: io.ErrUnexpectedEOF}
+	return nil, &Error{Sent: m.GetRefusal() == nil, Err: io.ErrUnexpectedEOF}
 }
 
 // Read reads the other side's body. It returns io.EOF only at the end of a whole body.
@@ -84,7 +84,7 @@
 // this host. It fails unless the whole body and nothing more was read.
 func (x *Exchange) ReadPeriod() (end time.Duration, err error) {
 	m := &wire.ExchangeEnd{}
-	if err := readFrame(x.reader, m); err != nil {
+	if err := readFrame(x.reader, m, maxFrameSize); err != nil {
 		return 0, err
 	}
 	if _, err := x.reader.ReadByte(); !errors.Is(err, io.EOF) {
@@ -156,7 +156,7 @@
 func (t *Transport) serveExchange(c context.Context, s *quic.Stream, from ident.Daemon) {
 	x := &Exchange{transport: t, stream: s, reader: bufio.NewReaderSize(s, readBufferSize)}
 	m := &wire.Call{}
-	if err := readFrame(x.reader, m); err != nil || m.GetExchange() == nil {
+	if err := readFrame(x.reader, m, maxFrameSize); err != nil || m.GetExchange() == nil {
 		x.Abort()
 		return
 	}
--- a/io/peer/idle_test.go
+++ b/io/peer/idle_test.go
@@ -57,6 +57,7 @@
 	p := start("h01")
 	x, err := p.link(t.Context(), "h02")
 	require.NoError(t, err)
+	require.NoError(t, x.readClock(t.Context()))
 	const idle = time.Hour
 	x.peerClock.mu.Lock()
 	x.peerClock.readAt -= maxReadingAge
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -84,6 +85,8 @@
 // peerFailed is the result if the peer has not received the whole request: it sends nothing before that.
 var peerFailed = send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}
 
+var errStatus = errors.New("peer's answer with a status that no response has")
+
 // failure returns the result of an exchange whose request was handed over.
 func failure(err error) send.RelayResult {
 	if peer.MaybeSent(err) {
@@ -120,6 +123,9 @@
 	}
 	switch a.GetOutcome() {
 	case wire.Outcome_OUTCOME_ANSWERED:
+		if a.GetStatus() < 200 || a.GetStatus() > 599 {
+			return send.RelayResult{}, &peer.Error{Sent: true, Err: errStatus}
+		}
 		r.Outcome = retry.Answered
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		r.Outcome = retry.NotRun
