--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -100,6 +100,9 @@
 // handOver sends a request to a peer and waits for its answer.
 func (s *Sender) handOver(r *request, to ident.Daemon, snap *site.Snapshot, resp *fasthttp.Response) RelayResult {
 	began := s.o.Clock.Now()
+	if !s.endsInTime(r, began) { // it may have waited for a token
+		return RelayResult{Outcome: retry.NotRun, Reason: ReasonStopping}
+	}
 	x := s.o.Relay.Send(r.ctx, to, &Relayed{
 		Request: r.req, ID: r.id, Service: r.service.Name, Config: snap.Config.Version, SentTo: r.sentTo, Deadline: s.serverDeadline(r),
 		ServiceUnreachable: s.o.Paths.Suspected(r.service.Name), Counted: r.counted, Memory: r.memory,
