stand: a stop of a daemon with homes cuts no request off while callers use it

The homes mode has no fault of this kind: Leave aborts nothing, but waits up to 15 minutes for open requests, which is longer than any of them but downloads may take. TestStopDaemonInUse shows it: callers use the stopping daemon until it has ended. No request whose connection ended has run, no answer ended early, and the daemon left no caller unanswered.

Unknown outcomes are logged, not checked.

--- a/io/stand/leave_test.go
+++ b/io/stand/leave_test.go
@@ -9,7 +9,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherrouter/core/ident"
 	"heatherrouter/io/admin"
+	"heatherrouter/io/fakes"
 	"heatherrouter/io/fakes/server"
 	"heatherrouter/io/hosts"
 	"heatherrouter/io/stand"
@@ -156,6 +158,33 @@
 	})
 }
 
+// Guards against requests that a daemon passes on while it stops and then cuts off. Callers use it until it has ended.
+func TestStopDaemonInUse(t *testing.T) {
+	bothKinds(t, func(t *testing.T, grants bool) {
+		x := newSite(t, siteOptions{daemons: 4, domains: 2, servers: 3, grants: grants, server: work})
+		leaver := x.busiest(t)
+		l := x.startLoad(leaver)
+		time.Sleep(time.Second)
+		c, cancel := context.WithTimeout(t.Context(), 40*time.Second)
+		defer cancel()
+		require.NoError(t, x.Daemons[leaver].Leave(c))
+		l.end()
+		t.Log(l.summary())
+		assert.Empty(t, l.cut)
+		x.checkWork(t, l.ids)
+		ran := map[ident.Request]bool{}
+		for _, w := range x.Work() {
+			ran[w.Request] = ran[w.Request] || w.Outcome != fakes.NotRunOutcome
+		}
+		for id, o := range l.ids {
+			if o == broken {
+				assert.False(t, ran[id], "%s has no answer, and it ran", id)
+			}
+		}
+		assert.NotContains(t, x.Daemons[leaver].LogTail(), "callers left unanswered")
+	})
+}
+
 // The platform's list calls a host leaving. Its daemon is told by nobody else, so the others take its homes away
 // within seconds, and callers at any entry see no failure.
 func TestLeavingHost(t *testing.T) {
--- a/io/stand/load_test.go
+++ b/io/stand/load_test.go
@@ -53,6 +53,7 @@
 	ids     map[ident.Request]string // outcome of each write and swap
 	counts  map[string]int           // by kind and outcome
 	failed  []string                 // what callers should not have seen if nothing is lost
+	cut     []string                 // of these, answers that ended early
 	wrong   []string                 // what no caller may ever see
 }
 
@@ -196,6 +197,9 @@
 	l.counts[kind+" "+o]++
 	if o != answered {
 		l.failed = append(l.failed, fmt.Sprintf("%s %s %s at %s: %v", time.Now().Format("05.000"), kind, what, l.x.Daemons[daemon].Name, r))
+		if r.err != nil && r.status > 0 {
+			l.cut = append(l.cut, l.failed[len(l.failed)-1])
+		}
 	}
 	return o
 }
