send: a peer's success without a server's signature is no answer

Callers saw: a success from a peer as a server's, whatever the peer sent, without the server's signature.

Cause: only the daemon that sends to the server looked for the signature; the one that its caller asked trusted the peer.

Evidence: TestUnsignedSuccessOfPeerIsNoAnswer failed before with

expected: 502 actual : 200

Fix: the same check for answers of peers, also delegates: such a request may have run (502), or is sent directly if it may be repeated.

Test changed: the peer of delegate_test.go signs its successes, as each server does; its checks are as before.

Measured: go test -race ./io/send passes.

--- a/io/send/delegate_test.go
+++ b/io/send/delegate_test.go
@@ -34,6 +34,7 @@
 func (d *delegateRelay) Send(_ context.Context, to ident.Daemon, _ *Relayed, resp *fasthttp.Response) RelayResult {
 	d.asked = append(d.asked, to)
 	if d.answer.Outcome == retry.Answered {
+		resp.Header.Set("Signature", "s")
 		resp.SetBodyString("delegate")
 	}
 	return d.answer
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -54,6 +54,9 @@
 	reasonOlderConfig        = "older-configuration" // at the peer
 )
 
+// reasonUnsigned is the reason of a peer's success without a server's signature.
+const reasonUnsigned = "unsigned"
+
 // ReasonStopping is the reason of a peer that is about to stop.
 const ReasonStopping = string(reasonStopping)
 
@@ -105,6 +108,9 @@
 	}, resp)
 	r.counted = r.counted || x.Counted
 	r.sentTo = append(r.sentTo, x.SentTo...)
+	if x.Outcome == retry.Answered && !s.isFromServer(resp) {
+		x.Outcome, x.Reason = retry.Unknown, reasonUnsigned
+	}
 	return x
 }
 
--- a/io/send/relay_test.go
+++ b/io/send/relay_test.go
@@ -124,6 +124,30 @@
 	require.False(t, again, "both peers were asked")
 }
 
+// unsignedRelay is a Relay whose peers answer with the status and a body, without a server's signature.
+type unsignedRelay struct{ status int }
+
+func (u unsignedRelay) Send(_ context.Context, _ ident.Daemon, _ *Relayed, resp *fasthttp.Response) RelayResult {
+	resp.SetStatusCode(u.status)
+	resp.SetBodyString("body")
+	return RelayResult{Outcome: retry.Answered}
+}
+
+// Guards against a caller that gets a success from a peer without the signature of a server.
+func TestUnsignedSuccessOfPeerIsNoAnswer(t *testing.T) {
+	for status, want := range map[int]int{200: 502, 204: 502, 299: 502, 404: 404, 500: 500} {
+		s := newTestSender(t)
+		s.o.Relay = unsignedRelay{status}
+		r := &request{service: &site.Service{Name: "s"}, caller: t.Context(), ctx: t.Context(), deadline: s.o.Clock.Now().Add(time.Second)}
+		s.o.View.Snapshot().Daemons["p"] = &site.Daemon{}
+		f, again := s.relay(r, s.o.Clock.Now())
+		require.False(t, again)
+		require.NotNil(t, f)
+		require.Equal(t, want, f.status)
+		require.Equal(t, want == status, f.response != nil)
+	}
+}
+
 type staticView struct {
 	s     *site.Snapshot
 	loads *loads.View
