--- a/io/send/relay_test.go
+++ b/io/send/relay_test.go
@@ -113,7 +113,7 @@
 		Clock: clock.New(), View: staticView{s: &site.Snapshot{Config: c, Daemons: d}}, Counter: noCounter{}, Relay: y, Paths: noPaths{},
 		Relays: reach.NewRelays("self", nil, rand.IntN), Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
-	r := &request{service: &site.Service{Name: "s"}, caller: t.Context(), ctx: t.Context(), deadline: s.o.Clock.Now().Add(time.Second)}
+	r := &request{route: &site.Route{Name: "r"}, service: &site.Service{Name: "s"}, caller: t.Context(), ctx: t.Context(), deadline: s.o.Clock.Now().Add(time.Second)}
 	for range 2 {
 		f, again := s.relay(r, s.o.Clock.Now())
 		require.Nil(t, f)
@@ -138,7 +138,7 @@
 	for status, want := range map[int]int{200: 502, 204: 502, 299: 502, 404: 404, 500: 500} {
 		s := newTestSender(t)
 		s.o.Relay = unsignedRelay{status}
-		r := &request{service: &site.Service{Name: "s"}, caller: t.Context(), ctx: t.Context(), deadline: s.o.Clock.Now().Add(time.Second)}
+		r := &request{route: &site.Route{Name: "r"}, service: &site.Service{Name: "s"}, caller: t.Context(), ctx: t.Context(), deadline: s.o.Clock.Now().Add(time.Second)}
 		s.o.View.Snapshot().Daemons["p"] = &site.Daemon{}
 		f, again := s.relay(r, s.o.Clock.Now())
 		require.False(t, again)
