--- a/io/fakes/cut/block.go
+++ b/io/fakes/cut/block.go
@@ -49,12 +49,17 @@
 }
 
 // ResetOpen resets the open connections.
-func (r *TCP) ResetOpen() {
+func (r *TCP) ResetOpen() { r.ResetFrom(func(net.Conn) bool { return true }) }
+
+// ResetFrom resets the open connections from callers that match.
+func (r *TCP) ResetFrom(match func(from net.Conn) bool) {
 	r.pairs.Lock()
 	defer r.pairs.Unlock()
 	for p := range r.live {
-		reset(p.from)
-		reset(p.to)
+		if match(p.from) {
+			reset(p.from)
+			reset(p.to)
+		}
 	}
 }
 
