--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -85,7 +85,7 @@
 // peerFailed is the result if the peer has not received the whole request: it sends nothing before that.
 var peerFailed = send.RelayResult{Outcome: retry.NotRun, Failed: true, Reason: reasonPeerFailed}
 
-var errStatus = errors.New("peer's answer with a status that no response has")
+var errStatus = errors.New("peer answered with an invalid status")
 
 // failure returns the result of an exchange whose request was handed over.
 func failure(err error) send.RelayResult {
--- a/io/send/relay.go
+++ b/io/send/relay.go
@@ -18,7 +18,7 @@
 // Relay hands requests to peers.
 type Relay interface {
 	// Send hands the request to the peer and writes the response that the peer received from a server to resp. It returns
-	// at the deadline, or when the context ends. Otherwise the peer sends the request to no server after Send has returned, even if it was
+	// at the deadline, or when the context ends. Otherwise the peer begins no send to a server after Send has returned, even if it was
 	// paused meanwhile.
 	Send(c context.Context, to ident.Daemon, x *Relayed, resp *fasthttp.Response) RelayResult
 }
