front: connections that wait to be accepted when the daemon stops are served

Cause, by reading: Shutdown closes the listener, which resets the connections that the system has opened and the daemon has not accepted. TestConnectionsThatWaitBeforeShutdownAreServed failed before (drain_test.go:237: unexpected error: EOF).

Now a stopping daemon accepts what waits, until nothing has come for 50 ms, and then closes the listener. io/front and io/node pass with -race, the shutdown tests of ./platform without.

--- a/io/front/drain_test.go
+++ b/io/front/drain_test.go
@@ -209,3 +209,33 @@
 	_, err := r.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// slowListener accepts connections slowly, as a daemon with little processor time does.
+type slowListener struct{ *net.TCPListener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(20 * time.Millisecond)
+	return l.TCPListener.Accept()
+}
+
+// Guards against callers that are cut off because their connections wait to be accepted, with requests on them, when the daemon stops.
+func TestConnectionsThatWaitBeforeShutdownAreServed(t *testing.T) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	f := startOn(t, slowListener{l}, 0, echoSize)
+	var waiting []*bufio.Reader
+	for range 10 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		_, err = c.Write([]byte(getText("/")))
+		require.NoError(t, err)
+		waiting = append(waiting, bufio.NewReader(c))
+	}
+	require.NoError(t, f.front.Shutdown(t.Context()))
+	for _, r := range waiting {
+		answer(t, r)
+	}
+	_, err = net.Dial("tcp", l.Addr().String())
+	require.Error(t, err, "the listener is closed")
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -48,8 +48,9 @@
 type Frontend struct {
 	o        Options
 	draining atomic.Bool
-	stopping atomic.Bool  // idle connections are closed
-	open     atomic.Int64 // requests without a response
+	stopping atomic.Bool   // idle connections are closed
+	open     atomic.Int64  // requests without a response
+	accepted chan struct{} // closed when no further connection is accepted
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -58,7 +59,7 @@
 
 // New starts to accept connections on the listener until Close or Shutdown.
 func New(g *group.Group, o Options) *Frontend {
-	f := &Frontend{o: o, conns: map[*conn]bool{}}
+	f := &Frontend{o: o, conns: map[*conn]bool{}, accepted: make(chan struct{})}
 	g.Go(f.accept)
 	return f
 }
@@ -66,13 +67,23 @@
 // acceptPause is the delay after accept failed for lack of file descriptors, which other connections soon release.
 const acceptPause = 20 * time.Millisecond
 
+// backlogWait is how long a stopping daemon waits for the next connection that callers have opened already.
+const backlogWait = 50 * time.Millisecond
+
 func (f *Frontend) accept(context.Context) error {
+	defer close(f.accepted)
 	for {
-		n, err := f.o.Listen.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if f.stopping.Load() && !f.limitAccept() {
 			return nil
 		}
-		if err != nil {
+		n, err := f.o.Listen.Accept()
+		switch {
+		case err == nil:
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case f.stopping.Load(): // no connection waits to be accepted
+			return nil
+		default:
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -89,6 +100,12 @@
 	}
 }
 
+// limitAccept makes the listener wait no longer than backlogWait for a connection, and reports whether it can do so.
+func (f *Frontend) limitAccept() bool {
+	l, ok := f.o.Listen.(interface{ SetDeadline(t time.Time) error })
+	return ok && l.SetDeadline(time.Now().Add(backlogWait)) == nil
+}
+
 // OpenRequests returns how many requests have no response yet.
 func (f *Frontend) OpenRequests() int {
 	return int(f.open.Load())
@@ -111,11 +128,16 @@
 	f.draining.Store(true)
 }
 
-// Shutdown stops accepting connections, closes idle ones and waits for the others until the context ends. It may be called
-// again to wait longer.
+// Shutdown stops accepting connections, but for those that callers have opened already, closes idle ones and waits for the others until the
+// context ends. It may be called again to wait longer.
 func (f *Frontend) Shutdown(c context.Context) error {
 	f.draining.Store(true)
-	f.stopping.Store(true)
+	if !f.stopping.Swap(true) && f.limitAccept() {
+		select {
+		case <-f.accepted:
+		case <-c.Done():
+		}
+	}
 	err := f.o.Listen.Close()
 	if errors.Is(err, net.ErrClosed) {
 		err = nil // closed by an earlier call
