--- a/review/_stand2/fds/main.go
+++ b/review/_stand2/fds/main.go
@@ -161,7 +161,7 @@
 	zones := []string{"za", "zb", "zc"}
 	for _, n := range []string{oldService, newService} {
 		for i, z := range zones {
-			s := &lib.Server{ID: fmt.Sprintf("i-%s-%d", n, i), Service: n, Zone: z, Work: work, Body: []byte("done"), Ran: func(id string, ended bool) {
+			s := &lib.Server{ID: fmt.Sprintf("i-%s-%d", n, i), Service: n, Zone: z, Work: work, Slots: 500, Body: []byte("done"), Ran: func(id string, ended bool) {
 				if !ended {
 					w.mu.Lock()
 					w.ran[id] = n
--- a/review/_stand2/lib/lib.go
+++ b/review/_stand2/lib/lib.go
@@ -292,31 +292,102 @@
 	ID, Service, Zone string
 	Work              time.Duration
 	Body              []byte // of each response
+	Slots             int
 
 	Ran func(id string, ended bool) // when a run begins and ends
+
+	store *fake.Store
+	http  *http.Server
+	addr  string
+	born  int64
+
+	mu       sync.Mutex
+	sequence int
+	state    string
+	ended    bool
+}
+
+// beatInterval is heartbeat_interval_ms.
+const beatInterval = 870 * time.Millisecond
+
+// Beat is what a server writes of itself.
+type Beat struct {
+	Sequence int
+	State    string
+	Row      map[string]any
 }
 
+// NextBeat returns the next beat.
+func (s *Server) NextBeat() Beat {
+	s.sequence++
+	return Beat{Sequence: s.sequence, State: s.state, Row: map[string]any{
+		"service": s.Service, "address": s.addr, "zone": s.Zone, "version": "v1", "slots": max(1, s.Slots), "state": s.state,
+		"warmup_remaining_ms": 0, "sequence": s.sequence, "born": s.born,
+	}}
+}
+
+// Write writes a beat to the store.
+func (s *Server) Write(b Beat) { Must(s.store.Put("servers", s.ID, b.Row)) }
+
 // Start starts the server and announces it in the store, from now on each 870 ms.
 func (s *Server) Start(st *fake.Store) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Must(err)
-	go func() { _ = http.Serve(l, s) }()
-	born, n := time.Now().UnixMilli(), 0
-	put := func() {
-		n++
-		Must(st.Put("servers", s.ID, map[string]any{
-			"service": s.Service, "address": l.Addr().String(), "zone": s.Zone, "version": "v1", "slots": 500, "state": "ready",
-			"warmup_remaining_ms": 0, "sequence": n, "born": born,
-		}))
-	}
-	put()
+	s.store, s.addr, s.born, s.state = st, l.Addr().String(), time.Now().UnixMilli(), "ready"
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(l) }()
+	s.beat()
 	go func() {
-		for range time.Tick(870 * time.Millisecond) {
-			put()
+		for range time.Tick(beatInterval) {
+			s.beat()
 		}
 	}()
 }
 
+func (s *Server) beat() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended {
+		s.Write(s.NextBeat())
+	}
+}
+
+// LoseBeat is a beat that gets no answer and isn't carried out yet. It is returned.
+func (s *Server) LoseBeat() Beat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.NextBeat()
+}
+
+// AwaitBeat waits for the next beat.
+func (s *Server) AwaitBeat() {
+	count := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.sequence
+	}
+	for n := count(); count() == n; time.Sleep(time.Millisecond) {
+	}
+}
+
+// Drain reports that the server is draining, and returns that beat when the store has accepted it.
+func (s *Server) Drain() Beat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = "draining"
+	b := s.NextBeat()
+	s.Write(b)
+	return b
+}
+
+// Exit ends the server with all its connections.
+func (s *Server) Exit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	_ = s.http.Close()
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
