--- a/review/_stand2/fds/main.go
+++ b/review/_stand2/fds/main.go
@@ -151,7 +151,7 @@
 
 func main() {
 	lib.BecomeLimited()
-	lib.NeedDescriptors(8000)
+	lib.NeedDescriptors(6000)
 	dir := os.Args[1]
 	tmp, err := os.MkdirTemp("", "case")
 	lib.Must(err)
