--- a/review/_stand2/beat/main.go
+++ b/review/_stand2/beat/main.go
@@ -109,7 +109,12 @@
 	zones := []string{"za", "zb", "zc"}
 	var servers []*lib.Server
 	for i, z := range zones {
-		s := &lib.Server{ID: fmt.Sprintf("i-%d", i), Service: "swaps", Zone: z, Work: work, Slots: 30, Body: []byte("done"), Ran: func(string, bool) {}}
+		s := &lib.Server{ID: fmt.Sprintf("i-%d", i), Service: "swaps", Zone: z, Work: work, Slots: 30, Body: []byte("done")}
+		s.Ran = func(id string, ended bool) {
+			if !ended {
+				w.record.Line("%s runs %s", s.ID, id)
+			}
+		}
 		s.Start(st)
 		servers = append(servers, s)
 	}
--- a/review/_stand2/slow/main.go
+++ b/review/_stand2/slow/main.go
@@ -141,13 +141,16 @@
 	lib.Must(err)
 	zones := []string{"za", "zb", "zc"}
 	for i, z := range zones {
-		s := &lib.Server{ID: fmt.Sprintf("i-%d", i), Service: "volumes", Zone: z, Work: work, Slots: 30, Body: make([]byte, size), Ran: func(id string, ended bool) {
-			if ended {
+		s := &lib.Server{ID: fmt.Sprintf("i-%d", i), Service: "volumes", Zone: z, Work: work, Slots: 30, Body: make([]byte, size)}
+		s.Ran = func(id string, ended bool) {
+			if !ended {
+				w.record.Line("%s runs %s", s.ID, id)
+			} else {
 				w.mu.Lock()
 				w.ran[id] = w.record.Now()
 				w.mu.Unlock()
 			}
-		}}
+		}
 		s.Start(st)
 	}
 	lib.Must(st.Put("op", "config", fake.Configuration(1, []fake.Service{{Name: "volumes"}}, []fake.Route{{
