--- a/review/_stand2/lib/lib.go
+++ b/review/_stand2/lib/lib.go
@@ -293,6 +293,7 @@
 	Work              time.Duration
 	Body              []byte // of each response
 	Slots             int
+	Keys              *Keys // of a service that is partitioned by key; nil for another
 
 	Ran func(id string, ended bool) // when a run begins and ends
 
@@ -395,7 +396,9 @@
 		h.Set("Instance-Id", s.ID)
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
+	if s.Keys == nil {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	id := r.Header.Get("Request-Id")
 	h.Set("Request-Id", id)
 	if x := r.Header.Get("Expected-Instance"); x != "" && x != s.ID {
@@ -403,6 +406,18 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if s.Keys != nil {
+		if s.Keys.serveOrder(w, r) {
+			return
+		}
+		key, ok := s.Keys.begin(r.Header.Get("Shard-Key"))
+		if !ok {
+			h.Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		defer s.Keys.end(key)
+	}
 	s.Ran(id, false)
 	time.Sleep(s.Work)
 	s.Ran(id, true)
