An older row of a backend server is not used

Cause: the store carries out a write late, and the feed took each row of a higher revision for the newest word of its server. sequence and born were not compared. The same holds for a row that comes back after a removal, for one of an earlier start, and for copies that peers pass on.

Fix: core/beat orders announcements by born and sequence. The newest is remembered while the row exists, when it can't be decoded, and for 10 s after its removal. Peers pass on what the row doesn't show; a daemon that has read the table from the store asks for it once; starts named in rows of keys count. An older row that stays for 10 s (30 s after the same start has said that it drains) is used, so that one wrong row keeps no server out for good.

Ruled out: daemons that had missed the report; all had applied it 2 s before.

--- a/core/site/site.go
+++ b/core/site/site.go
@@ -84,6 +84,7 @@
 	Slots     int
 	Draining  bool
 	Born      int64 // start time in Unix milliseconds; identifies the incarnation
+	Sequence  int64 // number of the announcement within the incarnation
 	ColdUntil mono.Time
 }
 
--- a/io/feed/draft.go
+++ b/io/feed/draft.go
@@ -38,9 +38,10 @@
 // snapshotBuilder builds the next snapshot from changed rows. A row that can't be decoded is logged once for each time that
 // it is written. It leaves the snapshot as it was, except that a server with such a row is removed.
 type snapshotBuilder struct {
-	s    *site.Snapshot
-	o    Options
-	from rowSource
+	s             *site.Snapshot
+	o             Options
+	from          rowSource
+	announcements announcements
 
 	ready, draining, gone []string // servers whose rows changed
 }
@@ -154,17 +155,23 @@
 }
 
 func (d *snapshotBuilder) applyServer(r store.Row) error {
-	id := ident.Server(r.Key)
+	id, now := ident.Server(r.Key), d.o.Clock.Now()
 	if r.Gone {
+		d.announcements.deleted(now, id)
 		delete(d.s.Servers, id)
 		d.gone = append(d.gone, r.Key)
 		return nil
 	}
-	x, err := d.o.Decoder.Server(r.Key, r.Value, d.o.Clock.Now())
+	x, err := d.o.Decoder.Server(r.Key, r.Value, now)
 	if err != nil {
+		d.announcements.invalid(id)
 		delete(d.s.Servers, id)
 		return err
 	}
+	if !d.announcements.admit(now, x, r.Value) {
+		d.logOlder(x, r)
+		return nil
+	}
 	d.s.Servers[id] = x
 	if x.Draining {
 		d.draining = append(d.draining, r.Key)
@@ -176,6 +183,14 @@
 	return nil
 }
 
+// logOlder logs that a row isn't used because the server has written a newer one.
+func (d *snapshotBuilder) logOlder(x *site.Server, r store.Row) {
+	n, _ := d.announcements.history.Newest(x.ID)
+	d.o.Log.Info().Str("server", r.Key).Bool("draining", x.Draining).Int64("born", x.Born).Int64("sequence", x.Sequence).
+		Int64("newest-born", n.Born).Int64("newest-sequence", n.Sequence).Uint64("rev", uint64(r.Rev)).Str("from", d.from.name).
+		Msg("older row of a server not used")
+}
+
 func (d *snapshotBuilder) applyControl(r store.Row) error {
 	if n, ok := strings.CutPrefix(r.Key, daemonPrefix); ok {
 		return d.applyDaemon(ident.Daemon(n), r)
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -147,6 +147,11 @@
 	// leaving are the servers that said that they are leaving, whatever their rows say.
 	leaving map[ident.Server]report.Target
 
+	announcements announcements
+
+	// needsAnnouncements is set while this copy may lack newest announcements that peers know: the store has only the rows.
+	needsAnnouncements bool
+
 	changed chan struct{} // closed at the next change
 }
 
@@ -155,6 +160,7 @@
 	f := &Feed{
 		o: o, changed: make(chan struct{}), coordinatorSeen: o.Clock.Now(), siteSeen: o.Clock.Now(), started: o.Clock.Now(), promise: elect.Promise{StartedAt: o.Clock.SinceBoot()},
 		sources: source.New(o.Self, rand.IntN), leaving: map[ident.Server]report.Target{},
+		announcements: newAnnouncements(),
 		snapshot: (&site.Snapshot{
 			Servers: map[ident.Server]*site.Server{}, Evacuated: map[ident.Domain]bool{}, Daemons: map[ident.Daemon]*site.Daemon{},
 		}).BuildIndex(),
@@ -457,6 +463,7 @@
 		// A full table that is older than the copy doesn't replace the rows that couldn't be unpacked.
 		f.needsFull[t] = f.needsFull[t] && p.Rev < x.rev
 		changes = x.replace(p)
+		f.needsAnnouncements = f.needsAnnouncements || t == store.Servers && from == fromStore
 	} else {
 		changes = x.apply(p)
 	}
@@ -466,6 +473,9 @@
 	if !f.updateSnapshot(t, changes, rowSource{name: from, age: age}) && first {
 		f.notifyChanged()
 	}
+	if t == store.Servers {
+		f.useOlderRows()
+	}
 	if first && t == store.Control {
 		f.firstStart = f.snapshot.Coordinator.Term == 0
 	}
@@ -476,7 +486,7 @@
 	if len(changes) == 0 {
 		return false
 	}
-	d := newSnapshotBuilder(f.snapshot, f.o, from)
+	d := f.newBuilder(from)
 	for _, r := range changes {
 		d.applyRow(t, r)
 		if t == store.Control && r.Key == CoordinatorRow {
--- a/io/feed/leaving.go
+++ b/io/feed/leaving.go
@@ -11,7 +11,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leaving[k.Server] = k
-	d := newSnapshotBuilder(f.snapshot, f.o, rowSource{name: fromSelf})
+	d := f.newBuilder(rowSource{name: fromSelf})
 	f.markLeaving(d.s)
 	f.snapshot = d.s.BuildIndex()
 	f.notifyChanged()
--- a/io/feed/sync.go
+++ b/io/feed/sync.go
@@ -71,7 +71,7 @@
 
 // syncRequest returns a request with the revisions of this copy. The caller must hold f.mu.
 func (f *Feed) syncRequest() *wire.Sync {
-	x := &wire.Sync{Term: uint64(f.snapshot.Coordinator.Term)}
+	x := &wire.Sync{Term: uint64(f.snapshot.Coordinator.Term), Announcements: f.needsAnnouncements}
 	for t := range f.tables {
 		rev := f.tables[t].rev
 		if f.needsFull[t] {
@@ -195,6 +195,8 @@
 	for t := range f.asOf {
 		f.asOf[t] = max(f.asOf[t], asOf)
 	}
+	f.needsAnnouncements = f.needsAnnouncements && !x.GetAnnouncements()
+	f.useOlderRows()
 	if uint64(f.snapshot.Coordinator.Term) == r.GetTerm() {
 		f.coordinatorSeen = max(f.coordinatorSeen, sentAt.Add(-duration(r.GetCoordinatorAgeUs())))
 		f.siteSeen = max(f.siteSeen, sentAt.Add(-duration(r.GetReachedAgeUs())))
@@ -237,8 +239,11 @@
 func (f *Feed) applyTable(t store.Table, x *wire.SyncTable, from ident.Daemon) bool {
 	f.mu.Lock()
 	p, err := f.tables[t].decodePage(x)
-	if err != nil {
+	switch {
+	case err != nil:
 		f.needsFull[t] = true
+	case t == store.Servers:
+		f.learnAnnouncements(x.GetRows(), from)
 	}
 	f.mu.Unlock()
 	if err != nil {
@@ -325,7 +330,11 @@
 		if t < len(x.GetRevs()) {
 			rev = store.Rev(x.GetRevs()[t])
 		}
-		if y := f.tables[t].changesSince(store.Table(t), rev, rows[t]); y != nil {
+		y := f.tables[t].changesSince(store.Table(t), rev, rows[t])
+		if t == int(store.Servers) {
+			y = f.addAnnouncements(y, x.GetAnnouncements())
+		}
+		if y != nil {
 			r.Tables = append(r.Tables, y)
 		}
 	}
--- a/io/grant/service.go
+++ b/io/grant/service.go
@@ -57,6 +57,9 @@
 			Owner:    hold.Incarnation{Server: ident.Server(p.GetServer()), Born: p.GetBorn()},
 			Previous: hold.Incarnation{Server: ident.Server(p.GetPrevious()), Born: p.GetPreviousBorn()},
 		})
+		if p.GetServer() != "" {
+			g.o.Feed.LearnIncarnation(ident.Server(p.GetServer()), p.GetBorn())
+		}
 	}
 	r := hold.Reservation{
 		Fence:  hold.Fence(w.GetFence()),
