--- a/io/node/node.go
+++ b/io/node/node.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +17,6 @@
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
-	"google.golang.org/protobuf/proto"
 
 	"heatherrouter/core/buffer"
 	"heatherrouter/core/crash"
@@ -271,78 +269,6 @@
 	return site.DefaultLimits()
 }
 
-// announceRetryDelay is the mean delay between attempts to write the daemon's row, with jitter of half of it either way. The
-// rows of all daemons are in one partition of the store, and hundreds of daemons that start together exceed its write rate.
-const announceRetryDelay = 500 * time.Millisecond
-
-// announce writes the daemon's row, by which peers find it, and writes it again if it was deleted: the coordinator deletes the
-// rows of daemons that it has had no contact with for some time.
-func (n *Node) announce(c context.Context) error {
-	s := n.o.Settings
-	v, err := proto.Marshal(&wire.DaemonRow{
-		Domain: string(s.Domain), Peer: s.Peer.String(), Incarnation: uint64(n.incarnation), Fingerprint: n.id.fingerprint[:],
-		Capacity: uint32(max(0, s.Capacity)), //nolint:gosec // thousandths of a host's cores
-	})
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	row := store.Row{Key: feed.DaemonRow(s.Name), Value: v}
-	clock.Sleep(c, n.announceDelay(c))
-	for c.Err() == nil {
-		rev, err := n.o.Platform.Store.Commit(c, store.Txn{Put: []store.Row{row}})
-		if err != nil {
-			n.o.Log.Warn().Err(err).Msg("daemon not announced")
-			clock.Sleep(c, announceRetryDelay/2+rand.N(announceRetryDelay))
-			continue
-		}
-		row.Rev = rev
-		n.feed.SetAnnounced(rev)
-		n.feed.ApplyWritten([]store.Row{row})
-		n.waitUntilRowDeleted(c)
-	}
-	return nil
-}
-
-// announceDelay returns how long the daemon waits before it first writes its row. Without the delay, when a whole site
-// restarts, the transaction of the new coordinator would queue behind the rows of all daemons. Voters write at once, and the others spread
-// their writes over a time that grows with the site.
-func (n *Node) announceDelay(c context.Context) time.Duration {
-	deadline := time.Now().Add(controlLoadTimeout)
-	for !n.feed.ControlLoaded() && time.Now().Before(deadline) && c.Err() == nil {
-		clock.Sleep(c, controlLoadTimeout/20)
-	}
-	s := n.feed.Snapshot()
-	switch {
-	case slices.Contains(s.Voters, n.o.Settings.Name):
-		return 0
-	case s.Coordinator.Term == 0:
-		return rand.N(firstStartSpread)
-	default:
-		return rand.N(time.Duration(max(1, len(s.Daemons))) * announceSpreadPerDaemon)
-	}
-}
-
-const (
-	controlLoadTimeout      = 400 * time.Millisecond // longest wait for the control table at the start
-	firstStartSpread        = 400 * time.Millisecond // at the first start of a site, whose size is unknown
-	announceSpreadPerDaemon = 3 * time.Millisecond   // multiplied by the number of daemons of the site
-)
-
-// waitUntilRowDeleted returns when the daemon's row is deleted or the context ends.
-func (n *Node) waitUntilRowDeleted(c context.Context) {
-	for c.Err() == nil {
-		changed := n.feed.Changed()
-		if _, ok := n.feed.Row(feed.DaemonRow(n.o.Settings.Name)); !ok && !n.leaving.Load() {
-			n.o.Log.Warn().Msg("daemon's row was deleted, writing it again")
-			return
-		}
-		select {
-		case <-changed:
-		case <-c.Done():
-		}
-	}
-}
-
 // pruneInterval is the time between passes that close connections to servers that are gone.
 const pruneInterval = time.Second
 
