A process of which a component has failed ends

Cause: the failure of a component ends the context of all, but those that serve callers don't end with it. Group.Wait waited for them, so nobody stopped them, and signals were no longer read. Stop waited as well, for each status connection that had sent a part of a request. A failure of the transport between daemons was taken for its stop and ended nothing.

Fix: Group.Wait returns the cause at once. The daemon then accepts no more callers, has 1 s for the requests in progress and 1 s to stop; after that the process ends in any case. A departure is bounded by the grace period, and Stop by 100 ms for status requests. The daemon ends when its transport fails.

--- a/cmd/heatherrouterd/serve/serve.go
+++ b/cmd/heatherrouterd/serve/serve.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
@@ -48,21 +49,52 @@
 		l.Error().Err(err).Msg("daemon not started")
 		return err
 	}
-	defer n.Stop()
-	return await(o, n, c, l)
+	err = await(o, n, c, l)
+	within(l, stopTimeout, "stop of the components", n.Stop)
+	return err
 }
 
+const (
+	// stopTimeout bounds the time in which the components stop.
+	stopTimeout = time.Second
+
+	// failureDrainTimeout bounds the time in which the requests in progress are answered after a component has failed.
+	failureDrainTimeout = time.Second
+)
+
+// within runs f, and goes on without its end after the timeout: a process that doesn't end serves nobody, and it isn't replaced.
+func within(l *log.Logger, timeout time.Duration, name string, f func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+		l.Error().Str("step", name).Dur("timeout", timeout).Msg("step did not end in time, the process ends without it")
+	}
+}
+
+// await returns when the daemon has left after a signal, or with an error when one of its components has failed.
 func await(o Options, n *node.Node, c <-chan os.Signal, l *log.Logger) error {
 	for {
 		select {
 		case <-n.Done():
-			return trace.Wrap(n.Wait())
+			err := trace.Wrap(n.Wait())
+			l.Error().Err(err).Msg("component failed, the process ends")
+			x, cancel := context.WithTimeout(context.Background(), failureDrainTimeout)
+			defer cancel()
+			within(l, 2*failureDrainTimeout, "drain of callers", func() { n.EndRequests(x) })
+			return err
 		case s := <-c:
 			if s == syscall.SIGHUP {
 				reload(o, l)
 				continue
 			}
-			leave(n, c)
+			within(l, n.GracePeriod(), "departure", func() { leave(n, c) })
 			return nil
 		}
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -239,7 +239,7 @@
 	return nil
 }
 
-// Wait waits until a duty has failed or the parent context has ended.
+// Wait waits until a duty has failed or the parent context has ended, and returns the cause. Stop must follow.
 func (d *Daemon) Wait() error {
 	return d.group.Wait()
 }
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -39,9 +39,9 @@
 	g.wait.Wait()
 }
 
-// Wait waits until the context and all goroutines have ended, and returns the cause.
+// Wait waits until the context has ended, and returns the cause. Goroutines that wait for something else end only when their owner ends
+// that as well; Stop waits for them.
 func (g *Group) Wait() error {
 	<-g.ctx.Done()
-	g.wait.Wait()
 	return context.Cause(g.ctx)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -180,6 +180,17 @@
 	n.guard.Run(n.group)
 	n.sender.Run(n.group)
 	n.group.Go(n.maintain)
+	n.group.Go(n.watchPeers)
+}
+
+// watchPeers ends the daemon if its transport fails: it would never again get a change from a peer.
+func (n *Node) watchPeers(c context.Context) error {
+	select {
+	case <-c.Done():
+		return nil
+	case <-n.peers.Done():
+		return trace.Wrap(n.peers.Err())
+	}
 }
 
 // startMeter creates the metrics and, if the settings name a memory limit, the budget for the bodies of requests and responses.
@@ -322,9 +333,12 @@
 	}
 }
 
-// Wait waits until a component has failed or the parent context has ended.
+// Wait waits until a component has failed or the parent context has ended, and returns the cause. The other components run until Stop.
 func (n *Node) Wait() error { return n.group.Wait() }
 
+// GracePeriod returns the time after which the platform kills the process once it has asked it to stop.
+func (n *Node) GracePeriod() time.Duration { return n.o.Settings.Limits.GracePeriod }
+
 // Done returns a channel that is closed when the daemon ends.
 func (n *Node) Done() <-chan struct{} { return n.group.Context().Done() }
 
@@ -394,11 +408,25 @@
 	}
 }
 
+// EndRequests accepts no more callers and returns when the requests in progress are answered, or when the context ends. It is for a daemon
+// of which a component has failed. Stop must follow.
+func (n *Node) EndRequests(c context.Context) {
+	n.leaving.Store(true)
+	if err := n.front.Shutdown(c); err != nil {
+		n.o.Log.Warn().Err(err).Msg("callers received no response")
+	}
+}
+
+// statusStopTimeout bounds the wait for connections on which a status request has begun.
+const statusStopTimeout = 100 * time.Millisecond
+
 // Stop ends all components at once.
 func (n *Node) Stop() {
 	n.front.Close()
-	_ = n.statusServer.Shutdown() // fails only if already closed
-	n.group.Stop()                // before the peers, which its goroutines call
+	x, cancel := context.WithTimeout(context.Background(), statusStopTimeout)
+	defer cancel()
+	_ = n.statusServer.ShutdownWithContext(x) // connections that are left end with the process
+	n.group.Stop()                            // before the peers, which its goroutines call
 	n.peers.Stop()
 }
 
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -134,11 +135,21 @@
 	t.group.Stop()
 }
 
+// Done returns a channel that is closed when the transport has failed or is stopped.
+func (t *Transport) Done() <-chan struct{} { return t.group.Context().Done() }
+
+// Err returns why the transport has ended; nil while it runs.
+func (t *Transport) Err() error { return context.Cause(t.group.Context()) }
+
 func (t *Transport) accept(c context.Context) error {
 	for {
 		q, err := t.listen.Accept(c)
-		if err != nil {
+		switch {
+		case err == nil:
+		case c.Err() != nil || errors.Is(err, quic.ErrServerClosed):
 			return nil // the transport is being stopped
+		default:
+			return trace.Wrap(err, "accept connections of peers")
 		}
 		from, ok := certificateName(q)
 		if !ok {
