A port goes on to accept connections after a lack of descriptors

Cause: fasthttp's server takes each failure of Accept but a time-out for a lasting one. The frontend for callers took each for a passing one: with a socket that can't accept any more it would have tried again for good.

Fix: io/listen tells the errors apart for all ports. Errors of the process's or the host's resources and of the network are tried again after 20 ms, and logged once a second; those that say that the descriptor is no listening socket end the component, and with it the process.

--- a/io/admin/page.go
+++ b/io/admin/page.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/ident"
+	"heatherrouter/io/listen"
 )
 
 const (
@@ -81,7 +82,7 @@
 
 // Serve answers on the listener until Shutdown.
 func (p *Page) Serve(l net.Listener) error {
-	return trace.Wrap(p.http.Serve(l))
+	return trace.Wrap(p.http.Serve(listen.Retry(l, nil)))
 }
 
 // Shutdown ends Serve once the calls at work are answered or the context is done.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -18,6 +18,7 @@
 
 	"heatherrouter/core/site"
 	"heatherrouter/io/group"
+	"heatherrouter/io/listen"
 	"heatherrouter/io/memory"
 )
 
@@ -31,6 +32,9 @@
 	Limits  func() site.Limits
 	Handler Handler
 
+	// AcceptFailed is called after a failure to accept a connection that later ones may not have; nil for no call.
+	AcceptFailed func(error)
+
 	// CloseAfterResponse reports whether callers should use another daemon: responses then close their connections.
 	CloseAfterResponse func() bool
 
@@ -57,16 +61,14 @@
 	wait  sync.WaitGroup
 }
 
-// New starts to accept connections on the listener until Close or Shutdown.
+// New starts to accept connections on the listener until Close or Shutdown. The group ends if the listener fails for good.
 func New(g *group.Group, o Options) *Frontend {
+	o.Listen = listen.Retry(o.Listen, o.AcceptFailed)
 	f := &Frontend{o: o, conns: map[*conn]bool{}, accepted: make(chan struct{})}
 	g.Go(f.accept)
 	return f
 }
 
-// acceptPause is the delay after accept failed for lack of file descriptors, which other connections soon release.
-const acceptPause = 20 * time.Millisecond
-
 // backlogWait is how long a stopping daemon waits for the next connection that callers have opened already.
 const backlogWait = 50 * time.Millisecond
 
@@ -84,8 +86,7 @@
 		case f.stopping.Load(): // no connection waits to be accepted
 			return nil
 		default:
-			time.Sleep(acceptPause)
-			continue
+			return trace.Wrap(err, "accept callers")
 		}
 		c := newConn(f, n)
 		f.mu.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -36,6 +36,7 @@
 	"heatherrouter/io/group"
 	"heatherrouter/io/guard"
 	"heatherrouter/io/limit"
+	"heatherrouter/io/listen"
 	"heatherrouter/io/memory"
 	"heatherrouter/io/meter"
 	"heatherrouter/io/paths"
@@ -264,15 +265,33 @@
 // serve starts to accept callers and to answer the balancer and operators.
 func (n *Node) serve(x listeners) {
 	n.front = front.New(n.group, front.Options{
-		Listen: x.entry, Limits: n.limits, Handler: n.sender.Handle, CloseAfterResponse: n.isolated,
+		Listen: x.entry, AcceptFailed: n.acceptLog("callers"), Limits: n.limits, Handler: n.sender.Handle, CloseAfterResponse: n.isolated,
 		Memory: n.memory, Priority: n.sender.Priority, RefuseNoMemory: n.sender.RefuseNoMemory,
 	})
 	n.statusServer = &fasthttp.Server{Handler: n.handleStatus, NoDefaultServerHeader: true}
 	for _, l := range x.status {
+		l = listen.Retry(l, n.acceptLog("status"))
 		n.group.Go(func(context.Context) error { return n.statusServer.Serve(l) })
 	}
 }
 
+// acceptLogInterval is the least time between two log lines about connections that a port doesn't accept.
+const acceptLogInterval = time.Second
+
+// acceptLog returns a function that logs failures to accept connections on a port. It must not be called concurrently.
+func (n *Node) acceptLog(port string) func(error) {
+	var last time.Time
+	failures := 0
+	return func(err error) {
+		failures++
+		if time.Since(last) < acceptLogInterval {
+			return
+		}
+		n.o.Log.Warn().Err(err).Str("port", port).Int("failures", failures).Msg("connections not accepted")
+		last, failures = time.Now(), 0
+	}
+}
+
 func (n *Node) limits() site.Limits {
 	if c := n.feed.Snapshot().Config; c != nil {
 		return c.Limits
