Callers can't take the descriptors that the daemon needs

Cause: nothing bounded callers' connections; file_descriptors of the settings wasn't read.

Near the limit, callers' connections that have been idle for a fifth of the idle timeout are closed for new ones; if there is none, the new one is closed at once, unread. Pools of connections to servers close unused ones while sockets are scarce. Status ports take 32 connections each, for 5 s without a request. A dial that fails for lack of descriptors says nothing about the server. /state shows the counts.

Tried: closing the longest idle connection at any age.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -20,9 +20,11 @@
 	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/admit"
+	"heatherrouter/core/descr"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/retry"
 	"heatherrouter/io/memory"
+	"heatherrouter/io/socket"
 )
 
 // Options configures a Pool; a zero field other than Addr takes its default.
@@ -38,6 +40,10 @@
 	Names          Names
 	CloseDelimited bool // accept a response without a length, which ends with its connection
 
+	// Sockets bounds the connections of all pools together, by SocketUse; nil for no bound.
+	Sockets   *socket.Budget
+	SocketUse descr.Use
+
 	// ReuseIdentified limits the reuse of a connection to responses that carry the id of their request. Without it, a late copy of a
 	// response without an id passes for the response to the next request.
 	ReuseIdentified bool
@@ -137,6 +143,7 @@
 // Errors of exchanges, as found in Result.Err.
 var (
 	ErrClosed       = trace.Errorf("connection pool of the backend server is closed")
+	ErrNoSocket     = trace.Errorf("no connection to the backend server free: the process has no socket for it")
 	ErrExhausted    = trace.Errorf("no connection to the backend server free: limit reached")
 	ErrNoReuse      = trace.Errorf("no open connection to the backend server to reuse")
 	ErrGuard        = trace.Errorf("request not sent: permission to send has expired")
@@ -277,6 +284,8 @@
 		end = admit.EndCancelled
 	case errors.Is(err, syscall.ECONNRESET):
 		end = admit.EndReset // the server accepted and reset the connection before connect returned
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		end = admit.EndNoConnFree // says nothing about the server
 	}
 	return nil, Result{Outcome: retry.NotRun, End: end, Err: trace.Wrap(err, "dial %v", p.addr)}
 }
@@ -316,6 +325,8 @@
 	case full: // the new connection takes the place of one that has carried the request
 		p.idle[0].close()
 		p.idle = slices.Delete(p.idle, 0, 1)
+	case !p.options.Sockets.Acquire(p.options.SocketUse):
+		return nil, ErrNoSocket
 	default:
 		p.open++
 	}
@@ -366,6 +377,7 @@
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
+	p.options.Sockets.Release(p.options.SocketUse)
 }
 
 // HasIdle reports whether an idle connection is open, as far as this side knows.
@@ -378,6 +390,23 @@
 // CloseIdle closes the idle connections.
 func (p *Pool) CloseIdle() { p.closeIdle() }
 
+// CloseUnused closes the connections that have been idle since the given time, and those that the server has closed.
+func (p *Pool) CloseUnused(since time.Time) {
+	p.mu.Lock()
+	var unused []*conn
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if c.idleSince.After(since) && c.alive() {
+			return false
+		}
+		unused = append(unused, c)
+		return true
+	})
+	p.mu.Unlock()
+	for _, c := range unused {
+		p.discard(c)
+	}
+}
+
 func (p *Pool) closeIdle() {
 	p.mu.Lock()
 	l := p.idle
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -49,6 +49,8 @@
 	last    bool        // no request follows those in the queue: the response to the last one closes the connection
 	closing bool        // no response follows: one with Connection: close was written, or the idle connection was closed
 	idle    bool        // waiting for the first byte of a request
+	idleAt  time.Time   // since when, if idle
+	evicted bool        // to be closed as soon as no request is in progress
 }
 
 // exchange is a request and its response.
@@ -210,7 +212,32 @@
 func (c *conn) setIdle(v bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = v
+	c.idle, c.idleAt = v, time.Now()
+}
+
+// idleSince returns since when the connection has waited for a request, if it does and isn't being closed.
+func (c *conn) idleSince() (t time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleAt, c.idle && !c.closing && !c.evicted && len(c.queue) == 0
+}
+
+// evict closes the connection if it is still idle.
+func (c *conn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	c.wakeIdleLocked()
+}
+
+// closesWhenIdle reports whether the connection is to be closed when no request is in progress on it.
+func (c *conn) closesWhenIdle() bool {
+	if c.frontend.stopping.Load() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
 }
 
 func (c *conn) isClosing() bool {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -16,10 +16,12 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
+	"heatherrouter/core/descr"
 	"heatherrouter/core/site"
 	"heatherrouter/io/group"
 	"heatherrouter/io/listen"
 	"heatherrouter/io/memory"
+	"heatherrouter/io/socket"
 )
 
 // Handler fills resp with the response to one request, and adds its body to the bytes that m holds. The context is cancelled when the
@@ -38,6 +40,9 @@
 	// CloseAfterResponse reports whether callers should use another daemon: responses then close their connections.
 	CloseAfterResponse func() bool
 
+	// Sockets bounds the callers' connections; nil for no limit.
+	Sockets *socket.Budget
+
 	// Memory accounts for the bodies of requests and responses; nil for no limit. The following fields are used only with a limit.
 	Memory *memory.Budget
 
@@ -88,16 +93,50 @@
 		default:
 			return trace.Wrap(err, "accept callers")
 		}
-		c := newConn(f, n)
+		if !f.o.Sockets.Acquire(descr.Callers) {
+			_ = n.Close() // the caller's request counts as not read, so that another daemon may serve it
+			f.closeLongestIdle()
+			continue
+		}
+		f.serve(newConn(f, n))
+		if f.o.Sockets.Scarce(descr.Callers) {
+			f.closeLongestIdle()
+		}
+	}
+}
+
+// serve serves a connection on a goroutine of its own.
+func (f *Frontend) serve(c *conn) {
+	f.mu.Lock()
+	f.conns[c] = true
+	f.mu.Unlock()
+	f.wait.Go(func() {
+		defer f.o.Sockets.Release(descr.Callers)
+		c.serve()
 		f.mu.Lock()
-		f.conns[c] = true
+		delete(f.conns, c)
 		f.mu.Unlock()
-		f.wait.Go(func() {
-			c.serve()
-			f.mu.Lock()
-			delete(f.conns, c)
-			f.mu.Unlock()
-		})
+	})
+}
+
+// evictionRatio is the part of the idle timeout for which a connection must have waited for a request to be closed for another one. Callers
+// that open their closed connections again at once would otherwise displace each other.
+const evictionRatio = 0.2
+
+// closeLongestIdle closes the connection that has waited longest for a request, to make room for callers that have one.
+func (f *Frontend) closeLongestIdle() {
+	age := time.Duration(float64(f.o.Limits().IdleTimeout) * evictionRatio)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var longest *conn
+	var since time.Time
+	for c := range f.conns {
+		if t, idle := c.idleSince(); idle && (longest == nil || t.Before(since)) {
+			longest, since = c, t
+		}
+	}
+	if longest != nil && time.Since(since) >= age {
+		longest.evict()
 	}
 }
 
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -14,7 +14,7 @@
 )
 
 // awaitRequest waits for the first byte of the next request. It returns an error if the connection ended or, with no request
-// pending, was idle for too long. Once the daemon stops, it closes the connection when that is idle.
+// pending, was idle for too long. Once the daemon stops, or the connection is evicted, it closes the connection when that is idle.
 func (c *conn) awaitRequest() error {
 	c.setIdle(true)
 	defer c.setIdle(false)
@@ -36,17 +36,17 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		woken := c.frontend.stopping.Load() && !closing // the time-out may be that of wakeIdle
+		woken := c.closesWhenIdle() && !closing // the time-out may be that of wakeIdle
 		if c.pending() == 0 && !woken {
 			return err
 		}
 	}
 }
 
-// closeIfIdle closes the connection for further requests if the daemon stops, no request is in progress and none has arrived, as far as
+// closeIfIdle closes the connection for further requests if it is to be closed, no request is in progress and none has arrived, as far as
 // this side's system knows. Only the goroutine that reads calls it.
 func (c *conn) closeIfIdle() bool {
-	if !c.frontend.stopping.Load() || c.br.Buffered() > 0 || c.hasUnread() {
+	if !c.closesWhenIdle() || c.br.Buffered() > 0 || c.hasUnread() {
 		return false
 	}
 	c.mu.Lock()
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -21,6 +21,7 @@
 	"heatherrouter/io/clock"
 	"heatherrouter/io/feed"
 	"heatherrouter/io/group"
+	"heatherrouter/io/socket"
 	"heatherrouter/io/store"
 	"heatherrouter/io/wire"
 )
@@ -55,6 +56,7 @@
 	Clock   *clock.Clock
 	Paths   Paths
 	Reports Reports
+	Sockets *socket.Budget // of connections to servers; nil for no limit
 	Log     *log.Logger
 }
 
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/admit"
+	"heatherrouter/core/descr"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -77,6 +78,7 @@
 	}
 	o := conns.Options{
 		Addr: s.Addr, MaxConns: 1, DialTimeout: orderDialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxResponse, Names: conns.NoNames,
+		Sockets: g.o.Sockets, SocketUse: descr.Orders,
 	}
 	x = &link{server: s, health: conns.New(o)}
 	o.Names.RequestID = g.o.OrderIDHeader
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -43,6 +43,7 @@
 	"heatherrouter/io/peer"
 	"heatherrouter/io/relay"
 	"heatherrouter/io/send"
+	"heatherrouter/io/socket"
 	"heatherrouter/io/store"
 	"heatherrouter/io/wire"
 )
@@ -71,6 +72,7 @@
 	clock        *clock.Clock
 	meter        *meter.Meter
 	memory       *memory.Budget // nil for no limit
+	sockets      *socket.Budget // nil for no limit
 	id           *identity
 	feed         *feed.Feed
 	granter      *grant.Granter
@@ -96,7 +98,7 @@
 // New starts a daemon. The caller ends it with Shutdown and Stop, or with Stop alone.
 func New(c context.Context, o Options) (*Node, error) {
 	o.Platform.Store = store.Packed(o.Platform.Store)
-	n := &Node{o: o, incarnation: ident.Incarnation(time.Now().UnixNano()), group: group.New(c), clock: clock.New()} //nolint:gosec // a time after 1970
+	n := &Node{o: o, incarnation: ident.Incarnation(time.Now().UnixNano()), group: group.New(c), clock: clock.New(), sockets: socket.New(o.Settings.Sockets)} //nolint:gosec // a time after 1970
 	if o.Settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(o.Settings.Memory) * softMemoryRatio))
 	}
@@ -135,7 +137,7 @@
 		Self: s.Name, Incarnation: n.incarnation, Feed: n.feed, Store: n.o.Platform.Store, OrderCodec: n.o.Platform.OrderCodec,
 		OrderIDHeader: n.o.Platform.Dialect.RequestID,
 		Timing:        hold.DefaultTiming(s.Limits.MaxGrantTTL), Clock: n.clock, Paths: n.paths,
-		Reports: n.reports, Log: n.o.Log, Shares: s.Shares,
+		Reports: n.reports, Sockets: n.sockets, Log: n.o.Log, Shares: s.Shares,
 	})
 	n.guard = guard.New(guard.Options{
 		View: n.feed, Store: n.o.Platform.Store, Clock: n.clock, Counter: n.meter, Log: n.o.Log, Dial: guard.Dial,
@@ -147,7 +149,7 @@
 		Self: s.Name, Domain: s.Domain, View: n.feed, Dialect: n.o.Platform.Dialect,
 		ColdLimit:  pace.ColdLimit{Factor: s.Limits.ColdFactor, Slack: s.Limits.ColdSlack},
 		RetryLimit: pace.RetryLimit{Ratio: s.Limits.RetryRatio, Slack: s.Limits.RetrySlack, Window: s.Limits.RetryWindow},
-		Clock:      n.clock, Counter: n.meter, Log: n.o.Log, Limiter: n.limiter, Reports: n.reports, Guard: n.guard, Paths: n.paths, Health: n.o.Platform.OrderCodec,
+		Clock:      n.clock, Counter: n.meter, Sockets: n.sockets, Log: n.o.Log, Limiter: n.limiter, Reports: n.reports, Guard: n.guard, Paths: n.paths, Health: n.o.Platform.OrderCodec,
 		Relays: reach.NewRelays(s.Name, s.Regions, rand.IntN), Relay: relay.NewClient(n.clock, exchanger{n}), MaxCopyAge: s.Limits.MaxCopyAge, Shares: s.Shares,
 	})
 	n.relay = relay.NewServer(n.clock, n.sender, n.memory, n.o.Log)
@@ -266,15 +268,25 @@
 func (n *Node) serve(x listeners) {
 	n.front = front.New(n.group, front.Options{
 		Listen: x.entry, AcceptFailed: n.acceptLog("callers"), Limits: n.limits, Handler: n.sender.Handle, CloseAfterResponse: n.isolated,
-		Memory: n.memory, Priority: n.sender.Priority, RefuseNoMemory: n.sender.RefuseNoMemory,
+		Sockets: n.sockets, Memory: n.memory, Priority: n.sender.Priority, RefuseNoMemory: n.sender.RefuseNoMemory,
 	})
-	n.statusServer = &fasthttp.Server{Handler: n.handleStatus, NoDefaultServerHeader: true}
+	n.statusServer = &fasthttp.Server{
+		Handler: n.handleStatus, NoDefaultServerHeader: true, Concurrency: maxStatusConns, ReadTimeout: statusReadTimeout,
+	}
 	for _, l := range x.status {
 		l = listen.Retry(l, n.acceptLog("status"))
 		n.group.Go(func(context.Context) error { return n.statusServer.Serve(l) })
 	}
 }
 
+const (
+	// maxStatusConns bounds the connections to each port for status requests.
+	maxStatusConns = 32
+
+	// statusReadTimeout bounds the time for a status request, and for which a connection waits for one.
+	statusReadTimeout = 5 * time.Second
+)
+
 // acceptLogInterval is the least time between two log lines about connections that a port doesn't accept.
 const acceptLogInterval = time.Second
 
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -20,6 +20,7 @@
 	Store    netip.AddrPort                // address of the platform's store
 	Capacity int                           // processor capacity in thousandths of a core; 0 if unknown
 	Memory   int64                         // memory limit of the process in bytes; 0 for no limit
+	Sockets  int                           // sockets that the process may open; 0 for no limit
 	Limits   Limits
 
 	// Shares is whether requests are refused by priority while a service is short of capacity.
--- a/io/node/state.go
+++ b/io/node/state.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heatherrouter/core/buffer"
+	"heatherrouter/core/descr"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/site"
@@ -41,6 +42,7 @@
 	ServerLoads             *loadsState                   `json:"server-loads"`    // null before the coordinator sent any
 	Shares                  []send.ShareState             `json:"shares"`          // services that are short of capacity
 	RetryBudgets            []send.BudgetState            `json:"retry-budgets"`
+	Sockets                 descr.State                   `json:"sockets"`
 	OpenRequests            int                           `json:"open-requests"`
 	Waiting                 int                           `json:"waiting-requests"`
 	Connections             int                           `json:"caller-connections"`
@@ -57,6 +59,7 @@
 		Limits: n.limiter.States(), Crashes: n.guard.States(), Unreachable: n.paths.Statuses(), ServerLimits: n.reports.States(), Backoffs: n.reports.BackoffStates(),
 		ServerLoads: n.loadsState(s), Shares: n.sender.ShareStates(), RetryBudgets: n.sender.BudgetStates(),
 		ConfigFindings: []string{},
+		Sockets:        n.sockets.State(),
 		OpenRequests:   n.front.OpenRequests(), Waiting: n.sender.Waiting(), Connections: n.front.OpenConns(),
 	}
 	if n.memory != nil {
--- a/io/send/back.go
+++ b/io/send/back.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"heatherrouter/core/choice"
+	"heatherrouter/core/descr"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/misdir"
@@ -79,15 +80,22 @@
 		b = &backend{server: x, load: choice.Load{Slots: x.Slots}, misdirected: misdir.New(keyed)}
 		b.pool = conns.New(conns.Options{
 			Addr: x.Addr, MaxConns: maxConns, DialTimeout: dialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxResponseBytes,
-			Names: s.names, CloseDelimited: true, ReuseIdentified: true,
+			Names: s.names, CloseDelimited: true, ReuseIdentified: true, Sockets: s.o.Sockets, SocketUse: descr.Requests,
+		})
+		b.health = conns.New(conns.Options{
+			Addr: x.Addr, MaxConns: 1, DialTimeout: dialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxHealthBytes,
+			Sockets: s.o.Sockets, SocketUse: descr.Requests,
 		})
-		b.health = conns.New(conns.Options{Addr: x.Addr, MaxConns: 1, DialTimeout: dialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxHealthBytes})
 		s.backends[k] = b
 	}
 	return b
 }
 
-// Prune discards the state of server incarnations that are no longer in the snapshot and closes their idle connections.
+// unusedAge is for how long a connection to a server has been idle when it is closed because sockets are scarce.
+const unusedAge = time.Second
+
+// Prune discards the state of server incarnations that are no longer in the snapshot and closes their idle connections, and unused ones of
+// all servers while sockets are scarce.
 func (s *Sender) Prune() {
 	snap := s.o.View.Snapshot()
 	s.mu.Lock()
@@ -103,6 +111,13 @@
 		_ = b.pool.Close() // closes idle connections; those in use are closed after their requests
 		return true
 	})
+	if !s.o.Sockets.Scarce(descr.Requests) {
+		return
+	}
+	for _, b := range s.backends {
+		b.pool.CloseUnused(time.Now().Add(-unusedAge))
+		b.health.CloseUnused(time.Now().Add(-unusedAge))
+	}
 }
 
 // daemonNames returns the sorted names of the daemons, which share the limits that apply to all daemons together.
--- a/io/send/send.go
+++ b/io/send/send.go
@@ -33,6 +33,7 @@
 	"heatherrouter/io/conns"
 	"heatherrouter/io/limit"
 	"heatherrouter/io/memory"
+	"heatherrouter/io/socket"
 )
 
 // Dialect contains the names of the headers that callers, daemons and backend servers exchange.
@@ -85,6 +86,7 @@
 	RetryLimit pace.RetryLimit
 	Clock      *clock.Clock
 	Counter    Counter
+	Sockets    *socket.Budget // of connections to servers; nil for no limit
 	Limiter    Limiter
 	Reports    Reports
 	Guard      Guard
