The coordinator closes its connections to servers that have left

Cause: a link holds up to 19 connections to a server for orders. Only another incarnation of the same server or the end of the term closed it.

Fix: each time that the coordinator plans, it forgets the servers that are not announced and that no assignment names as owner or as previous owner: no order is sent to them any more. A link that is replaced is closed in the background; a grant in progress held up the coordinator's loop before.

--- a/io/grant/elect.go
+++ b/io/grant/elect.go
@@ -112,11 +112,7 @@
 	g.o.Log.Info().Uint64("term", uint64(g.term)).Msg("no longer the coordinator")
 	g.endedTerm.Store(uint64(g.term))
 	for _, l := range g.links {
-		// A grant in progress to a server that doesn't answer holds the link until its deadline.
-		g.group.Go(func(context.Context) error {
-			l.close()
-			return nil
-		})
+		g.closeInBackground(l)
 	}
 	g.term, g.services, g.links = 0, nil, nil
 }
--- a/io/grant/grant.go
+++ b/io/grant/grant.go
@@ -107,7 +107,7 @@
 	sequence      uint64
 	services      map[ident.Service]*service
 	links         map[ident.Server]*link
-	servers       map[ident.Server]*site.Server // last known incarnation of each server
+	servers       map[ident.Server]*site.Server // last known incarnation of each server that is announced or has assignments
 	plannedAt     mono.Time
 	earlierOrders elect.EarlierOrders
 	measurements  *measurements
@@ -325,6 +325,9 @@
 	}
 	g.checkReach(s)
 	due := now.Sub(g.plannedAt) >= planInterval
+	if due {
+		g.forgetServers(s)
+	}
 	if due && !g.updateMembers(c, s) {
 		return now.Add(pollInterval)
 	}
--- a/io/grant/link.go
+++ b/io/grant/link.go
@@ -74,7 +74,7 @@
 		return x
 	}
 	if x != nil {
-		x.close()
+		g.closeInBackground(x)
 	}
 	o := conns.Options{
 		Addr: s.Addr, MaxConns: 1, DialTimeout: orderDialTimeout, ProbeInterval: conns.NoProbes, MaxBody: maxResponse, Names: conns.NoNames,
@@ -98,6 +98,35 @@
 	_ = x.health.Close()
 }
 
+// forgetServers closes the connections to the servers that have left and that no assignment names, as owner or as previous owner: no order
+// is sent to them any more. Servers keep the connections of a coordinator open until they exit, and this side for as long as its term lasts.
+func (g *Granter) forgetServers(s *site.Snapshot) {
+	assigned := map[ident.Server]bool{}
+	for _, x := range g.services {
+		for _, p := range x.table.Assignments() {
+			assigned[p.Owner.Server], assigned[p.Previous.Server] = true, true
+		}
+	}
+	for id := range g.servers {
+		if s.Servers[id] != nil || assigned[id] {
+			continue
+		}
+		delete(g.servers, id)
+		if l := g.links[id]; l != nil {
+			delete(g.links, id)
+			g.closeInBackground(l)
+		}
+	}
+}
+
+// closeInBackground closes a link without waiting for a grant in progress, which holds it until its deadline.
+func (g *Granter) closeInBackground(l *link) {
+	g.group.Go(func(context.Context) error {
+		l.close()
+		return nil
+	})
+}
+
 // refreshSpare reopens lost spare connections in the background. The caller holds l.grantMu.
 func (g *Granter) refreshSpare(l *link) {
 	now := time.Now()
