--- a/io/feed/beats.go
+++ b/io/feed/beats.go
@@ -54,6 +54,9 @@
 // addAnnouncements adds the newest announcements of servers to the rows for a peer: those of the listed rows or, if the peer asks for
 // them, all that its rows don't show. y is nil if the peer lacks no row. The caller must hold f.mu.
 func (f *Feed) addAnnouncements(y *wire.SyncTable, all bool) *wire.SyncTable {
+	if y == nil && !all {
+		return nil
+	}
 	now, t := f.o.Clock.Now(), &f.tables[store.Servers]
 	listed := map[string]bool{}
 	for _, r := range y.GetRows() {
