--- a/core/descr/descr.go
+++ b/core/descr/descr.go
@@ -13,6 +13,9 @@
 	uses
 )
 
+// Uses returns all uses.
+func Uses() []Use { return []Use{Callers, Requests, Orders} }
+
 // String returns the name of the use in logs.
 func (u Use) String() string {
 	return [...]string{"callers", "requests", "orders"}[u]
--- a/io/feed/beats.go
+++ b/io/feed/beats.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"slices"
+
 	"heatherrouter/core/beat"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -89,6 +91,9 @@
 
 // learnAnnouncements applies the newest announcements of servers that a peer has added to its rows. The caller must hold f.mu.
 func (f *Feed) learnAnnouncements(rows []*wire.SyncRow, from ident.Daemon) {
+	if !slices.ContainsFunc(rows, func(r *wire.SyncRow) bool { return r.GetNewest() != nil }) {
+		return
+	}
 	now, d := f.o.Clock.Now(), f.newBuilder(rowSource{name: string(from)})
 	learned := false
 	for _, r := range rows {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -20,6 +20,7 @@
 
 	"heatherrouter/core/buffer"
 	"heatherrouter/core/crash"
+	"heatherrouter/core/descr"
 	"heatherrouter/core/hold"
 	"heatherrouter/core/ident"
 	"heatherrouter/core/mono"
@@ -198,9 +199,19 @@
 
 // startMeter creates the metrics and, if the settings name a memory limit, the budget for the bodies of requests and responses.
 func (n *Node) startMeter() (err error) {
-	if n.meter, err = meter.New(); err != nil || n.o.Settings.Memory <= 0 {
+	if n.meter, err = meter.New(); err != nil {
 		return err
 	}
+	for _, u := range descr.Uses() {
+		err := n.meter.Gauge("heatherrouter.sockets."+u.String(), "{socket}", "open sockets for "+u.String()+"; 0 without a limit",
+			func() float64 { return float64(n.sockets.Open(u)) })
+		if err != nil {
+			return err
+		}
+	}
+	if n.o.Settings.Memory <= 0 {
+		return nil
+	}
 	n.memory = memory.New(memory.Options{
 		Limit: buffer.Bytes(float64(n.o.Settings.Memory) * bufferRatio), Clock: n.clock, Refused: n.meter.RecordNoMemory,
 	})
