beat: store deadlines of older rows in place of times and limits

Peers are told the time that is left until an older row is used. An older row of another incarnation than the one that drains brings the deadline forward, and no row puts it off.

--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -48,8 +48,7 @@
 type record struct {
 	newest Announcement
 	row    rowState
-	since  mono.Time // when the row was first older than newest, or when it was deleted
-	limit  time.Duration
+	until  mono.Time // when an older row is used all the same, or when newest is forgotten after the row was deleted
 }
 
 type rowState uint8
@@ -73,27 +72,24 @@
 		h.servers[s] = &record{newest: a}
 		return true
 	}
-	if x.row != older {
-		x.row, x.since = older, now
-	}
-	x.limit = LateWriteLimit
+	until := now.Add(LateWriteLimit)
 	if x.newest.Draining && a.Born == x.newest.Born {
-		x.limit = DrainingLimit
+		until = now.Add(DrainingLimit)
+	}
+	if x.row == older {
+		until = min(until, x.until)
 	}
+	x.row, x.until = older, until
 	return false
 }
 
-// Learn records that a is the newest announcement of a server, as known from elsewhere, and that the server's row has been older since
-// the given time. It reports false if a is not newer than what was known.
-func (h *History) Learn(since mono.Time, s ident.Server, a Announcement) bool {
+// Learn records that a is the newest announcement of a server, as known from elsewhere, and that an older row of the server is used at the
+// time until. It reports false if a is not newer than what was known.
+func (h *History) Learn(until mono.Time, s ident.Server, a Announcement) bool {
 	if x := h.servers[s]; x != nil && !x.newest.Before(a.Number) {
 		return false
 	}
-	x := &record{newest: a, row: older, since: since, limit: LateWriteLimit}
-	if a.Draining {
-		x.limit = DrainingLimit
-	}
-	h.servers[s] = x
+	h.servers[s] = &record{newest: a, row: older, until: until}
 	return true
 }
 
@@ -107,21 +103,21 @@
 // Deleted records that the row of a server was deleted.
 func (h *History) Deleted(now mono.Time, s ident.Server) {
 	if x := h.servers[s]; x != nil {
-		x.row, x.since = deleted, now
+		x.row, x.until = deleted, now.Add(LateWriteLimit)
 	}
 }
 
-// Superseded returns the newest announcement of a server whose row doesn't show it, and for how long the row has been older: 0 if it was
-// deleted or can't be decoded.
-func (h *History) Superseded(now mono.Time, s ident.Server) (a Announcement, held time.Duration, ok bool) {
+// Superseded returns the newest announcement of a server whose row doesn't show it, and when an older row is used all the same.
+func (h *History) Superseded(now mono.Time, s ident.Server) (a Announcement, until mono.Time, ok bool) {
 	x := h.servers[s]
-	if x == nil || x.row == current {
+	switch {
+	case x == nil || x.row == current:
 		return Announcement{}, 0, false
+	case x.row == older:
+		return x.newest, x.until, true
+	default:
+		return x.newest, now.Add(LateWriteLimit), true
 	}
-	if x.row == older {
-		held = now.Sub(x.since)
-	}
-	return x.newest, held, true
 }
 
 // Newest returns the newest announcement of a server; false if none is known.
@@ -138,7 +134,7 @@
 func (h *History) Due(asOf mono.Time) []ident.Server {
 	var l []ident.Server
 	for s, x := range h.servers {
-		if x.row == older && asOf.Sub(x.since) >= x.limit {
+		if x.row == older && !asOf.Before(x.until) {
 			l = append(l, s)
 			delete(h.servers, s)
 		}
@@ -149,7 +145,7 @@
 // Prune forgets the servers whose rows were deleted so long ago that no write of theirs is pending.
 func (h *History) Prune(now mono.Time) {
 	for s, x := range h.servers {
-		if x.row == deleted && now.Sub(x.since) >= LateWriteLimit {
+		if x.row == deleted && !now.Before(x.until) {
 			delete(h.servers, s)
 		}
 	}
--- a/core/beat/beat_test.go
+++ b/core/beat/beat_test.go
@@ -95,15 +95,19 @@
 	}
 }
 
-// Guards against daemons that tell each other of a wrong announcement again and again: how long the row has been older is told as well.
+// Guards against daemons that tell each other of a wrong announcement again and again: when an older row is used is told as well.
 func TestLearnedAnnouncementEndsAtItsTime(t *testing.T) {
 	h := NewHistory()
 	h.Admit(0, server, ready(7, 4))
-	began := mono.Time(time.Second)
-	require.True(t, h.Learn(began, server, ready(7, 1<<62)))
-	require.False(t, h.Learn(began.Add(5*time.Second), server, ready(7, 1<<62)), "known already")
-	require.False(t, h.Admit(began.Add(6*time.Second), server, ready(7, 5)))
-	require.Equal(t, []ident.Server{server}, h.Due(began.Add(LateWriteLimit)))
+	until := mono.Time(7 * time.Second)
+	require.True(t, h.Learn(until, server, ready(7, 1<<62)))
+	require.False(t, h.Learn(until.Add(5*time.Second), server, ready(7, 1<<62)), "known already")
+	require.False(t, h.Admit(until.Add(-time.Second), server, ready(7, 5)))
+	_, told, ok := h.Superseded(until.Add(-time.Second), server)
+	require.True(t, ok)
+	require.Equal(t, until, told)
+	require.Empty(t, h.Due(until-1))
+	require.Equal(t, []ident.Server{server}, h.Due(until))
 }
 
 // Guards against an order of rows in which a late write changes what is in use.
--- a/io/feed/beats.go
+++ b/io/feed/beats.go
@@ -42,11 +42,11 @@
 
 // encode returns the newest announcement of a server for peers; nil if the server's row shows it.
 func (a announcements) encode(now mono.Time, s ident.Server) *wire.Announcement {
-	n, held, ok := a.history.Superseded(now, s)
+	n, until, ok := a.history.Superseded(now, s)
 	if !ok {
 		return nil
 	}
-	return &wire.Announcement{Born: n.Born, Sequence: n.Sequence, Value: a.inUse[s], HeldUs: micros(held)}
+	return &wire.Announcement{Born: n.Born, Sequence: n.Sequence, Value: a.inUse[s], LeftUs: micros(until.Sub(now))}
 }
 
 func announcementOf(x *site.Server) beat.Announcement {
@@ -121,7 +121,7 @@
 		}
 		a.Draining = x.Draining
 	}
-	if !d.announcements.history.Learn(now.Add(-duration(w.GetHeldUs())), id, a) {
+	if !d.announcements.history.Learn(now.Add(duration(w.GetLeftUs())), id, a) {
 		return false
 	}
 	d.o.Log.Info().Str("server", r.GetKey()).Int64("born", a.Born).Int64("sequence", a.Sequence).Bool("in-use", x != nil).
@@ -142,8 +142,8 @@
 func (f *Feed) LearnIncarnation(s ident.Server, born int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.o.Clock.Now()
-	if !f.announcements.history.Learn(now, s, beat.Announcement{Number: beat.Number{Born: born}}) || f.snapshot.Servers[s] == nil {
+	until := f.o.Clock.Now().Add(beat.LateWriteLimit)
+	if !f.announcements.history.Learn(until, s, beat.Announcement{Number: beat.Number{Born: born}}) || f.snapshot.Servers[s] == nil {
 		return
 	}
 	f.o.Log.Info().Str("server", string(s)).Int64("born", born).Msg("row of an earlier incarnation of a server not used")
