Unused connections of callers make room after a fiftieth of the idle timeout

Callers: a daemon filled with connections that have sent nothing served no new caller for 3 s, a fifth of the idle timeout.

The test is as it was.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -50,6 +50,7 @@
 	closing bool        // no response follows: one with Connection: close was written, or the idle connection was closed
 	idle    bool        // waiting for the first byte of a request
 	idleAt  time.Time   // since when, if idle
+	used    bool        // has carried a request
 	evicted bool        // to be closed as soon as no request is in progress
 }
 
@@ -158,7 +159,7 @@
 		return false
 	}
 	c.frontend.open.Add(1)
-	c.queue = append(c.queue, x)
+	c.queue, c.used = append(c.queue, x), true
 	c.bodies += x.body
 	c.last = c.last || last
 	return true
@@ -215,11 +216,18 @@
 	c.idle, c.idleAt = v, time.Now()
 }
 
-// idleSince returns since when the connection has waited for a request, if it does and isn't being closed.
-func (c *conn) idleSince() (t time.Time, idle bool) {
+// evictableAt returns from when on the connection may be closed to make room; false unless it waits for a request.
+func (c *conn) evictableAt(idleTimeout time.Duration) (t time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleAt, c.idle && !c.closing && !c.evicted && len(c.queue) == 0
+	if !c.idle || c.closing || c.evicted || len(c.queue) > 0 {
+		return time.Time{}, false
+	}
+	ratio := unusedEvictionRatio
+	if c.used {
+		ratio = evictionRatio
+	}
+	return c.idleAt.Add(time.Duration(float64(idleTimeout) * ratio)), true
 }
 
 // evict closes the connection if it is still idle.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -95,12 +95,12 @@
 		}
 		if !f.o.Sockets.Acquire(descr.Callers) {
 			_ = n.Close() // the caller's request counts as not read, so that another daemon may serve it
-			f.closeLongestIdle()
+			f.closeIdlest()
 			continue
 		}
 		f.serve(newConn(f, n))
 		if f.o.Sockets.Scarce(descr.Callers) {
-			f.closeLongestIdle()
+			f.closeIdlest()
 		}
 	}
 }
@@ -119,24 +119,29 @@
 	})
 }
 
-// evictionRatio is the part of the idle timeout for which a connection must have waited for a request to be closed for another one. Callers
-// that open their closed connections again at once would otherwise displace each other.
-const evictionRatio = 0.2
+const (
+	// evictionRatio is the part of the idle timeout for which a connection must have waited for a request to be closed for another one.
+	// Callers that open their closed connections again at once would otherwise displace each other.
+	evictionRatio = 0.2
 
-// closeLongestIdle closes the connection that has waited longest for a request, to make room for callers that have one.
-func (f *Frontend) closeLongestIdle() {
-	age := time.Duration(float64(f.o.Limits().IdleTimeout) * evictionRatio)
+	// unusedEvictionRatio replaces evictionRatio for connections that haven't carried a request.
+	unusedEvictionRatio = evictionRatio / 10
+)
+
+// closeIdlest closes the connection that was the first to have waited too long for a request, to make room for callers that have one.
+func (f *Frontend) closeIdlest() {
+	timeout := f.o.Limits().IdleTimeout
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var longest *conn
-	var since time.Time
+	var idlest *conn
+	first := time.Now()
 	for c := range f.conns {
-		if t, idle := c.idleSince(); idle && (longest == nil || t.Before(since)) {
-			longest, since = c, t
+		if t, ok := c.evictableAt(timeout); ok && t.Before(first) {
+			idlest, first = c, t
 		}
 	}
-	if longest != nil && time.Since(since) >= age {
-		longest.evict()
+	if idlest != nil {
+		idlest.evict()
 	}
 }
 
