--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -230,7 +230,7 @@
 	return c.idleAt.Add(time.Duration(float64(idleTimeout) * ratio)), true
 }
 
-// evict closes the connection if it is still idle.
+// evict closes the connection as soon as no request is in progress on it.
 func (c *conn) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -95,12 +95,12 @@
 		}
 		if !f.o.Sockets.Acquire(descr.Callers) {
 			_ = n.Close() // the caller's request counts as not read, so that another daemon may serve it
-			f.closeIdlest()
+			f.evictIdle()
 			continue
 		}
 		f.serve(newConn(f, n))
 		if f.o.Sockets.Scarce(descr.Callers) {
-			f.closeIdlest()
+			f.evictIdle()
 		}
 	}
 }
@@ -128,20 +128,20 @@
 	unusedEvictionRatio = evictionRatio / 10
 )
 
-// closeIdlest closes the connection that was the first to have waited too long for a request, to make room for callers that have one.
-func (f *Frontend) closeIdlest() {
+// evictIdle closes the connection that has been evictable for longest, to make room for callers that have a request.
+func (f *Frontend) evictIdle() {
 	timeout := f.o.Limits().IdleTimeout
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var idlest *conn
-	first := time.Now()
+	var oldest *conn
+	since := time.Now()
 	for c := range f.conns {
-		if t, ok := c.evictableAt(timeout); ok && t.Before(first) {
-			idlest, first = c, t
+		if t, ok := c.evictableAt(timeout); ok && t.Before(since) {
+			oldest, since = c, t
 		}
 	}
-	if idlest != nil {
-		idlest.evict()
+	if oldest != nil {
+		oldest.evict()
 	}
 }
 
